--- /dev/null
+++ b/src/common/base/refusal.ts
@@ -0,0 +1,83 @@
+import {Millis} from './clock.js';
+
+/** Whether refused work was run. `NO` is said only when it is provable. */
+export const Ran = {NO: 'no', YES: 'yes', UNKNOWN: 'unknown'} as const;
+export type Ran = (typeof Ran)[keyof typeof Ran];
+
+/** Kinds of refusal, in the `error` field of an answer. */
+export const RefusalKind = {
+  BAD_REQUEST: 'bad_request',
+  BODY_TOO_LARGE: 'body_too_large',
+  NOT_FOUND: 'not_found',
+  UNKNOWN_SERVICE: 'unknown_service',
+  CONFLICT: 'conflict',
+  TOO_LARGE_FOR_ANY_WORKER: 'too_large_for_any_worker',
+  OVERLOADED: 'overloaded',
+  DEADLINE_PASSED: 'deadline_passed',
+  QUOTA: 'quota',
+  NO_TARGET: 'no_target',
+  TARGET_FAILED: 'target_failed',
+  NO_LEADER: 'no_leader',
+  LOG_UNAVAILABLE: 'log_unavailable',
+  ALREADY_CLAIMED: 'already_claimed',
+  TICKET_CONFLICT: 'ticket_conflict',
+  NOT_READY: 'not_ready',
+  SHUTTING_DOWN: 'shutting_down',
+  PEER_UNAVAILABLE: 'peer_unavailable',
+  UNKNOWN_OUTCOME: 'unknown_outcome',
+} as const;
+export type RefusalKind = (typeof RefusalKind)[keyof typeof RefusalKind];
+
+/** HTTP status of each kind of refusal. */
+export const REFUSAL_STATUS: Readonly<Record<RefusalKind, number>> = {
+  [RefusalKind.BAD_REQUEST]: 400,
+  [RefusalKind.BODY_TOO_LARGE]: 413,
+  [RefusalKind.NOT_FOUND]: 404,
+  [RefusalKind.UNKNOWN_SERVICE]: 404,
+  [RefusalKind.CONFLICT]: 409,
+  [RefusalKind.TOO_LARGE_FOR_ANY_WORKER]: 422,
+  [RefusalKind.OVERLOADED]: 503,
+  [RefusalKind.DEADLINE_PASSED]: 504,
+  [RefusalKind.QUOTA]: 429,
+  [RefusalKind.NO_TARGET]: 503,
+  [RefusalKind.TARGET_FAILED]: 502,
+  [RefusalKind.NO_LEADER]: 503,
+  [RefusalKind.LOG_UNAVAILABLE]: 503,
+  [RefusalKind.ALREADY_CLAIMED]: 409,
+  [RefusalKind.TICKET_CONFLICT]: 409,
+  [RefusalKind.NOT_READY]: 503,
+  [RefusalKind.SHUTTING_DOWN]: 503,
+  [RefusalKind.PEER_UNAVAILABLE]: 503,
+  [RefusalKind.UNKNOWN_OUTCOME]: 504,
+};
+
+/** A typed refusal, as sent to callers and operators. */
+export interface Refusal {
+  readonly error: RefusalKind;
+  /** What happened, one short sentence. */
+  readonly message: string;
+  /** What the reader can do about it, one short sentence. */
+  readonly remedy: string;
+  readonly ran: Ran;
+  /** After how many milliseconds another try can help. */
+  readonly retryAfterMs?: Millis;
+}
+
+/** Builds a refusal of work that provably was not run. */
+export function refuse(
+  error: RefusalKind,
+  message: string,
+  remedy: string,
+  retryAfterMs?: Millis,
+): Refusal {
+  return {error, message, remedy, ran: Ran.NO, retryAfterMs};
+}
+
+/** Builds a refusal of work that may have run. */
+export function refuseUnknown(
+  error: RefusalKind,
+  message: string,
+  remedy: string,
+): Refusal {
+  return {error, message, remedy, ran: Ran.UNKNOWN};
+}
--- /dev/null
+++ b/src/common/base/rendezvous.ts
@@ -0,0 +1,28 @@
+import {createHash} from 'node:crypto';
+
+function weight(key: string, node: string): bigint {
+  const digest = createHash('sha256').update(`${key}\u0000${node}`).digest();
+  return digest.readBigUInt64BE(0);
+}
+
+/**
+ * Picks the node for a key by rendezvous (highest random weight) hashing.
+ * Every caller with the same set of nodes gets the same answer.
+ *
+ * @returns the node, or undefined when `nodes` is empty.
+ */
+export function rendezvous(
+  key: string,
+  nodes: readonly string[],
+): string | undefined {
+  let best: string | undefined;
+  let bestWeight = -1n;
+  for (const node of nodes) {
+    const candidate = weight(key, node);
+    if (candidate > bestWeight) {
+      best = node;
+      bestWeight = candidate;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/common/routing/types.ts
@@ -0,0 +1,68 @@
+import {Either} from 'purify-ts';
+import {Millis} from '../base/clock.js';
+import {Instance} from '../base/platform.js';
+import {Refusal} from '../base/refusal.js';
+import {ServiceConfiguration} from '../tickets/types.js';
+
+/** A request as the router sees it. */
+export interface RoutedRequest {
+  readonly service: string;
+  readonly idempotent: boolean;
+  /** Local time after which the answer is of no use. */
+  readonly deadline: Millis;
+  /** Targets that this request has tried already. */
+  readonly tried: readonly string[];
+}
+
+/** A target that was chosen; must be given back with `finish` exactly once. */
+export interface Choice {
+  readonly service: string;
+  readonly target: Instance;
+  readonly chosenAt: Millis;
+  /** Whether the choice counts against the retry budget. */
+  readonly retry: boolean;
+}
+
+/** How an attempt ended. */
+export const AttemptOutcome = {
+  /** The whole answer was passed on. */
+  SUCCEEDED: 'succeeded',
+  /** The target answered with a server error. */
+  FAILED: 'failed',
+  /** No byte was sent: the connection was refused. */
+  NOT_SENT: 'not-sent',
+  /** The connection broke after bytes were sent. */
+  BROKEN: 'broken',
+  /** The deadline passed. */
+  TIMED_OUT: 'timed-out',
+  /** The caller went away. */
+  CANCELLED: 'cancelled',
+} as const;
+export type AttemptOutcome =
+  (typeof AttemptOutcome)[keyof typeof AttemptOutcome];
+
+/** The router's view of its surroundings. */
+export interface RoutingState {
+  readonly dataCentre: string;
+  /** Entry instances that are live in this data centre, this one included. */
+  readonly entryInstances: number;
+  readonly targets: readonly Instance[];
+  readonly services: Readonly<Record<string, ServiceConfiguration>>;
+}
+
+/** Chooses targets for requests. */
+export interface TargetChooser {
+  /** Replaces the surroundings; in-flight counts and statistics are kept. */
+  update(state: RoutingState, now: Millis): void;
+  /** Marks a target as leaving until it has a higher start number. */
+  markLeaving(target: string): void;
+  /**
+   * Chooses a target at once.
+   *
+   * @returns the choice, or a refusal (`ran` is `no`): unknown service, no
+   *     target, all targets full, retry budget spent.
+   */
+  choose(request: RoutedRequest, now: Millis): Either<Refusal, Choice>;
+  /** Gives a choice back with its outcome. */
+  finish(choice: Choice, outcome: AttemptOutcome, now: Millis): void;
+}
--- /dev/null
+++ b/test_support/log_service.ts
@@ -0,0 +1,185 @@
+import {JsonServer, readJson, sendJson} from '../src/node/json_server.js';
+
+interface LogRecord {
+  readonly offset: number;
+  readonly timeMs: number;
+  readonly data: unknown;
+}
+
+interface Stream {
+  first: number;
+  records: LogRecord[];
+  waiters: Set<() => void>;
+}
+
+/** Faults that a test or an operator can switch on. */
+export interface LogFaults {
+  /** Answer every call with 503. */
+  down: boolean;
+  /** Delay of every answer, in milliseconds. */
+  delayMs: number;
+  /** Carry out this many appends and cut the connection in place of an answer. */
+  loseAppendAnswers: number;
+  /** Cut the connection of this many appends without carrying them out. */
+  loseAppends: number;
+}
+
+const MAX_WAIT_MS = 30_000;
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+/**
+ * Stand-in for the platform's log service: append-only streams in memory, with
+ * faults on request.
+ *
+ * `PUT /faults` sets faults, `POST /drop/{stream}?before=N` drops old records,
+ * `GET /stats` counts appends.
+ */
+export class LogService {
+  private readonly streams = new Map<string, Stream>();
+  private readonly server = new JsonServer({
+    maxBodyBytes: MAX_BODY_BYTES,
+    requestTimeoutMs: 60_000,
+  });
+  private appends = 0;
+  readonly faults: LogFaults = {
+    down: false,
+    delayMs: 0,
+    loseAppendAnswers: 0,
+    loseAppends: 0,
+  };
+
+  constructor() {
+    this.server
+      .route('POST', '/streams/{stream}', async exchange => {
+        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        await this.delay();
+        if (this.faults.loseAppends > 0) {
+          this.faults.loseAppends--;
+          exchange.response.destroy();
+          return;
+        }
+        if (this.faults.down) {
+          sendJson(exchange.response, 503, {error: 'down'});
+          return;
+        }
+        const {data} = body as {data: unknown};
+        const offset = this.append(exchange.parameters.stream, data);
+        if (this.faults.loseAppendAnswers > 0) {
+          this.faults.loseAppendAnswers--;
+          exchange.response.destroy();
+          return;
+        }
+        sendJson(exchange.response, 201, {offset});
+      })
+      .route('GET', '/streams/{stream}', async exchange => {
+        const query = exchange.url.searchParams;
+        const from = Number(query.get('from') ?? 0);
+        const limit = Number(query.get('limit') ?? 500);
+        const waitMs = Number(query.get('waitMs') ?? 0);
+        await this.delay();
+        const name = exchange.parameters.stream;
+        if (!this.faults.down && this.end(name) <= from && waitMs > 0) {
+          await this.waitForRecord(name, Math.min(waitMs, MAX_WAIT_MS));
+        }
+        if (this.faults.down) {
+          sendJson(exchange.response, 503, {error: 'down'});
+          return;
+        }
+        sendJson(exchange.response, 200, this.read(name, from, limit));
+      })
+      .route('PUT', '/faults', async exchange => {
+        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        Object.assign(this.faults, body);
+        if (this.faults.down) this.wakeAll();
+        sendJson(exchange.response, 200, this.faults);
+      })
+      .route('POST', '/drop/{stream}', exchange => {
+        const before = Number(exchange.url.searchParams.get('before') ?? 0);
+        this.dropBefore(exchange.parameters.stream, before);
+        sendJson(exchange.response, 200, {dropped: before});
+      })
+      .route('GET', '/stats', exchange => {
+        sendJson(exchange.response, 200, {appends: this.appends});
+      });
+  }
+
+  /** Starts the service; resolves with its port. */
+  listen(port: number, host = '127.0.0.1'): Promise<number> {
+    return this.server.listen(port, host);
+  }
+
+  async close(): Promise<void> {
+    this.wakeAll();
+    this.server.closeAllConnections();
+    await this.server.close();
+  }
+
+  /** Appends a record and returns its offset. */
+  append(name: string, data: unknown): number {
+    const stream = this.stream(name);
+    const offset = stream.first + stream.records.length;
+    stream.records.push({offset, timeMs: Date.now(), data});
+    this.appends++;
+    this.wake(stream);
+    return offset;
+  }
+
+  /** Reads kept records from `from` on. */
+  read(name: string, from: number, limit: number) {
+    const stream = this.stream(name);
+    const start = Math.max(0, from - stream.first);
+    return {
+      first: stream.first,
+      end: stream.first + stream.records.length,
+      records: stream.records.slice(start, start + limit),
+    };
+  }
+
+  /** Drops records with an offset below `before`, as retention does. */
+  dropBefore(name: string, before: number): void {
+    const stream = this.stream(name);
+    const count = Math.max(0, before - stream.first);
+    stream.records.splice(0, count);
+    stream.first += count;
+  }
+
+  private end(name: string): number {
+    const stream = this.stream(name);
+    return stream.first + stream.records.length;
+  }
+
+  private stream(name: string): Stream {
+    let stream = this.streams.get(name);
+    if (stream === undefined) {
+      stream = {first: 0, records: [], waiters: new Set()};
+      this.streams.set(name, stream);
+    }
+    return stream;
+  }
+
+  private wake(stream: Stream): void {
+    for (const waiter of [...stream.waiters]) waiter();
+  }
+
+  private wakeAll(): void {
+    for (const stream of this.streams.values()) this.wake(stream);
+  }
+
+  private waitForRecord(name: string, waitMs: number): Promise<void> {
+    const stream = this.stream(name);
+    return new Promise(resolve => {
+      const done = () => {
+        clearTimeout(timer);
+        stream.waiters.delete(done);
+        resolve();
+      };
+      const timer = setTimeout(done, waitMs);
+      stream.waiters.add(done);
+    });
+  }
+
+  private delay(): Promise<void> {
+    if (this.faults.delayMs <= 0) return Promise.resolve();
+    return new Promise(resolve => setTimeout(resolve, this.faults.delayMs));
+  }
+}
--- /dev/null
+++ b/test_support/worker.ts
@@ -0,0 +1,345 @@
+import {
+  Instance,
+  InstanceRole,
+  InstanceState,
+  TaskState,
+  TaskStatus,
+  WorkerStatus,
+} from '../src/common/base/platform.js';
+import {EMPTY_SIZE, Size, addSizes} from '../src/common/base/size.js';
+import {
+  Exchange,
+  JsonServer,
+  readBody,
+  readJson,
+  sendJson,
+} from '../src/node/json_server.js';
+
+/** Faults that a test or an operator can switch on. */
+export interface WorkerFaults {
+  /** Fail every task right after its start and every service request. */
+  failEverything: boolean;
+  /** Delay of each answer to a service request, in milliseconds. */
+  requestDelayMs: number;
+  /** Cut the connection of this many starts after carrying them out. */
+  loseStartAnswers: number;
+  /** Age of the usage that is reported, in milliseconds. */
+  usageLagMs: number;
+  /** The worker says that it leaves. */
+  leaving: boolean;
+}
+
+/** Body of a start. */
+export interface TaskStart {
+  readonly job: string;
+  readonly kind: string;
+  readonly size: Size;
+  /** Time the work takes on an idle worker. */
+  readonly runMs: number;
+  readonly payload?: unknown;
+  /** End of the lease on this worker's clock. */
+  readonly leaseUntilMs: number;
+  /** Work that is done already, 0 to 1. */
+  readonly checkpoint?: number;
+}
+
+/** One line of the ledger, by which tests judge the system. */
+export interface LedgerEntry {
+  readonly timeMs: number;
+  readonly worker: string;
+  readonly event:
+    'start' | 'late-start' | 'request' | 'request-end' | 'stop' | TaskState;
+  readonly task?: string;
+  readonly job?: string;
+  readonly key?: string;
+  readonly checkpoint?: number;
+  /** Sum of the sizes of all running tasks after the event. */
+  readonly promised: Size;
+}
+
+interface Task {
+  readonly id: string;
+  readonly start: TaskStart;
+  state: TaskState;
+  leaseUntilMs: number;
+  progress: number;
+  checkpoint: number;
+  share: number;
+  updatedMs: number;
+  result?: string;
+}
+
+/** How often running tasks make progress, in milliseconds. */
+const STEP_MS = 10;
+
+const MAX_BODY_BYTES = 1024 * 1024;
+
+/**
+ * Stand-in for a worker of the platform. Runs pretended tasks under leases and
+ * serves requests. Checks nothing but leases: neither who calls, nor whether a
+ * task id was used before, nor whether the tasks fit. `GET /ledger` shows every
+ * start and end; `PUT /faults` sets faults.
+ */
+export class Worker {
+  private readonly server = new JsonServer();
+  private readonly tasks: Task[] = [];
+  readonly ledger: LedgerEntry[] = [];
+  private readonly timer: NodeJS.Timeout;
+  private busySlots = 0;
+  readonly faults: WorkerFaults = {
+    failEverything: false,
+    requestDelayMs: 0,
+    loseStartAnswers: 0,
+    usageLagMs: 0,
+    leaving: false,
+  };
+
+  constructor(
+    readonly id: string,
+    private readonly clock: () => number = Date.now,
+  ) {
+    this.timer = setInterval(() => this.step(), STEP_MS);
+    this.taskRoutes();
+    this.serviceRoutes();
+  }
+
+  /** Starts the worker; resolves with its port. */
+  listen(port: number, host = '127.0.0.1'): Promise<number> {
+    return this.server.listen(port, host);
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.timer);
+    this.server.closeAllConnections();
+    await this.server.close();
+  }
+
+  /** Builds this worker's entry of the instance list. */
+  describe(
+    port: number,
+    dataCentre: string,
+    rack: string,
+    capacity: Size,
+    services: readonly string[],
+  ): Instance {
+    return {
+      id: this.id,
+      role: InstanceRole.WORKER,
+      start: 1,
+      dataCentre,
+      rack,
+      host: '127.0.0.1',
+      port,
+      peerPort: 0,
+      state: InstanceState.LIVE,
+      capacity,
+      services,
+      slots: 8,
+      connections: 64,
+    };
+  }
+
+  /** The worker's report, as `GET /status` answers it. */
+  status(): WorkerStatus {
+    this.step();
+    return {
+      id: this.id,
+      nowMs: this.clock(),
+      leaving: this.faults.leaving,
+      tasks: this.tasks.map(task => this.describeTask(task)),
+    };
+  }
+
+  private describeTask(task: Task): TaskStatus {
+    return {
+      task: task.id,
+      job: task.start.job,
+      kind: task.start.kind,
+      state: task.state,
+      leaseUntilMs: task.leaseUntilMs,
+      size: task.start.size,
+      usage: task.state === TaskState.RUNNING ? task.start.size : EMPTY_SIZE,
+      progress: task.progress,
+      checkpoint: task.checkpoint,
+      result: task.result,
+    };
+  }
+
+  private taskRoutes(): void {
+    this.server
+      .route('GET', '/status', exchange =>
+        sendJson(exchange.response, 200, this.status()),
+      )
+      .route('PUT', '/tasks/{task}', exchange => this.startTask(exchange))
+      .route('POST', '/leases', async exchange => {
+        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        const {leases} = body as {leases: Record<string, number>};
+        this.step();
+        for (const [id, untilMs] of Object.entries(leases)) {
+          const task = this.running(id);
+          if (task !== undefined) task.leaseUntilMs = untilMs;
+        }
+        sendJson(exchange.response, 200, this.status());
+      })
+      .route('POST', '/tasks/{task}/checkpoint', exchange => {
+        this.step();
+        const task = this.running(exchange.parameters.task);
+        if (task !== undefined) task.checkpoint = task.progress;
+        sendJson(exchange.response, 200, this.status());
+      })
+      .route('POST', '/tasks/{task}/throttle', async exchange => {
+        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        this.step();
+        const task = this.running(exchange.parameters.task);
+        if (task !== undefined) task.share = (body as {share: number}).share;
+        sendJson(exchange.response, 200, this.status());
+      })
+      .route('POST', '/tasks/{task}/stop', exchange => {
+        this.step();
+        const task = this.running(exchange.parameters.task);
+        if (task !== undefined) this.end(task, TaskState.STOPPED);
+        sendJson(exchange.response, 200, this.status());
+      })
+      .route('DELETE', '/tasks/{task}', exchange => {
+        this.forget(exchange.parameters.task);
+        sendJson(exchange.response, 200, this.status());
+      })
+      .route('GET', '/ledger', exchange =>
+        sendJson(exchange.response, 200, this.ledger),
+      )
+      .route('PUT', '/faults', async exchange => {
+        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        Object.assign(this.faults, body);
+        sendJson(exchange.response, 200, this.faults);
+      });
+  }
+
+  private serviceRoutes(): void {
+    this.server.route('*', '/services/{service}/{path...}', exchange =>
+      this.serve(exchange),
+    );
+  }
+
+  private async startTask(exchange: Exchange): Promise<void> {
+    const body = await readJson(exchange.request, MAX_BODY_BYTES);
+    const start = body as TaskStart;
+    const id = exchange.parameters.task;
+    if (start.leaseUntilMs <= this.clock()) {
+      this.record('late-start', {task: id, job: start.job});
+      sendJson(exchange.response, 409, {error: 'lease_lapsed'});
+      return;
+    }
+    const task: Task = {
+      id,
+      start,
+      state: TaskState.RUNNING,
+      leaseUntilMs: start.leaseUntilMs,
+      progress: start.checkpoint ?? 0,
+      checkpoint: start.checkpoint ?? 0,
+      share: 1,
+      updatedMs: this.clock(),
+    };
+    this.tasks.push(task);
+    this.record('start', {
+      task: id,
+      job: start.job,
+      checkpoint: task.checkpoint,
+    });
+    if (this.faults.failEverything) this.end(task, TaskState.FAILED);
+    if (this.faults.loseStartAnswers > 0) {
+      this.faults.loseStartAnswers--;
+      exchange.response.destroy();
+      return;
+    }
+    sendJson(exchange.response, 201, this.status());
+  }
+
+  private async serve(exchange: Exchange): Promise<void> {
+    const {request, response} = exchange;
+    const key = request.headers['idempotency-key'] as string | undefined;
+    const body = await readBody(request, MAX_BODY_BYTES);
+    this.record('request', {key});
+    this.busySlots++;
+    const header = request.headers['x-work-ms'];
+    const delayMs = this.faults.requestDelayMs + Number(header ?? 0);
+    if (delayMs > 0) {
+      await new Promise(resolve => setTimeout(resolve, delayMs));
+    }
+    this.busySlots--;
+    this.record('request-end', {key});
+    if (this.faults.leaving) response.setHeader('x-leaving', 'true');
+    response.setHeader('x-busy-slots', String(this.busySlots));
+    if (this.faults.failEverything) {
+      sendJson(response, 500, {error: 'failed'});
+      return;
+    }
+    sendJson(response, 200, {
+      worker: this.id,
+      service: exchange.parameters.service,
+      path: exchange.parameters.path,
+      echo: body.toString('utf8'),
+    });
+  }
+
+  private running(id: string): Task | undefined {
+    return this.tasks.find(
+      task => task.id === id && task.state === TaskState.RUNNING,
+    );
+  }
+
+  private forget(id: string): void {
+    for (let i = this.tasks.length - 1; i >= 0; i--) {
+      const task = this.tasks[i];
+      if (task.id === id && task.state !== TaskState.RUNNING) {
+        this.tasks.splice(i, 1);
+      }
+    }
+  }
+
+  /** Lets running tasks make progress and ends those whose lease lapsed. */
+  private step(): void {
+    const now = this.clock();
+    for (const task of this.tasks) {
+      if (task.state !== TaskState.RUNNING) continue;
+      const until = Math.min(now, task.leaseUntilMs);
+      const worked = Math.max(0, until - task.updatedMs) * task.share;
+      task.progress += worked / Math.max(1, task.start.runMs);
+      task.updatedMs = now;
+      if (task.progress >= 1) {
+        task.progress = 1;
+        task.result = `result of ${task.start.job}`;
+        this.end(task, TaskState.FINISHED);
+      } else if (now >= task.leaseUntilMs) {
+        this.end(task, TaskState.EXPIRED);
+      }
+    }
+  }
+
+  private end(task: Task, state: TaskState): void {
+    task.state = state;
+    this.record(state, {
+      task: task.id,
+      job: task.start.job,
+      checkpoint: task.checkpoint,
+    });
+  }
+
+  private record(
+    event: LedgerEntry['event'],
+    fields: {task?: string; job?: string; key?: string; checkpoint?: number},
+  ): void {
+    let promised = EMPTY_SIZE;
+    for (const task of this.tasks) {
+      if (task.state === TaskState.RUNNING) {
+        promised = addSizes(promised, task.start.size);
+      }
+    }
+    this.ledger.push({
+      timeMs: this.clock(),
+      worker: this.id,
+      event,
+      ...fields,
+      promised,
+    });
+  }
+}
