Add clients of the platform and links between instances

Thin layers over undici and ws: log client with a following reader, instance list client that keeps the last list that was not empty, worker client that makes each call once, peer links with a version check, schema check, bounded buffer and silence limit, and requests over them.

--- /dev/null
+++ b/src/node/instance_list_client.ts
@@ -0,0 +1,106 @@
+import {z} from 'zod';
+import {Millis, SECOND} from '../common/base/clock.js';
+import {Disposable} from '../common/base/disposable.js';
+import {Emitter, Event} from '../common/base/emitter.js';
+import {
+  Instance,
+  InstanceRole,
+  InstanceState,
+} from '../common/base/platform.js';
+import {PlatformClient} from './platform_client.js';
+
+const AMOUNT = z.number().nonnegative();
+
+const INSTANCE = z.object({
+  id: z.string().min(1),
+  role: z.enum([InstanceRole.ENTRY, InstanceRole.WORKER]),
+  start: z.number(),
+  dataCentre: z.string(),
+  rack: z.string(),
+  host: z.string(),
+  port: z.number().int(),
+  peerPort: z.number().int(),
+  state: z.enum([InstanceState.LIVE, InstanceState.LEAVING]),
+  capacity: z.object({
+    processors: AMOUNT,
+    memoryMb: AMOUNT,
+    accelerators: AMOUNT,
+  }),
+  services: z.array(z.string()),
+  slots: z.number().int().nonnegative(),
+  connections: z.number().int().nonnegative(),
+});
+
+const LIST = z.object({
+  version: z.number(),
+  instances: z.array(z.unknown()),
+});
+
+const POLL_MS: Millis = SECOND;
+const TIMEOUT_MS: Millis = 2 * SECOND;
+
+/**
+ * Polls the platform's instance list. An empty list is taken for a fault: the
+ * last list that was not empty is kept. Entries that are malformed are left
+ * out and counted.
+ */
+export class InstanceListClient implements Disposable {
+  private readonly emitter = new Emitter<readonly Instance[]>();
+  private timer: NodeJS.Timeout | undefined;
+  private disposed = false;
+  private latest: readonly Instance[] = [];
+  private malformedCount = 0;
+
+  /** Fires on every answered poll with a list that is not empty. */
+  readonly onList: Event<readonly Instance[]> = this.emitter.event;
+
+  constructor(
+    private readonly client: PlatformClient,
+    private readonly baseUrl: string,
+  ) {}
+
+  /** The last list that was not empty. */
+  get instances(): readonly Instance[] {
+    return this.latest;
+  }
+
+  /** Entries left out of the last list. */
+  get malformed(): number {
+    return this.malformedCount;
+  }
+
+  start(): void {
+    void this.poll();
+  }
+
+  dispose(): void {
+    this.disposed = true;
+    clearTimeout(this.timer);
+    this.emitter.dispose();
+  }
+
+  private async poll(): Promise<void> {
+    const answer = await this.client.call(
+      'GET',
+      `${this.baseUrl}/instances`,
+      undefined,
+      TIMEOUT_MS,
+    );
+    if (this.disposed) return;
+    answer.ifRight(({body}) => this.take(body));
+    this.timer = setTimeout(() => void this.poll(), POLL_MS);
+  }
+
+  private take(body: unknown): void {
+    const list = LIST.safeParse(body);
+    if (!list.success) return;
+    const parsed = list.data.instances.map(entry => INSTANCE.safeParse(entry));
+    const instances = parsed.flatMap(entry =>
+      entry.success ? [entry.data] : [],
+    );
+    this.malformedCount = parsed.length - instances.length;
+    if (instances.length === 0) return;
+    this.latest = instances;
+    this.emitter.fire(instances);
+  }
+}
--- /dev/null
+++ b/src/node/log_client.ts
@@ -0,0 +1,172 @@
+import {Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import {Millis, SECOND} from '../common/base/clock.js';
+import {Disposable} from '../common/base/disposable.js';
+import {Offset, StoredRecord} from '../common/stream/types.js';
+import {
+  PlatformClient,
+  PlatformError,
+  PlatformErrorKind,
+} from './platform_client.js';
+
+const APPEND_ANSWER = z.object({offset: z.number().int().nonnegative()});
+
+const READ_ANSWER = z.object({
+  first: z.number().int().nonnegative(),
+  end: z.number().int().nonnegative(),
+  records: z.array(
+    z.object({
+      offset: z.number().int().nonnegative(),
+      timeMs: z.number(),
+      data: z.unknown(),
+    }),
+  ),
+});
+
+/** One answer to a read. */
+export interface LogPage {
+  /** Oldest offset that is kept. */
+  readonly first: Offset;
+  /** Offset after the last record. */
+  readonly end: Offset;
+  readonly records: readonly StoredRecord<unknown>[];
+}
+
+/** Receives what a follower reads. */
+export interface LogListener {
+  onPage(page: LogPage): void;
+  /** Whether the last read was answered; sent on every read. */
+  onAvailability(available: boolean): void;
+}
+
+/** Timeouts of calls to the log, in milliseconds. */
+export interface LogTimeouts {
+  readonly appendMs: Millis;
+  readonly readMs: Millis;
+  /** How long the service may hold a read that has nothing to return. */
+  readonly longPollMs: Millis;
+}
+
+export const DEFAULT_LOG_TIMEOUTS: LogTimeouts = {
+  appendMs: 2 * SECOND,
+  readMs: 2 * SECOND,
+  longPollMs: 2 * SECOND,
+};
+
+const RECORDS_PER_READ = 500;
+const FIRST_PAUSE_MS = 100;
+const LONGEST_PAUSE_MS = 1000;
+
+/** Client of the platform's log service. */
+export class LogClient {
+  constructor(
+    private readonly client: PlatformClient,
+    private readonly baseUrl: string,
+    private readonly timeouts: LogTimeouts = DEFAULT_LOG_TIMEOUTS,
+  ) {}
+
+  /** Appends a record once; a lost answer is a `no-answer` error. */
+  async append(
+    stream: string,
+    data: unknown,
+  ): Promise<Either<PlatformError, Offset>> {
+    const answer = await this.client.call(
+      'POST',
+      this.url(stream),
+      {data},
+      this.timeouts.appendMs,
+    );
+    return answer.chain(({body, status}) => {
+      const parsed = APPEND_ANSWER.safeParse(body);
+      if (parsed.success) return Right(parsed.data.offset);
+      return Left(malformed(stream, status));
+    });
+  }
+
+  /** Reads records from `from` on, waiting up to `waitMs` for the first. */
+  async read(
+    stream: string,
+    from: Offset,
+    waitMs: Millis,
+  ): Promise<Either<PlatformError, LogPage>> {
+    const query = `from=${from}&limit=${RECORDS_PER_READ}&waitMs=${waitMs}`;
+    const answer = await this.client.call(
+      'GET',
+      `${this.url(stream)}?${query}`,
+      undefined,
+      this.timeouts.readMs + waitMs,
+    );
+    return answer.chain(({body, status}) => {
+      const parsed = READ_ANSWER.safeParse(body);
+      if (parsed.success) return Right(parsed.data as LogPage);
+      return Left(malformed(stream, status));
+    });
+  }
+
+  /** Follows a stream from its oldest kept record until disposed. */
+  follow(stream: string, listener: LogListener): Disposable {
+    const follower = new LogFollower(this, stream, this.timeouts, listener);
+    void follower.run();
+    return follower;
+  }
+
+  private url(stream: string): string {
+    return `${this.baseUrl}/streams/${encodeURIComponent(stream)}`;
+  }
+}
+
+function malformed(stream: string, status: number): PlatformError {
+  return {
+    kind: PlatformErrorKind.MALFORMED,
+    status,
+    message: `The log's answer for stream ${stream} is not as specified`,
+  };
+}
+
+/** Reads a stream in a loop of long polls. */
+class LogFollower implements Disposable {
+  private next: Offset = 0;
+  private disposed = false;
+  private pauseMs = FIRST_PAUSE_MS;
+  private atEnd = false;
+
+  constructor(
+    private readonly client: LogClient,
+    private readonly stream: string,
+    private readonly timeouts: LogTimeouts,
+    private readonly listener: LogListener,
+  ) {}
+
+  dispose(): void {
+    this.disposed = true;
+  }
+
+  async run(): Promise<void> {
+    while (!this.disposed) {
+      const waitMs = this.atEnd ? this.timeouts.longPollMs : 0;
+      const page = await this.client.read(this.stream, this.next, waitMs);
+      if (this.disposed) return;
+      if (page.isRight()) {
+        this.pauseMs = FIRST_PAUSE_MS;
+        this.take(page.extract());
+      } else {
+        this.atEnd = false;
+        this.listener.onAvailability(false);
+        await this.pause();
+      }
+    }
+  }
+
+  private take(page: LogPage): void {
+    const last = page.records[page.records.length - 1];
+    this.next = last === undefined ? page.end : last.offset + 1;
+    this.atEnd = this.next >= page.end;
+    this.listener.onAvailability(true);
+    this.listener.onPage(page);
+  }
+
+  private async pause(): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, this.pauseMs));
+    this.pauseMs = Math.min(this.pauseMs * 2, LONGEST_PAUSE_MS);
+  }
+}
--- /dev/null
+++ b/src/node/peer_link.ts
@@ -0,0 +1,135 @@
+import {pack, unpack} from 'msgpackr';
+import {RawData, WebSocket} from 'ws';
+import {Clock, Millis} from '../common/base/clock.js';
+import {Disposable} from '../common/base/disposable.js';
+import {Emitter, Event} from '../common/base/emitter.js';
+import {
+  Hello,
+  parsePeerMessage,
+  PEER_PROTOCOL_VERSION,
+  PeerMessage,
+} from './peer_messages.js';
+
+/** Most bytes that may wait to be sent to one peer. */
+const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+
+/** Close codes of the protocol; 4000 to 4999 are free for applications. */
+export const LinkCloseCode = {
+  UNKNOWN_VERSION: 4001,
+  NO_HELLO: 4002,
+  SLOW: 4003,
+  SILENT: 4004,
+  REPLACED: 4005,
+} as const;
+
+/** One connection to a peer, open once both sides have said hello. */
+export class PeerLink implements Disposable {
+  private readonly messages = new Emitter<PeerMessage>();
+  private readonly opened = new Emitter<Hello>();
+  private readonly closed = new Emitter<void>();
+  private peerHello: Hello | undefined;
+  private lastHeard: Millis;
+  private malformedCount = 0;
+
+  readonly onMessage: Event<PeerMessage> = this.messages.event;
+  readonly onOpen: Event<Hello> = this.opened.event;
+  readonly onClose: Event<void> = this.closed.event;
+
+  constructor(
+    private readonly socket: WebSocket,
+    own: Hello,
+    private readonly clock: Clock,
+  ) {
+    this.lastHeard = clock.now();
+    socket.on('message', data => this.receive(data));
+    socket.on('close', () => this.closed.fire());
+    // A close event follows every error, so the error needs no handling.
+    socket.on('error', () => undefined);
+    if (socket.readyState === WebSocket.OPEN) {
+      this.send(own);
+    } else {
+      socket.once('open', () => this.send(own));
+    }
+  }
+
+  /** The peer's hello, once received. */
+  get hello(): Hello | undefined {
+    return this.peerHello;
+  }
+
+  /** Messages dropped because they were malformed or of an unknown kind. */
+  get malformed(): number {
+    return this.malformedCount;
+  }
+
+  /** Time since the peer was last heard. */
+  silence(now: Millis): Millis {
+    return now - this.lastHeard;
+  }
+
+  /**
+   * Sends a message; returns false when the link is closed. A peer that reads
+   * too slowly is cut off so that its messages don't fill the memory.
+   */
+  send(message: PeerMessage): boolean {
+    if (this.socket.readyState !== WebSocket.OPEN) return false;
+    if (this.socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+      this.close(LinkCloseCode.SLOW, 'the peer reads too slowly');
+      return false;
+    }
+    this.socket.send(pack(message));
+    return true;
+  }
+
+  /** Closes the link with a reason; a silent peer is cut at once. */
+  close(code: number, reason: string): void {
+    this.socket.close(code, reason);
+    this.socket.terminate();
+  }
+
+  dispose(): void {
+    this.socket.terminate();
+    this.messages.dispose();
+    this.opened.dispose();
+    this.closed.dispose();
+  }
+
+  private receive(data: RawData): void {
+    const message = this.decode(data);
+    if (message === undefined) {
+      this.malformedCount++;
+      return;
+    }
+    this.lastHeard = this.clock.now();
+    if (message.kind === 'hello') {
+      this.takeHello(message);
+    } else if (this.peerHello === undefined) {
+      this.close(LinkCloseCode.NO_HELLO, 'say hello first');
+    } else {
+      this.messages.fire(message);
+    }
+  }
+
+  private decode(data: RawData): PeerMessage | undefined {
+    try {
+      return parsePeerMessage(unpack(data as Buffer));
+    } catch {
+      // A truncated message can't be decoded.
+      return undefined;
+    }
+  }
+
+  private takeHello(hello: Hello): void {
+    if (hello.version !== PEER_PROTOCOL_VERSION) {
+      this.socket.close(
+        LinkCloseCode.UNKNOWN_VERSION,
+        `version ${hello.version} is unknown here; ` +
+          `use version ${PEER_PROTOCOL_VERSION}`,
+      );
+      return;
+    }
+    if (this.peerHello !== undefined) return;
+    this.peerHello = hello;
+    this.opened.fire(hello);
+  }
+}
--- /dev/null
+++ b/src/node/peer_messages.ts
@@ -0,0 +1,168 @@
+import {z} from 'zod';
+import {LeadershipPeerMessage} from '../common/leadership/types.js';
+import {AuditEntry, Configuration} from '../common/tickets/types.js';
+import {ClaimAnswer, JobView, Submission} from '../common/jobs/types.js';
+import {Refusal} from '../common/base/refusal.js';
+
+/** Version of the protocol between entry instances. */
+export const PEER_PROTOCOL_VERSION = 1;
+
+/** First message on a link, from both sides. */
+export interface Hello {
+  readonly kind: 'hello';
+  readonly version: number;
+  readonly instance: string;
+  /** Set at each start of the process; higher for later starts. */
+  readonly start: number;
+  readonly dataCentre: string;
+  /** Where the sender's peer port can be reached, `IP:port`. */
+  readonly address: string;
+}
+
+/** What an instance tells its peers twice a second. */
+export interface PeerState {
+  readonly kind: 'state';
+  /** Number of the ticket in force at the sender. */
+  readonly ticketNumber: number;
+  /** Time since the sender last confirmed the end of the ticket stream. */
+  readonly ticketAgeMs: number;
+  /** Epoch in which the sender leads its data centre; null when it doesn't. */
+  readonly leads: number | null;
+  /** Targets that the sender knows to be leaving. */
+  readonly leaving: readonly string[];
+  /** The sender is shutting down. */
+  readonly draining: boolean;
+}
+
+/** Work that an instance asks the leader of a data centre to do. */
+export type PeerRequest =
+  | {readonly kind: 'submit'; readonly submission: Submission}
+  | {readonly kind: 'cancel'; readonly job: string}
+  | {readonly kind: 'job'; readonly job: string}
+  | {readonly kind: 'jobs'}
+  | {readonly kind: 'claim'; readonly key: string; readonly instance: string}
+  | {
+      readonly kind: 'end-claim';
+      readonly key: string;
+      readonly outcome: number | 'released';
+    };
+
+/** Answer to a request: the refusal or the value that fits the request. */
+export type PeerAnswer =
+  | {readonly ok: false; readonly refusal: Refusal}
+  | {
+      readonly ok: true;
+      readonly value: JobView | JobView[] | ClaimAnswer | null;
+    };
+
+/** A whole configuration, for peers that can't read the log. */
+export interface Snapshot {
+  readonly configuration: Configuration;
+  /** Offset of the last record that the configuration includes. */
+  readonly offset: number;
+  readonly audit: readonly AuditEntry[];
+}
+
+/** Messages between entry instances. */
+export type PeerMessage =
+  | Hello
+  | PeerState
+  | {readonly kind: 'leadership'; readonly message: LeadershipPeerMessage}
+  | {readonly kind: 'request'; readonly id: number; readonly body: PeerRequest}
+  | {readonly kind: 'answer'; readonly id: number; readonly body: PeerAnswer}
+  | {readonly kind: 'snapshot-request'}
+  | {readonly kind: 'snapshot'; readonly snapshot: Snapshot}
+  | {readonly kind: 'goodbye'};
+
+export type PeerMessageKind = PeerMessage['kind'];
+
+const VIEW = z.object({
+  epoch: z.number(),
+  leader: z.string(),
+  members: z.array(z.string()),
+});
+
+const LEADERSHIP = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('grant-request'),
+    epoch: z.number(),
+    nonce: z.number(),
+  }),
+  z.object({kind: z.literal('grant'), epoch: z.number(), nonce: z.number()}),
+  z.object({kind: z.literal('join')}),
+  z.object({kind: z.literal('consent-request'), epoch: z.number().nullable()}),
+  z.object({kind: z.literal('consent'), epoch: z.number().nullable()}),
+  z.object({kind: z.literal('view-held'), view: VIEW}),
+  z.object({kind: z.literal('resign'), epoch: z.number()}),
+]);
+
+const REQUEST = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('submit'),
+    submission: z.looseObject({key: z.string()}),
+  }),
+  z.object({kind: z.literal('cancel'), job: z.string()}),
+  z.object({kind: z.literal('job'), job: z.string()}),
+  z.object({kind: z.literal('jobs')}),
+  z.object({
+    kind: z.literal('claim'),
+    key: z.string(),
+    instance: z.string(),
+  }),
+  z.object({
+    kind: z.literal('end-claim'),
+    key: z.string(),
+    outcome: z.union([z.number(), z.literal('released')]),
+  }),
+]);
+
+const ANSWER = z.union([
+  z.object({ok: z.literal(true), value: z.unknown()}),
+  z.object({
+    ok: z.literal(false),
+    refusal: z.looseObject({
+      error: z.string(),
+      message: z.string(),
+      remedy: z.string(),
+      ran: z.enum(['no', 'yes', 'unknown']),
+    }),
+  }),
+]);
+
+const MESSAGE = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('hello'),
+    version: z.number(),
+    instance: z.string().min(1),
+    start: z.number(),
+    dataCentre: z.string(),
+    address: z.string(),
+  }),
+  z.object({
+    kind: z.literal('state'),
+    ticketNumber: z.number(),
+    ticketAgeMs: z.number(),
+    leads: z.number().nullable(),
+    leaving: z.array(z.string()),
+    draining: z.boolean(),
+  }),
+  z.object({kind: z.literal('leadership'), message: LEADERSHIP}),
+  z.object({kind: z.literal('request'), id: z.number(), body: REQUEST}),
+  z.object({kind: z.literal('answer'), id: z.number(), body: ANSWER}),
+  z.object({kind: z.literal('snapshot-request')}),
+  z.object({
+    kind: z.literal('snapshot'),
+    snapshot: z.object({
+      configuration: z.looseObject({number: z.number()}),
+      offset: z.number(),
+      audit: z.array(z.looseObject({number: z.number()})),
+    }),
+  }),
+  z.object({kind: z.literal('goodbye')}),
+]);
+
+/** Checks a decoded message; undefined when it is malformed or unknown. */
+export function parsePeerMessage(value: unknown): PeerMessage | undefined {
+  const parsed = MESSAGE.safeParse(value);
+  return parsed.success ? (parsed.data as PeerMessage) : undefined;
+}
--- /dev/null
+++ b/src/node/peer_requests.ts
@@ -0,0 +1,106 @@
+import {Millis} from '../common/base/clock.js';
+import {Disposable} from '../common/base/disposable.js';
+import {refuse, RefusalKind, refuseUnknown} from '../common/base/refusal.js';
+import {MemberId} from '../common/stream/types.js';
+import {PeerAnswer, PeerRequest} from './peer_messages.js';
+import {Peer, PeerMesh} from './peer_mesh.js';
+
+/** Serves requests of peers. */
+export type PeerRequestHandler = (request: PeerRequest) => Promise<PeerAnswer>;
+
+interface Waiting {
+  readonly member: MemberId;
+  readonly resolve: (answer: PeerAnswer) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+const NOT_SENT: PeerAnswer = {
+  ok: false,
+  refusal: refuse(
+    RefusalKind.PEER_UNAVAILABLE,
+    'The instance that has to serve this could not be reached.',
+    'Try again.',
+    1000,
+  ),
+};
+
+const NO_ANSWER: PeerAnswer = {
+  ok: false,
+  refusal: refuseUnknown(
+    RefusalKind.UNKNOWN_OUTCOME,
+    'The instance that has to serve this did not answer.',
+    'Ask again with the same key; it will not run twice.',
+  ),
+};
+
+/** Requests and answers over peer links. */
+export class PeerRequests implements Disposable {
+  private readonly waiting = new Map<number, Waiting>();
+  private lastId = 0;
+
+  constructor(
+    private readonly mesh: PeerMesh,
+    private readonly handler: PeerRequestHandler,
+  ) {
+    mesh.onMessage(({peer, message}) => {
+      if (message.kind === 'request') {
+        void this.serve(peer, message.id, message.body);
+      } else if (message.kind === 'answer') {
+        this.settle(message.id, peer.member, message.body);
+      }
+    });
+    mesh.onPeerDown(peer => this.failAll(peer.member));
+  }
+
+  /**
+   * Asks a member. Without an answer within `timeoutMs` the outcome is
+   * unknown; a request that could not be sent was not run.
+   */
+  ask(
+    member: MemberId,
+    body: PeerRequest,
+    timeoutMs: Millis,
+  ): Promise<PeerAnswer> {
+    const id = ++this.lastId;
+    return new Promise(resolve => {
+      if (!this.mesh.send(member, {kind: 'request', id, body})) {
+        resolve(NOT_SENT);
+        return;
+      }
+      const timer = setTimeout(
+        () => this.settle(id, member, NO_ANSWER),
+        timeoutMs,
+      );
+      this.waiting.set(id, {member, resolve, timer});
+    });
+  }
+
+  dispose(): void {
+    for (const [id, {member}] of [...this.waiting]) {
+      this.settle(id, member, NO_ANSWER);
+    }
+  }
+
+  private async serve(
+    peer: Peer,
+    id: number,
+    request: PeerRequest,
+  ): Promise<void> {
+    const body = await this.handler(request);
+    this.mesh.send(peer.member, {kind: 'answer', id, body});
+  }
+
+  private settle(id: number, member: MemberId, answer: PeerAnswer): void {
+    const waiting = this.waiting.get(id);
+    if (waiting === undefined || waiting.member !== member) return;
+    this.waiting.delete(id);
+    clearTimeout(waiting.timer);
+    waiting.resolve(answer);
+  }
+
+  private failAll(member: MemberId): void {
+    for (const [id, waiting] of [...this.waiting]) {
+      if (waiting.member === member) this.settle(id, member, NO_ANSWER);
+    }
+  }
+}
--- /dev/null
+++ b/src/node/worker_client.ts
@@ -0,0 +1,163 @@
+import {z} from 'zod';
+import {Clock, Millis, SECOND} from '../common/base/clock.js';
+import {Emitter, Event} from '../common/base/emitter.js';
+import {Instance, TaskState, WorkerStatus} from '../common/base/platform.js';
+import {SchedulerAction, SchedulerMessage} from '../common/jobs/types.js';
+import {PlatformClient, PlatformErrorKind} from './platform_client.js';
+
+const SIZE = z.object({
+  processors: z.number(),
+  memoryMb: z.number(),
+  accelerators: z.number(),
+});
+
+const TASK_STATES = Object.values(TaskState);
+
+const STATUS = z.object({
+  id: z.string(),
+  nowMs: z.number(),
+  leaving: z.boolean(),
+  tasks: z.array(
+    z.object({
+      task: z.string(),
+      job: z.string(),
+      kind: z.string(),
+      state: z.enum(TASK_STATES as [TaskState, ...TaskState[]]),
+      leaseUntilMs: z.number(),
+      size: SIZE,
+      usage: SIZE,
+      progress: z.number(),
+      checkpoint: z.number(),
+      result: z.string().optional(),
+    }),
+  ),
+});
+
+const TIMEOUT_MS: Millis = 2 * SECOND;
+
+/** Status with which a worker refuses a start whose lease has lapsed. */
+const LEASE_LAPSED_STATUS = 409;
+
+/** Actions of the scheduler that are sent to a worker. */
+export type WorkerAction = Extract<SchedulerAction, {readonly worker: string}>;
+
+interface WorkerCall {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly body?: unknown;
+}
+
+type CallTable = {
+  readonly [K in WorkerAction['kind']]: (
+    action: Extract<WorkerAction, {readonly kind: K}>,
+  ) => WorkerCall;
+};
+
+function taskPath(task: string, verb?: string): string {
+  const path = `/tasks/${encodeURIComponent(task)}`;
+  return verb === undefined ? path : `${path}/${verb}`;
+}
+
+const CALLS: CallTable = {
+  start: action => ({
+    method: 'PUT',
+    path: taskPath(action.task),
+    body: action.start,
+  }),
+  poll: action =>
+    Object.keys(action.leases).length === 0
+      ? {method: 'GET', path: '/status'}
+      : {method: 'POST', path: '/leases', body: {leases: action.leases}},
+  'checkpoint-task': action => ({
+    method: 'POST',
+    path: taskPath(action.task, 'checkpoint'),
+    body: {},
+  }),
+  'throttle-task': action => ({
+    method: 'POST',
+    path: taskPath(action.task, 'throttle'),
+    body: {share: action.share},
+  }),
+  'stop-task': action => ({
+    method: 'POST',
+    path: taskPath(action.task, 'stop'),
+    body: {},
+  }),
+  'forget-task': action => ({method: 'DELETE', path: taskPath(action.task)}),
+};
+
+/**
+ * Carries out the scheduler's actions on workers. Every call is made once;
+ * what came of it reaches the scheduler as a message.
+ */
+export class WorkerClient {
+  private readonly emitter = new Emitter<SchedulerMessage>();
+
+  /** Fires with each status or failure. */
+  readonly onMessage: Event<SchedulerMessage> = this.emitter.event;
+
+  constructor(
+    private readonly client: PlatformClient,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Sends one action to a worker. */
+  async send(worker: Instance, action: WorkerAction): Promise<void> {
+    const encode = CALLS[action.kind] as (action: WorkerAction) => WorkerCall;
+    const call = encode(action);
+    const sentAt = this.clock.now();
+    const url = `http://${worker.host}:${worker.port}${call.path}`;
+    const answer = await this.client.call(
+      call.method,
+      url,
+      call.body,
+      TIMEOUT_MS,
+    );
+    const receivedAt = this.clock.now();
+    answer.caseOf({
+      Right: ({status, body}) => {
+        if (action.kind === 'start' && status === LEASE_LAPSED_STATUS) {
+          this.emitter.fire({
+            kind: 'start-refused',
+            worker: worker.id,
+            task: action.task,
+          });
+          return;
+        }
+        this.takeStatus(worker, body, sentAt, receivedAt);
+      },
+      Left: error => {
+        const refused = error.kind === PlatformErrorKind.REFUSED;
+        if (action.kind === 'start' && refused) {
+          // Nothing was sent, so the start has not run.
+          this.emitter.fire({
+            kind: 'start-refused',
+            worker: worker.id,
+            task: action.task,
+          });
+        }
+        this.emitter.fire({kind: 'worker-unreachable', worker: worker.id});
+      },
+    });
+  }
+
+  private takeStatus(
+    worker: Instance,
+    body: unknown,
+    sentAt: Millis,
+    receivedAt: Millis,
+  ): void {
+    const status = STATUS.safeParse(body);
+    if (!status.success || status.data.id !== worker.id) {
+      this.emitter.fire({kind: 'worker-unreachable', worker: worker.id});
+      return;
+    }
+    this.emitter.fire({
+      kind: 'worker-status',
+      worker: worker.id,
+      status: status.data as WorkerStatus,
+      sentAt,
+      receivedAt,
+    });
+  }
+}
