--- /dev/null
+++ b/src/daemon/data_centre_service.ts
@@ -0,0 +1,383 @@
+import {ConsolaInstance} from 'consola';
+import {Either, Left} from 'purify-ts';
+import {Clock, Millis} from '../common/base/clock.js';
+import {Disposable, DisposableStore} from '../common/base/disposable.js';
+import {Emitter, Event} from '../common/base/emitter.js';
+import {Instance, InstanceRole} from '../common/base/platform.js';
+import {Refusal, RefusalKind, refuseUnknown} from '../common/base/refusal.js';
+import {Scheduler} from '../common/jobs/scheduler.js';
+import {
+  JobRecord,
+  JobView,
+  SchedulerAction,
+  SchedulerAnswer,
+  SchedulerMessage,
+} from '../common/jobs/types.js';
+import {Leadership} from '../common/leadership/leadership.js';
+import {
+  LeadershipAction,
+  LeadershipMessage,
+} from '../common/leadership/types.js';
+import {DataCentreReader} from '../common/stream/data_centre_reader.js';
+import {QueueFull, RecordWriter} from '../common/stream/record_writer.js';
+import {
+  DataCentreRecord,
+  MemberId,
+  StoredRecord,
+  View,
+} from '../common/stream/types.js';
+import {Configuration} from '../common/tickets/types.js';
+import {ListRead} from '../node/instance_list_client.js';
+import {LogClient} from '../node/log_client.js';
+import {PeerMesh} from '../node/peer_mesh.js';
+import {StreamChannel} from '../node/stream_channel.js';
+import {WorkerAction, WorkerClient} from '../node/worker_client.js';
+import {Settings} from './types.js';
+
+declare module '../common/kernel/kernel.js' {
+  interface Services {
+    dataCentre: DataCentreService;
+  }
+}
+
+/** A request to the scheduler that is answered later. */
+export type SchedulerRequest =
+  Extract<SchedulerMessage, {readonly request: string}> extends infer M
+    ? M extends {readonly request: string}
+      ? Omit<M, 'request'>
+      : never
+    : never;
+
+type Answer = Either<Refusal, SchedulerAnswer>;
+
+interface Waiting {
+  readonly resolve: (answer: Answer) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+type ActionTable = {
+  readonly [K in SchedulerAction['kind']]: (
+    action: Extract<SchedulerAction, {kind: K}>,
+  ) => void;
+};
+
+function unanswered(): Refusal {
+  return refuseUnknown(
+    RefusalKind.UNKNOWN_OUTCOME,
+    'The record was not confirmed within the time limit.',
+    'Send the request again with the same key to get the outcome.',
+  );
+}
+
+/** What the service needs from the rest of the daemon. */
+export interface DataCentreDependencies {
+  readonly log: LogClient;
+  readonly mesh: PeerMesh;
+  readonly workers: WorkerClient;
+  readonly clock: Clock;
+  readonly self: MemberId;
+  readonly settings: Settings;
+  readonly logger: ConsolaInstance;
+}
+
+/**
+ * Runs the leadership and scheduler cores of this data centre: feeds them what
+ * the log, the peers, the workers and the instance list say, and carries out
+ * their actions.
+ */
+export class DataCentreService implements Disposable {
+  private readonly store = new DisposableStore();
+  private readonly reader = new DataCentreReader();
+  private readonly leadership: Leadership;
+  private readonly scheduler: Scheduler;
+  private readonly writer: RecordWriter<DataCentreRecord, JobRecord>;
+  private readonly channel: StreamChannel<DataCentreRecord, JobRecord>;
+  private readonly waiting = new Map<string, Waiting>();
+  private readonly workerById = new Map<string, Instance>();
+  private readonly jobEnds = this.store.add(new Emitter<JobView>());
+  private leading: View | undefined;
+  private lastRequest = 0;
+
+  /** Fires when a job of this leader reaches a final state. */
+  readonly onJobEnd: Event<JobView> = this.jobEnds.event;
+
+  constructor(private readonly dependencies: DataCentreDependencies) {
+    const {log, mesh, workers, clock, self, settings, logger} = dependencies;
+    this.leadership = new Leadership({
+      self,
+      dataCentre: settings.dataCentre,
+      timing: settings.leadership,
+      random: Math.random,
+    });
+    this.scheduler = new Scheduler(this.leadership, {
+      dataCentre: settings.dataCentre,
+      timing: settings.scheduler,
+      queueLimit: settings.limits.maxQueuedJobs,
+    });
+    this.writer = new RecordWriter<DataCentreRecord, JobRecord>(
+      self,
+      entries => ({
+        kind: 'batch',
+        // Entries are discarded when the lead ends, so they belong to it.
+        epoch: this.leading?.epoch ?? -1,
+        entries,
+      }),
+    );
+    this.channel = this.store.add(
+      new StreamChannel(
+        log,
+        `dc-${settings.dataCentre}`,
+        this.writer,
+        clock,
+        logger,
+      ),
+    );
+    this.listenToChannel();
+    this.listenToPeers(mesh);
+    this.store.add(workers.onMessage(message => this.schedule(message)));
+  }
+
+  start(): void {
+    this.channel.start();
+  }
+
+  /** The view in force as far as this instance has read. */
+  get view(): View | undefined {
+    return this.leadership.view;
+  }
+
+  /** The view that this instance leads under a valid lease. */
+  get leads(): View | undefined {
+    return this.leadership.mayAct(this.dependencies.clock.now())
+      ? this.leading
+      : undefined;
+  }
+
+  get logAvailable(): boolean {
+    return this.channel.available;
+  }
+
+  /** The job as this instance knows it. */
+  job(id: string): JobView | undefined {
+    return this.scheduler.job(id);
+  }
+
+  jobs(): Generator<JobView> {
+    return this.scheduler.allJobs();
+  }
+
+  /** Sends a request to the scheduler of this instance. */
+  ask(request: SchedulerRequest, timeoutMs: Millis): Promise<Answer> {
+    const id = String(++this.lastRequest);
+    return new Promise(resolve => {
+      const timer = setTimeout(() => {
+        this.waiting.delete(id);
+        resolve(Left(unanswered()));
+      }, timeoutMs);
+      this.waiting.set(id, {resolve, timer});
+      this.schedule({...request, request: id} as SchedulerMessage);
+    });
+  }
+
+  /** Hands a message to the scheduler and carries out its actions. */
+  schedule(message: SchedulerMessage): void {
+    const now = this.dependencies.clock.now();
+    const actions = this.scheduler.handle(message, now, Date.now());
+    for (const action of actions) {
+      const handler = this.handlers[action.kind] as (
+        action: SchedulerAction,
+      ) => void;
+      handler(action);
+    }
+  }
+
+  /** Takes in a newer instance list. */
+  takeList({instances, sentAt}: ListRead): void {
+    this.workerById.clear();
+    const {dataCentre} = this.dependencies.settings;
+    for (const instance of instances) {
+      if (instance.role !== InstanceRole.WORKER) continue;
+      if (instance.dataCentre !== dataCentre) continue;
+      this.workerById.set(instance.id, instance);
+    }
+    this.lead({kind: 'instances', instances, sentAt});
+    this.schedule({kind: 'instances', instances});
+  }
+
+  /** Takes in a newer configuration. */
+  takeConfiguration(configuration: Configuration): void {
+    const ids = Object.entries(configuration.instances)
+      .filter(([, {state}]) => state === 'gone')
+      .map(([id]) => id);
+    this.lead({kind: 'declared-gone', ids});
+    this.schedule({kind: 'configuration', configuration});
+  }
+
+  tick(): void {
+    this.lead({kind: 'tick'});
+    this.schedule({kind: 'tick'});
+    this.channel.tick();
+  }
+
+  /** Stops starting tasks; `handOver` follows when starts have settled. */
+  drain(): void {
+    this.schedule({kind: 'drain'});
+  }
+
+  /** Whether the lead can be handed over without waiting for a start. */
+  get settled(): boolean {
+    return this.scheduler.unsettledStarts === 0 && this.writer.queued === 0;
+  }
+
+  /** Gives the lead to another member. */
+  handOver(): void {
+    this.lead({kind: 'resign'});
+  }
+
+  dispose(): void {
+    for (const {resolve, timer} of this.waiting.values()) {
+      clearTimeout(timer);
+      resolve(Left(unanswered()));
+    }
+    this.waiting.clear();
+    this.store.dispose();
+  }
+
+  private listenToChannel(): void {
+    this.store.add(this.channel.onRecord(record => this.read(record)));
+    this.store.add(
+      this.channel.onCaughtUp(sentAt =>
+        this.lead({kind: 'caught-up', sentAt}),
+      ),
+    );
+    this.store.add(
+      this.channel.onAvailability(available => {
+        this.lead({kind: 'log', available});
+        this.schedule({kind: 'log', available});
+      }),
+    );
+  }
+
+  private listenToPeers(mesh: PeerMesh): void {
+    const {dataCentre} = this.dependencies.settings;
+    this.store.add(
+      mesh.onMessage(({peer, message}) => {
+        if (message.kind !== 'leadership') return;
+        if (peer.dataCentre !== dataCentre) return;
+        this.lead({kind: 'peer', from: peer.member, message: message.message});
+      }),
+    );
+    this.store.add(
+      mesh.onPeerUp(peer => {
+        if (peer.dataCentre !== dataCentre) return;
+        this.lead({kind: 'peer-up', member: peer.member});
+      }),
+    );
+    this.store.add(
+      mesh.onPeerDown(peer => {
+        if (peer.dataCentre !== dataCentre) return;
+        this.lead({kind: 'peer-down', member: peer.member});
+      }),
+    );
+  }
+
+  private read(stored: StoredRecord<DataCentreRecord>): void {
+    const {self, logger} = this.dependencies;
+    for (const event of this.reader.read(stored)) {
+      if (event.kind === 'view-in-force') {
+        this.lead({kind: 'view-read', view: event.view});
+      } else if (event.kind === 'view-void') {
+        if (event.record.writer !== self) continue;
+        this.lead({kind: 'view-void', record: event.record});
+      } else if (event.kind === 'batch-in-force') {
+        this.schedule({
+          kind: 'batch-read',
+          offset: event.offset,
+          batch: event.record,
+          own: event.record.writer === self,
+        });
+      } else {
+        logger.debug('A record is void.', {offset: event.offset});
+      }
+    }
+  }
+
+  private lead(message: LeadershipMessage): void {
+    const now = this.dependencies.clock.now();
+    for (const action of this.leadership.handle(message, now)) {
+      this.carryOut(action);
+    }
+  }
+
+  private carryOut(action: LeadershipAction): void {
+    const {mesh, logger, clock} = this.dependencies;
+    switch (action.kind) {
+      case 'send':
+        mesh.send(action.to, {kind: 'leadership', message: action.message});
+        break;
+      case 'append-view': {
+        const {base, leader, members} = action;
+        const body = {kind: 'view', base, leader, members} as const;
+        this.channel.run(this.writer.enqueueRecord(body, clock.now()));
+        break;
+      }
+      case 'lead':
+        this.takeLead(action.view, action.continued);
+        break;
+      case 'follow':
+        if (this.leading !== undefined) {
+          logger.info('This instance leads no longer.', {view: action.view});
+        }
+        this.leading = undefined;
+        this.writer.discardEntries();
+        this.schedule({kind: 'follow'});
+        break;
+    }
+  }
+
+  private takeLead(view: View, continued: boolean): void {
+    this.leading = view;
+    if (!continued) {
+      this.dependencies.logger.info('This instance leads.', {view});
+      // Entries of an earlier lead must not be written in this one.
+      this.writer.discardEntries();
+    }
+    this.schedule({kind: 'lead', epoch: view.epoch});
+  }
+
+  private readonly handlers: ActionTable = {
+    append: ({entries}) => this.append(entries),
+    answer: ({request, answer}) => {
+      const waiting = this.waiting.get(request);
+      if (waiting === undefined) return;
+      this.waiting.delete(request);
+      clearTimeout(waiting.timer);
+      waiting.resolve(answer);
+    },
+    start: action => this.sendToWorker(action),
+    poll: action => this.sendToWorker(action),
+    'checkpoint-task': action => this.sendToWorker(action),
+    'throttle-task': action => this.sendToWorker(action),
+    'stop-task': action => this.sendToWorker(action),
+    'forget-task': action => this.sendToWorker(action),
+    'job-ended': ({job}) => this.jobEnds.fire(job),
+    violation: action =>
+      this.dependencies.logger.error('A protocol rule was broken.', action),
+  };
+
+  private append(entries: readonly JobRecord[]): void {
+    try {
+      const now = this.dependencies.clock.now();
+      this.channel.run(this.writer.enqueue(entries, now));
+    } catch (error) {
+      if (!(error instanceof QueueFull)) throw error;
+      this.dependencies.logger.error(error.message);
+    }
+  }
+
+  private sendToWorker(action: WorkerAction): void {
+    const worker = this.workerById.get(action.worker);
+    if (worker === undefined) return;
+    void this.dependencies.workers.send(worker, action);
+  }
+}
--- /dev/null
+++ b/src/daemon/ticket_service.ts
@@ -0,0 +1,252 @@
+import {ConsolaInstance} from 'consola';
+import {Either, Left, Right} from 'purify-ts';
+import {Clock, HOUR, Millis, SECOND} from '../common/base/clock.js';
+import {Disposable, DisposableStore} from '../common/base/disposable.js';
+import {
+  Refusal,
+  refuse,
+  RefusalKind,
+  refuseUnknown,
+} from '../common/base/refusal.js';
+import {RecordWriter} from '../common/stream/record_writer.js';
+import {MemberId, StoredRecord} from '../common/stream/types.js';
+import {TicketState} from '../common/tickets/ticket_state.js';
+import {Ticket, TicketRecord} from '../common/tickets/types.js';
+import {AcceptedTicket, TicketReport} from '../node/api_types.js';
+import {LogClient} from '../node/log_client.js';
+import {PeerMesh} from '../node/peer_mesh.js';
+import {StreamChannel} from '../node/stream_channel.js';
+
+declare module '../common/kernel/kernel.js' {
+  interface Services {
+    tickets: TicketService;
+  }
+}
+
+const STREAM = 'tickets';
+
+/** Tickets after which a checkpoint is appended; design page, 3.2. */
+const CHECKPOINT_TICKETS = 50;
+const CHECKPOINT_PERIOD_MS: Millis = HOUR;
+
+/**
+ * How long a peer may be ahead before its state is asked for. With the log at
+ * hand the ticket arrives from there first, and the state need not be sent.
+ */
+const BEHIND_MS: Millis = SECOND;
+
+/** Timeouts of the ticket service, in milliseconds. */
+export interface TicketTimeouts {
+  /** For a record to be appended and read back. */
+  readonly logAppendMs: Millis;
+  /** Time without a confirmed end of the stream that makes tickets stale. */
+  readonly ticketStaleMs: Millis;
+}
+
+interface PendingTicket {
+  readonly resolve: (result: Either<Refusal, AcceptedTicket>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+function notAccepted(): Refusal {
+  return refuse(
+    RefusalKind.LOG_UNAVAILABLE,
+    'The ticket was not accepted: the log service does not answer.',
+    'Apply the same ticket again when the log is available.',
+    5 * SECOND,
+  );
+}
+
+function unknownTicket(ticket: Ticket): Refusal {
+  return refuseUnknown(
+    RefusalKind.UNKNOWN_OUTCOME,
+    `Ticket ${ticket.number} was sent to the log and not read back.`,
+    `Ask with "jasminegaugectl ticket show ${ticket.number}" before you ` +
+      'apply it again.',
+  );
+}
+
+/** Follows the stream of tickets, appends tickets, and passes them to peers. */
+export class TicketService implements Disposable {
+  readonly state = new TicketState();
+  private readonly store = new DisposableStore();
+  private readonly writer: RecordWriter<TicketRecord, never>;
+  private readonly channel: StreamChannel<TicketRecord, never>;
+  private readonly pending = new Map<Ticket, PendingTicket>();
+  private ticketsSinceCheckpoint = 0;
+  private lastCheckpointAt: Millis;
+  /** Since when each peer has had a newer state. */
+  private readonly aheadSince = new Map<MemberId, Millis>();
+
+  constructor(
+    log: LogClient,
+    private readonly mesh: PeerMesh,
+    private readonly clock: Clock,
+    private readonly self: MemberId,
+    private readonly timeouts: TicketTimeouts,
+    private readonly logger: ConsolaInstance,
+  ) {
+    this.lastCheckpointAt = clock.now();
+    this.writer = new RecordWriter<TicketRecord, never>(self, () => {
+      throw new Error('Tickets are appended one by one, not in batches.');
+    });
+    this.channel = this.store.add(
+      new StreamChannel(log, STREAM, this.writer, clock, logger),
+    );
+    this.store.add(this.channel.onRecord(record => this.read(record)));
+    this.store.add(this.channel.onConfirmed(record => this.confirm(record)));
+    this.store.add(
+      mesh.onMessage(({peer, message}) => {
+        if (message.kind === 'state') {
+          this.compare(peer.member, message.ticketNumber);
+        } else if (message.kind === 'snapshot-request') {
+          mesh.send(peer.member, {
+            kind: 'snapshot',
+            snapshot: this.state.snapshot(),
+          });
+        } else if (message.kind === 'snapshot') {
+          this.state.takeSnapshot(message.snapshot);
+        }
+      }),
+    );
+    this.store.add(
+      mesh.onPeerDown(({member}) => this.aheadSince.delete(member)),
+    );
+    this.store.add(
+      this.state.onChange(({number}) =>
+        logger.info('A ticket is in force.', {number}),
+      ),
+    );
+  }
+
+  start(): void {
+    this.channel.start();
+  }
+
+  /** Whether any state is known, from the log or from a peer. */
+  get ready(): boolean {
+    return (
+      this.channel.lastCaughtUpAt > -Infinity ||
+      this.state.configuration.number > 0
+    );
+  }
+
+  get logAvailable(): boolean {
+    return this.channel.available;
+  }
+
+  /** Time since the end of the stream was last known. */
+  get ageMs(): Millis {
+    return this.clock.now() - this.channel.lastCaughtUpAt;
+  }
+
+  report(): TicketReport {
+    const ticketAgeMs = this.ageMs;
+    return {
+      configuration: this.state.configuration,
+      ticketAgeMs,
+      stale: ticketAgeMs > this.timeouts.ticketStaleMs,
+    };
+  }
+
+  /**
+   * Appends a ticket; resolves when it was read back, or could not be within
+   * `logAppendMs`.
+   */
+  submit(ticket: Ticket): Promise<Either<Refusal, AcceptedTicket>> {
+    if (!this.channel.available) return Promise.resolve(Left(notAccepted()));
+    return new Promise(resolve => {
+      const timer = setTimeout(() => {
+        this.pending.delete(ticket);
+        resolve(Left(unknownTicket(ticket)));
+      }, this.timeouts.logAppendMs);
+      this.pending.set(ticket, {resolve, timer});
+      const body = {kind: 'ticket', ticket} as const;
+      this.channel.run(this.writer.enqueueRecord(body, this.clock.now()));
+    });
+  }
+
+  tick(): void {
+    this.channel.tick();
+    const age = this.clock.now() - this.lastCheckpointAt;
+    if (age > CHECKPOINT_PERIOD_MS) this.appendCheckpoint();
+  }
+
+  dispose(): void {
+    for (const [ticket, {resolve, timer}] of this.pending) {
+      clearTimeout(timer);
+      resolve(Left(unknownTicket(ticket)));
+    }
+    this.pending.clear();
+    this.store.dispose();
+    this.state.dispose();
+  }
+
+  private read(record: StoredRecord<TicketRecord>): void {
+    const outcome = this.state.apply(record);
+    if (outcome.kind === 'malformed') {
+      this.logger.warn('A record was ignored.', {reason: outcome.message});
+    } else if (outcome.kind === 'accepted') {
+      this.ticketsSinceCheckpoint++;
+    }
+    const data: Partial<TicketRecord> = record.data ?? {};
+    if (data.kind === 'checkpoint') {
+      this.ticketsSinceCheckpoint = 0;
+      this.lastCheckpointAt = this.clock.now();
+    }
+  }
+
+  private confirm(record: TicketRecord): void {
+    if (record.kind !== 'ticket') return;
+    if (this.ticketsSinceCheckpoint >= CHECKPOINT_TICKETS) {
+      // Only the writer of this ticket appends the checkpoint it makes due.
+      this.appendCheckpoint();
+    }
+    const pending = this.pending.get(record.ticket);
+    if (pending === undefined) return;
+    this.pending.delete(record.ticket);
+    clearTimeout(pending.timer);
+    pending.resolve(this.verdict(record.ticket, record.sequence));
+  }
+
+  private verdict(
+    ticket: Ticket,
+    sequence: number,
+  ): Either<Refusal, AcceptedTicket> {
+    const entry = this.state.verdictOn(this.self, sequence);
+    if (entry === undefined) return Left(unknownTicket(ticket));
+    if (entry.outcome === 'accepted') {
+      return Right({number: ticket.number, offset: entry.offset});
+    }
+    return Left(
+      refuse(
+        RefusalKind.TICKET_CONFLICT,
+        `Ticket ${ticket.number} on base ${ticket.base} was refused: ` +
+          `ticket ${entry.winner} is in force (${entry.reason}).`,
+        'Read the current state, write the ticket against it, and set base ' +
+          `to ${this.state.configuration.number}.`,
+      ),
+    );
+  }
+
+  private appendCheckpoint(): void {
+    this.lastCheckpointAt = this.clock.now();
+    this.ticketsSinceCheckpoint = 0;
+    const body = {kind: 'checkpoint', ...this.state.snapshot()} as const;
+    this.channel.run(this.writer.enqueueRecord(body, this.clock.now()));
+  }
+
+  /** Asks a peer for its state when it stays ahead. */
+  private compare(peer: MemberId, ticketNumber: number): void {
+    if (ticketNumber <= this.state.configuration.number) {
+      this.aheadSince.delete(peer);
+      return;
+    }
+    const now = this.clock.now();
+    const since = this.aheadSince.get(peer) ?? now;
+    this.aheadSince.set(peer, since);
+    if (now - since < BEHIND_MS) return;
+    this.aheadSince.set(peer, now);
+    this.mesh.send(peer, {kind: 'snapshot-request'});
+  }
+}
--- a/src/node/instance_list_client.ts
+++ b/src/node/instance_list_client.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {Millis, SECOND} from '../common/base/clock.js';
+import {Clock, Millis, SECOND} from '../common/base/clock.js';
 import {Disposable} from '../common/base/disposable.js';
 import {Emitter, Event} from '../common/base/emitter.js';
 import {
@@ -39,24 +39,32 @@
 const POLL_MS: Millis = SECOND;
 const TIMEOUT_MS: Millis = 2 * SECOND;
 
+/** A list that was read. */
+export interface ListRead {
+  readonly instances: readonly Instance[];
+  /** Local time at which the poll was sent. */
+  readonly sentAt: Millis;
+}
+
 /**
  * Polls the platform's instance list. An empty list is taken for a fault: the
  * last list that was not empty is kept. Entries that are malformed are left
  * out and counted.
  */
 export class InstanceListClient implements Disposable {
-  private readonly emitter = new Emitter<readonly Instance[]>();
+  private readonly emitter = new Emitter<ListRead>();
   private timer: NodeJS.Timeout | undefined;
   private disposed = false;
   private latest: readonly Instance[] = [];
   private malformedCount = 0;
 
   /** Fires on every answered poll with a list that is not empty. */
-  readonly onList: Event<readonly Instance[]> = this.emitter.event;
+  readonly onList: Event<ListRead> = this.emitter.event;
 
   constructor(
     private readonly client: PlatformClient,
     private readonly baseUrl: string,
+    private readonly clock: Clock,
   ) {}
 
   /** The last list that was not empty. */
@@ -80,6 +88,7 @@
   }
 
   private async poll(): Promise<void> {
+    const sentAt = this.clock.now();
     const answer = await this.client.call(
       'GET',
       `${this.baseUrl}/instances`,
@@ -87,11 +96,11 @@
       TIMEOUT_MS,
     );
     if (this.disposed) return;
-    answer.ifRight(({body}) => this.take(body));
+    answer.ifRight(({body}) => this.take(body, sentAt));
     this.timer = setTimeout(() => void this.poll(), POLL_MS);
   }
 
-  private take(body: unknown): void {
+  private take(body: unknown, sentAt: Millis): void {
     const list = LIST.safeParse(body);
     if (!list.success) return;
     const parsed = list.data.instances.map(entry => INSTANCE.safeParse(entry));
@@ -101,6 +110,6 @@
     this.malformedCount = parsed.length - instances.length;
     if (instances.length === 0) return;
     this.latest = instances;
-    this.emitter.fire(instances);
+    this.emitter.fire({instances, sentAt});
   }
 }
--- a/src/node/log_client.ts
+++ b/src/node/log_client.ts
@@ -1,6 +1,6 @@
 import {Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
-import {Millis, SECOND} from '../common/base/clock.js';
+import {Clock, Millis, SECOND} from '../common/base/clock.js';
 import {Disposable} from '../common/base/disposable.js';
 import {Offset, StoredRecord} from '../common/stream/types.js';
 import {
@@ -34,7 +34,8 @@
 
 /** Receives what a follower reads. */
 export interface LogListener {
-  onPage(page: LogPage): void;
+  /** @param sentAt local time at which the read was sent. */
+  onPage(page: LogPage, sentAt: Millis): void;
   /** Whether the last read was answered; sent on every read. */
   onAvailability(available: boolean): void;
 }
@@ -62,6 +63,7 @@
   constructor(
     private readonly client: PlatformClient,
     private readonly baseUrl: string,
+    private readonly clock: Clock,
     private readonly timeouts: LogTimeouts = DEFAULT_LOG_TIMEOUTS,
   ) {}
 
@@ -105,7 +107,13 @@
 
   /** Follows a stream from its oldest kept record until disposed. */
   follow(stream: string, listener: LogListener): Disposable {
-    const follower = new LogFollower(this, stream, this.timeouts, listener);
+    const follower = new LogFollower(
+      this,
+      stream,
+      this.clock,
+      this.timeouts,
+      listener,
+    );
     void follower.run();
     return follower;
   }
@@ -133,6 +141,7 @@
   constructor(
     private readonly client: LogClient,
     private readonly stream: string,
+    private readonly clock: Clock,
     private readonly timeouts: LogTimeouts,
     private readonly listener: LogListener,
   ) {}
@@ -143,12 +152,13 @@
 
   async run(): Promise<void> {
     while (!this.disposed) {
+      const sentAt = this.clock.now();
       const waitMs = this.atEnd ? this.timeouts.longPollMs : 0;
       const page = await this.client.read(this.stream, this.next, waitMs);
       if (this.disposed) return;
       if (page.isRight()) {
         this.pauseMs = FIRST_PAUSE_MS;
-        this.take(page.extract());
+        this.take(page.extract(), sentAt);
       } else {
         this.atEnd = false;
         this.listener.onAvailability(false);
@@ -157,12 +167,12 @@
     }
   }
 
-  private take(page: LogPage): void {
+  private take(page: LogPage, sentAt: Millis): void {
     const last = page.records[page.records.length - 1];
     this.next = last === undefined ? page.end : last.offset + 1;
     this.atEnd = this.next >= page.end;
     this.listener.onAvailability(true);
-    this.listener.onPage(page);
+    this.listener.onPage(page, sentAt);
   }
 
   private async pause(): Promise<void> {
--- /dev/null
+++ b/src/node/logger.ts
@@ -0,0 +1,40 @@
+import {ConsolaInstance, createConsola, LogLevels, LogObject} from 'consola';
+
+/** Levels that the settings accept. */
+export const LogLevel = {
+  ERROR: 'error',
+  WARN: 'warn',
+  INFO: 'info',
+  DEBUG: 'debug',
+} as const;
+export type LogLevel = (typeof LogLevel)[keyof typeof LogLevel];
+
+const LEVEL_NUMBERS: Readonly<Record<LogLevel, number>> = {
+  [LogLevel.ERROR]: LogLevels.error,
+  [LogLevel.WARN]: LogLevels.warn,
+  [LogLevel.INFO]: LogLevels.info,
+  [LogLevel.DEBUG]: LogLevels.debug,
+};
+
+/** Writes a log line as one JSON document. */
+function writeJsonLine(entry: LogObject): void {
+  const [message, fields] = entry.args as [unknown, unknown];
+  const line = {
+    time: entry.date.toISOString(),
+    level: entry.type,
+    part: entry.tag,
+    message: String(message),
+    ...(typeof fields === 'object' ? fields : {}),
+  };
+  process.stderr.write(`${JSON.stringify(line)}\n`);
+}
+
+/**
+ * Creates the logger of a process. Lines go to stderr: readable on a terminal,
+ * one JSON document each elsewhere. `withTag` gives a part its prefix.
+ */
+export function createLogger(level: LogLevel): ConsolaInstance {
+  const options = {level: LEVEL_NUMBERS[level], stdout: process.stderr};
+  if (process.stderr.isTTY) return createConsola(options);
+  return createConsola({...options, reporters: [{log: writeJsonLine}]});
+}
--- /dev/null
+++ b/src/node/metrics.ts
@@ -0,0 +1,129 @@
+import {build, Histogram} from 'hdr-histogram-js';
+import {Counter, Gauge, Registry} from 'prom-client';
+
+/** Largest latency that is told apart, in microseconds: one hour. */
+const HIGHEST_LATENCY_US = 3_600_000_000;
+
+const QUANTILES = [50, 99, 99.9] as const;
+
+/** Latencies of one service or job class. */
+export interface LatencySummary {
+  readonly count: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly p999Ms: number;
+}
+
+/** Counters and latency histograms of one instance. */
+export class Metrics {
+  private readonly registry = new Registry();
+  private readonly histograms = new Map<string, Map<string, Histogram>>();
+
+  readonly requests = this.counter(
+    'requests_total',
+    'Requests of callers by service and outcome.',
+    ['service', 'outcome'],
+  );
+  readonly refusals = this.counter('refusals_total', 'Refusals by kind.', [
+    'kind',
+  ]);
+  readonly retries = this.counter(
+    'retries_total',
+    'Repeated attempts by service.',
+    ['service'],
+  );
+  readonly evictions = this.counter(
+    'evictions_total',
+    'Tasks evicted from workers.',
+    [],
+  );
+  readonly jobsEnded = this.counter(
+    'jobs_ended_total',
+    'Jobs that reached a final state, by state.',
+    ['state'],
+  );
+  private readonly gauges = new Map<string, Gauge<string>>();
+
+  /** Records a latency, in milliseconds, under a histogram and a label. */
+  observe(histogram: string, label: string, milliseconds: number): void {
+    let byLabel = this.histograms.get(histogram);
+    if (byLabel === undefined) {
+      byLabel = new Map();
+      this.histograms.set(histogram, byLabel);
+    }
+    let values = byLabel.get(label);
+    if (values === undefined) {
+      values = build({
+        bitBucketSize: 32,
+        highestTrackableValue: HIGHEST_LATENCY_US,
+        numberOfSignificantValueDigits: 2,
+        autoResize: true,
+      });
+      byLabel.set(label, values);
+    }
+    const microseconds = Math.round(Math.max(0, milliseconds) * 1000);
+    values.recordValue(Math.min(microseconds, HIGHEST_LATENCY_US));
+  }
+
+  /** Sets a gauge. */
+  gauge(name: string, help: string, value: number): void {
+    let gauge = this.gauges.get(name);
+    if (gauge === undefined) {
+      gauge = new Gauge({
+        name: `jasminegauge_${name}`,
+        help,
+        registers: [this.registry],
+      });
+      this.gauges.set(name, gauge);
+    }
+    gauge.set(value);
+  }
+
+  /** Summaries of one histogram by label. */
+  summaries(histogram: string): Record<string, LatencySummary> {
+    const result: Record<string, LatencySummary> = {};
+    for (const [label, values] of this.histograms.get(histogram) ?? []) {
+      result[label] = {
+        count: values.totalCount,
+        p50Ms: values.getValueAtPercentile(50) / 1000,
+        p99Ms: values.getValueAtPercentile(99) / 1000,
+        p999Ms: values.getValueAtPercentile(99.9) / 1000,
+      };
+    }
+    return result;
+  }
+
+  /** All metrics in the Prometheus text format. */
+  async text(): Promise<string> {
+    return (await this.registry.metrics()) + this.histogramText();
+  }
+
+  private counter(name: string, help: string, labelNames: string[]) {
+    return new Counter({
+      name: `jasminegauge_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  private histogramText(): string {
+    const lines: string[] = [];
+    for (const [name, byLabel] of this.histograms) {
+      const full = `jasminegauge_${name}_milliseconds`;
+      lines.push(`# HELP ${full} Latency in milliseconds.`);
+      lines.push(`# TYPE ${full} summary`);
+      for (const [label, values] of byLabel) {
+        const escaped = label.replace(/["\\\n]/g, '_');
+        for (const quantile of QUANTILES) {
+          const value = values.getValueAtPercentile(quantile) / 1000;
+          lines.push(
+            `${full}{name="${escaped}",quantile="${quantile / 100}"} ${value}`,
+          );
+        }
+        lines.push(`${full}_count{name="${escaped}"} ${values.totalCount}`);
+      }
+    }
+    return lines.length === 0 ? '' : `${lines.join('\n')}\n`;
+  }
+}
--- a/src/node/peer_messages.ts
+++ b/src/node/peer_messages.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {LeadershipPeerMessage} from '../common/leadership/types.js';
-import {AuditEntry, Configuration} from '../common/tickets/types.js';
+import {TicketSnapshot} from '../common/tickets/types.js';
 import {ClaimAnswer, JobView, Submission} from '../common/jobs/types.js';
 import {Refusal} from '../common/base/refusal.js';
 
@@ -55,14 +55,6 @@
       readonly value: JobView | JobView[] | ClaimAnswer | null;
     };
 
-/** A whole configuration, for peers that can't read the log. */
-export interface Snapshot {
-  readonly configuration: Configuration;
-  /** Offset of the last record that the configuration includes. */
-  readonly offset: number;
-  readonly audit: readonly AuditEntry[];
-}
-
 /** Messages between entry instances. */
 export type PeerMessage =
   | Hello
@@ -71,7 +63,7 @@
   | {readonly kind: 'request'; readonly id: number; readonly body: PeerRequest}
   | {readonly kind: 'answer'; readonly id: number; readonly body: PeerAnswer}
   | {readonly kind: 'snapshot-request'}
-  | {readonly kind: 'snapshot'; readonly snapshot: Snapshot}
+  | {readonly kind: 'snapshot'; readonly snapshot: TicketSnapshot}
   | {readonly kind: 'goodbye'};
 
 export type PeerMessageKind = PeerMessage['kind'];
@@ -89,7 +81,7 @@
     nonce: z.number(),
   }),
   z.object({kind: z.literal('grant'), epoch: z.number(), nonce: z.number()}),
-  z.object({kind: z.literal('join')}),
+  z.object({kind: z.literal('join'), epoch: z.number()}),
   z.object({kind: z.literal('consent-request'), epoch: z.number().nullable()}),
   z.object({kind: z.literal('consent'), epoch: z.number().nullable()}),
   z.object({kind: z.literal('view-held'), view: VIEW}),
@@ -152,11 +144,8 @@
   z.object({kind: z.literal('snapshot-request')}),
   z.object({
     kind: z.literal('snapshot'),
-    snapshot: z.object({
-      configuration: z.looseObject({number: z.number()}),
-      offset: z.number(),
-      audit: z.array(z.looseObject({number: z.number()})),
-    }),
+    // The ticket state checks the content.
+    snapshot: z.unknown(),
   }),
   z.object({kind: z.literal('goodbye')}),
 ]);
--- /dev/null
+++ b/src/node/stream_channel.ts
@@ -0,0 +1,133 @@
+import {ConsolaInstance} from 'consola';
+import {Clock, Millis} from '../common/base/clock.js';
+import {Disposable, DisposableStore} from '../common/base/disposable.js';
+import {Emitter, Event} from '../common/base/emitter.js';
+import {RecordWriter, WriterAction} from '../common/stream/record_writer.js';
+import {RecordIdentity, StoredRecord} from '../common/stream/types.js';
+import {LogClient, LogPage} from './log_client.js';
+
+function identityOf(data: unknown): RecordIdentity | undefined {
+  const {writer, sequence} = (data ?? {}) as Partial<RecordIdentity>;
+  if (typeof writer !== 'string' || typeof sequence !== 'number') {
+    return undefined;
+  }
+  return {writer, sequence};
+}
+
+/**
+ * Joins one stream of the log with its writer: carries out the writer's
+ * appends and feeds what is read first to the listeners of `onRecord`, then to
+ * the writer, so that a record's effect is known when it is confirmed.
+ */
+export class StreamChannel<T extends RecordIdentity, E> implements Disposable {
+  private readonly store = new DisposableStore();
+  private readonly records = this.store.add(new Emitter<StoredRecord<T>>());
+  private readonly confirmed = this.store.add(new Emitter<T>());
+  private readonly caughtUp = this.store.add(new Emitter<Millis>());
+  private readonly availability = this.store.add(new Emitter<boolean>());
+  private readable = true;
+  private reported = true;
+  private confirmedEndAt = -Infinity;
+
+  /** Fires for each record read, in order; the data is not checked. */
+  readonly onRecord: Event<StoredRecord<T>> = this.records.event;
+  /** Fires when a record of this writer was read back. */
+  readonly onConfirmed: Event<T> = this.confirmed.event;
+  /** Fires when a read reached the end, with the time it was sent. */
+  readonly onCaughtUp: Event<Millis> = this.caughtUp.event;
+  /** Fires when the stream becomes unavailable or available. */
+  readonly onAvailability: Event<boolean> = this.availability.event;
+
+  constructor(
+    private readonly log: LogClient,
+    private readonly stream: string,
+    private readonly writer: RecordWriter<T, E>,
+    private readonly clock: Clock,
+    private readonly logger: ConsolaInstance,
+  ) {}
+
+  /** Starts to read from the oldest kept record. */
+  start(): void {
+    this.store.add(
+      this.log.follow(this.stream, {
+        onPage: (page, sentAt) => this.takePage(page, sentAt),
+        onAvailability: readable => {
+          this.readable = readable;
+          this.reportAvailability();
+        },
+      }),
+    );
+  }
+
+  /** Whether records can be read, and are confirmed in time. */
+  get available(): boolean {
+    return this.readable && this.writer.available;
+  }
+
+  /** Local time at which the end of the stream was known for the last time. */
+  get lastCaughtUpAt(): number {
+    return this.confirmedEndAt;
+  }
+
+  /** Runs actions that the writer yielded. */
+  run(actions: Iterable<WriterAction<T>>): void {
+    for (const action of actions) {
+      if (action.kind === 'append') {
+        void this.append(action.record);
+      } else if (action.kind === 'confirmed') {
+        this.confirmed.fire(action.record);
+      } else {
+        this.reportAvailability();
+      }
+    }
+  }
+
+  /** Lets the writer send what is due. */
+  tick(): void {
+    this.run(this.writer.tick(this.clock.now()));
+  }
+
+  dispose(): void {
+    this.store.dispose();
+  }
+
+  private async append(record: T): Promise<void> {
+    const answer = await this.log.append(this.stream, record);
+    const now = this.clock.now();
+    answer.caseOf({
+      Right: offset => this.run(this.writer.answered(offset, now)),
+      Left: error => {
+        this.logger.warn('An append was not answered.', {
+          stream: this.stream,
+          reason: error.message,
+        });
+        this.run(this.writer.failed(now));
+      },
+    });
+  }
+
+  private takePage(page: LogPage, sentAt: Millis): void {
+    for (const record of page.records) {
+      this.records.fire(record as StoredRecord<T>);
+      const identity = identityOf(record.data);
+      if (identity !== undefined) {
+        this.run(this.writer.read(identity, this.clock.now()));
+      }
+    }
+    const last = page.records[page.records.length - 1];
+    const reached = last === undefined || last.offset + 1 >= page.end;
+    if (!reached) return;
+    this.confirmedEndAt = sentAt;
+    this.run(this.writer.caughtUp(this.clock.now()));
+    this.caughtUp.fire(sentAt);
+  }
+
+  private reportAvailability(): void {
+    const available = this.available;
+    if (available === this.reported) return;
+    this.reported = available;
+    const state = available ? 'available' : 'unavailable';
+    this.logger.warn(`The stream is ${state}.`, {stream: this.stream});
+    this.availability.fire(available);
+  }
+}
--- /dev/null
+++ b/test_support/deployment.ts
@@ -0,0 +1,243 @@
+import {ChildProcess, spawn} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {stringify} from 'yaml';
+import {InstanceRole, InstanceState} from '../src/common/base/platform.js';
+import {EMPTY_SIZE, Size} from '../src/common/base/size.js';
+import {InstanceList} from './instance_list.js';
+import {LogService} from './log_service.js';
+import {LedgerEntry, Worker} from './worker.js';
+
+/** What a deployment is made of. */
+export interface DeploymentPlan {
+  readonly dataCentres: readonly string[];
+  readonly entriesPerDataCentre: number;
+  readonly workersPerDataCentre: number;
+  readonly workerCapacity: Size;
+  readonly services: readonly string[];
+  /** First port of a block of ports; 0 takes any free block. */
+  readonly basePort: number;
+  /** Settings that replace the defaults of every daemon. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+}
+
+/** A daemon process of the deployment. */
+export interface Entry {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly callerUrl: string;
+  readonly operatorUrl: string;
+  readonly peerPort: number;
+  readonly settingsFile: string;
+  process: ChildProcess | undefined;
+}
+
+const HOST = '127.0.0.1';
+const PORTS_PER_ENTRY = 3;
+const FIRST_ENTRY_OFFSET = 10;
+const WORKERS_PER_RACK = 2;
+
+/** Path of the built daemon, seen from the repository's root. */
+const DAEMON = join('dist', 'src', 'daemon', 'main.js');
+
+/**
+ * Starts the stand-ins in this process and each daemon as a process of its
+ * own, on loopback. Needs a build.
+ */
+export class Deployment {
+  readonly log = new LogService();
+  readonly list = new InstanceList();
+  readonly workers: Worker[] = [];
+  readonly entries: Entry[] = [];
+  private readonly folder = mkdtempSync(join(tmpdir(), 'jasminegauge-'));
+  private logUrl = '';
+  private listUrl = '';
+
+  constructor(
+    private readonly plan: DeploymentPlan,
+    private readonly onLine: (entry: string, line: string) => void = () =>
+      undefined,
+  ) {}
+
+  /** Addresses of the log service and the instance list. */
+  get platform(): {readonly log: string; readonly instances: string} {
+    return {log: this.logUrl, instances: this.listUrl};
+  }
+
+  /** Starts everything. */
+  async start(): Promise<void> {
+    const {basePort} = this.plan;
+    const logPort = await this.log.listen(basePort);
+    const listPort = await this.list.listen(basePort === 0 ? 0 : basePort + 1);
+    this.logUrl = `http://${HOST}:${logPort}`;
+    this.listUrl = `http://${HOST}:${listPort}`;
+    for (const dataCentre of this.plan.dataCentres) {
+      for (let i = 0; i < this.plan.workersPerDataCentre; i++) {
+        await this.addWorker(dataCentre, i);
+      }
+    }
+    for (const dataCentre of this.plan.dataCentres) {
+      for (let i = 0; i < this.plan.entriesPerDataCentre; i++) {
+        await this.addEntry(dataCentre, i);
+      }
+    }
+  }
+
+  /** Stops the daemons that this deployment started, then the stand-ins. */
+  async stop(): Promise<void> {
+    for (const entry of this.entries) {
+      entry.process?.kill('SIGCONT');
+      entry.process?.kill('SIGKILL');
+    }
+    await Promise.all(this.entries.map(entry => this.ended(entry)));
+    await Promise.all(this.workers.map(worker => worker.close()));
+    await this.log.close();
+    await this.list.close();
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  /** Starts the process of an entry, or starts it again. */
+  startEntry(entry: Entry): void {
+    const child = spawn(
+      process.execPath,
+      [DAEMON, '--settings', entry.settingsFile],
+      {stdio: ['ignore', 'ignore', 'pipe']},
+    );
+    entry.process = child;
+    let rest = '';
+    child.stderr.setEncoding('utf8');
+    child.stderr.on('data', (chunk: string) => {
+      const lines = (rest + chunk).split('\n');
+      rest = lines.pop() ?? '';
+      for (const line of lines) this.onLine(entry.id, line);
+    });
+  }
+
+  /** Sends a signal to an entry's process. */
+  signal(entry: Entry, signal: NodeJS.Signals): void {
+    entry.process?.kill(signal);
+  }
+
+  /** Resolves with the exit code when the entry's process has ended. */
+  ended(entry: Entry): Promise<number | null> {
+    const child = entry.process;
+    if (child === undefined || child.exitCode !== null) {
+      return Promise.resolve(child?.exitCode ?? null);
+    }
+    if (child.signalCode !== null) return Promise.resolve(null);
+    return new Promise(resolve => child.once('exit', resolve));
+  }
+
+  /** Removes an entry from the instance list, as the platform would. */
+  delist(entry: Entry): void {
+    this.list.remove(entry.id);
+  }
+
+  /** The events of all workers, in the order of their times. */
+  ledger(): LedgerEntry[] {
+    return this.workers
+      .flatMap(worker => worker.ledger)
+      .sort((a, b) => a.timeMs - b.timeMs);
+  }
+
+  /** Adds one more entry instance, for example as a replacement. */
+  async addEntry(dataCentre: string, index: number): Promise<Entry> {
+    const id = `${dataCentre}-entry-${index + 1}`;
+    const ports = await this.entryPorts();
+    const settingsFile = join(this.folder, `${id}.yaml`);
+    const [caller, operator, peer] = ports;
+    writeFileSync(
+      settingsFile,
+      stringify({
+        instance: id,
+        dataCentre,
+        dataCentres: Object.fromEntries(
+          this.plan.dataCentres.map(name => [
+            name,
+            {delayMs: name === dataCentre ? 0 : 1.5},
+          ]),
+        ),
+        caller: {host: HOST, port: caller},
+        operator: {host: HOST, port: operator},
+        peer: {host: HOST, port: peer},
+        platform: this.platform,
+        ...this.plan.settings,
+      }),
+    );
+    const entry: Entry = {
+      id,
+      dataCentre,
+      callerUrl: `http://${HOST}:${caller}`,
+      operatorUrl: `http://${HOST}:${operator}`,
+      peerPort: peer,
+      settingsFile,
+      process: undefined,
+    };
+    this.entries.push(entry);
+    this.list.put({
+      id,
+      role: InstanceRole.ENTRY,
+      start: 1,
+      dataCentre,
+      rack: `${dataCentre}-rack-1`,
+      host: HOST,
+      port: caller,
+      peerPort: peer,
+      state: InstanceState.LIVE,
+      capacity: EMPTY_SIZE,
+      services: [],
+      slots: 0,
+      connections: 0,
+    });
+    this.startEntry(entry);
+    return entry;
+  }
+
+  private async addWorker(dataCentre: string, index: number): Promise<void> {
+    const worker = new Worker(`${dataCentre}-worker-${index + 1}`);
+    const {basePort} = this.plan;
+    const wanted = basePort === 0 ? 0 : basePort + 100 + this.workers.length;
+    const port = await worker.listen(wanted);
+    const rack = Math.floor(index / WORKERS_PER_RACK) + 1;
+    this.workers.push(worker);
+    this.list.put(
+      worker.describe(
+        port,
+        dataCentre,
+        `${dataCentre}-rack-${rack}`,
+        this.plan.workerCapacity,
+        this.plan.services,
+      ),
+    );
+  }
+
+  private async entryPorts(): Promise<number[]> {
+    const {basePort} = this.plan;
+    if (basePort === 0) return freePorts(PORTS_PER_ENTRY);
+    const first =
+      basePort + FIRST_ENTRY_OFFSET + this.entries.length * PORTS_PER_ENTRY;
+    return [first, first + 1, first + 2];
+  }
+}
+
+/** Asks the system for free ports of loopback. */
+async function freePorts(count: number): Promise<number[]> {
+  const {createServer} = await import('node:net');
+  const servers = Array.from({length: count}, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      server =>
+        new Promise<number>(resolve => {
+          server.listen(0, HOST, () => {
+            const address = server.address();
+            resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
+          });
+        }),
+    ),
+  );
+  await Promise.all(
+    servers.map(server => new Promise(resolve => server.close(resolve))),
+  );
+  return ports;
+}
