Add the leadership core and the stream reader and writer

The scheduler needs to know whether it may promise capacity, and every writer to the log needs identities, batching and repeats after lost answers.

- common/leadership: Leadership with a role each for the leader, a member and a candidate that is in no view; GoneTable decides which processes have ended.

The property test is still to come, so safety under combined faults has not been exercised yet.

--- /dev/null
+++ b/src/common/leadership/candidate_role.ts
@@ -0,0 +1,100 @@
+import {Millis} from '../base/clock.js';
+import {MemberId} from '../stream/types.js';
+import {LeadershipState} from './leadership_state.js';
+import {LeadershipAction, LeadershipPeerMessage} from './types.js';
+
+/**
+ * The part of an instance that is in no view: asks the leader to add it, and
+ * forms a view alone when every member of the last one is gone or consents.
+ */
+export class CandidateRole {
+  private readonly peers = new Set<MemberId>();
+  private nextRoundAt: Millis = 0;
+  private formAt: Millis | undefined;
+
+  constructor(private readonly state: LeadershipState) {}
+
+  peerUp(member: MemberId): void {
+    this.peers.add(member);
+  }
+
+  peerDown(member: MemberId): void {
+    this.peers.delete(member);
+  }
+
+  *tick(now: Millis): Generator<LeadershipAction> {
+    if (!this.isCandidate(now)) {
+      this.formAt = undefined;
+      return;
+    }
+    if (now >= this.nextRoundAt) {
+      this.nextRoundAt = now + this.state.timing.renewMs;
+      yield* this.ask(now);
+    }
+    yield* this.form(now);
+  }
+
+  private isCandidate(now: Millis): boolean {
+    const {state} = this;
+    return (
+      state.caughtUp &&
+      !state.isActive &&
+      !state.leaving &&
+      !state.gone.isSelfDropped(now)
+    );
+  }
+
+  private *ask(now: Millis): Generator<LeadershipAction> {
+    const {state} = this;
+    if (state.view) {
+      const epoch = state.view.epoch;
+      yield* this.send(this.others(now), {kind: 'join', epoch});
+    }
+    yield* this.send(this.missing(now) ?? [], {
+      kind: 'consent-request',
+      epoch: state.epoch,
+    });
+  }
+
+  private *form(now: Millis): Generator<LeadershipAction> {
+    const {state} = this;
+    if (state.pending || !state.logAvailable) return;
+    if (this.missing(now)?.length !== 0) {
+      this.formAt = undefined;
+      return;
+    }
+    // Of several new instances one usually appends before the others.
+    this.formAt ??= now + state.random() * state.timing.renewMs;
+    if (now >= this.formAt) yield* state.propose([state.self]);
+  }
+
+  /** Those whose consent is missing; undefined while that is not known. */
+  private missing(now: Millis): MemberId[] | undefined {
+    const {state} = this;
+    const asked = state.view?.members ?? state.gone.listed;
+    return asked?.filter(
+      member => member !== state.self && !state.isOut(member, now),
+    );
+  }
+
+  private others(now: Millis): Set<MemberId> {
+    const {state} = this;
+    const others = new Set([
+      ...(state.gone.listed ?? []),
+      ...(state.view?.members ?? []),
+      ...this.peers,
+    ]);
+    others.delete(state.self);
+    for (const member of others) {
+      if (state.gone.isGone(member, now)) others.delete(member);
+    }
+    return others;
+  }
+
+  private *send(
+    members: Iterable<MemberId>,
+    message: LeadershipPeerMessage,
+  ): Generator<LeadershipAction> {
+    for (const to of members) yield {kind: 'send', to, message};
+  }
+}
--- /dev/null
+++ b/src/common/leadership/leader_role.ts
@@ -0,0 +1,145 @@
+import {Millis} from '../base/clock.js';
+import {MemberId, View} from '../stream/types.js';
+import {GrantTable} from './grant_table.js';
+import {LeadershipState} from './leadership_state.js';
+import {LeadershipAction} from './types.js';
+
+/** The part of a leader: holds the lease and changes the view. */
+export class LeaderRole {
+  private readonly grants: GrantTable;
+  /** Time of the last `join` of each instance that is not a member. */
+  private readonly joining = new Map<MemberId, Millis>();
+  private nextRoundAt: Millis = 0;
+
+  constructor(private readonly state: LeadershipState) {
+    this.grants = new GrantTable(state.heldLeaseMs, state.random);
+  }
+
+  /**
+   * End of the lease: of the earliest grant that is needed, and no later than
+   * a lease after this process last ran. 0 when there is none.
+   */
+  leaseUntil(now: Millis): Millis {
+    const state = this.state;
+    if (!state.isLeader) return 0;
+    const needed = [...this.neededGrants(now)];
+    if (needed.length === 0 && state.wokeAt !== undefined) return 0;
+    let until = (state.aliveAt ?? now) + state.heldLeaseMs;
+    for (const member of needed) {
+      until = Math.min(until, this.grants.until(member));
+    }
+    return until > now ? until : 0;
+  }
+
+  /** A view led by this instance came into force. */
+  viewRead(view: View, continued: boolean): void {
+    if (!continued) this.grants.clear();
+    this.grants.keepOnly(new Set(view.members));
+    this.nextRoundAt = 0;
+    this.joining.clear();
+  }
+
+  /** Another instance asks to become a member. */
+  *join(from: MemberId, now: Millis): Generator<LeadershipAction> {
+    const state = this.state;
+    if (!state.isLeader || state.isOut(from, now)) return;
+    if (state.view?.members.includes(from)) return;
+    const isNew = !this.joining.has(from);
+    this.joining.set(from, now);
+    if (isNew) yield* this.request([from], now);
+  }
+
+  granted(from: MemberId, nonce: number, now: Millis): void {
+    if (this.state.isLeader) this.grants.granted(from, nonce, now);
+  }
+
+  *tick(now: Millis): Generator<LeadershipAction> {
+    if (!this.state.isLeader) return;
+    this.forgetJoining(now);
+    if (now >= this.nextRoundAt) {
+      this.nextRoundAt = now + this.state.timing.renewMs;
+      const asked = new Set([
+        ...this.neededGrants(now),
+        ...this.joining.keys(),
+      ]);
+      yield* this.request([...asked], now);
+    }
+    yield* this.changeView(now);
+  }
+
+  /** Member to hand over to: the one whose grant lasts longest. */
+  successor(now: Millis): MemberId | undefined {
+    let best: MemberId | undefined;
+    for (const member of this.neededGrants(now)) {
+      const later =
+        best === undefined ||
+        this.grants.until(member) > this.grants.until(best);
+      if (later) best = member;
+    }
+    return best;
+  }
+
+  /**
+   * Members whose grants are needed: those of the current view and, from the
+   * time its append is sent, of the pending one. A consent gives up the part
+   * in the current view only.
+   */
+  private neededGrants(now: Millis): Set<MemberId> {
+    const {state} = this;
+    const pending = state.pending?.members ?? [];
+    const needed = new Set([...(state.view?.members ?? []), ...pending]);
+    needed.delete(state.self);
+    for (const member of needed) {
+      const out = pending.includes(member)
+        ? state.gone.isGone(member, now)
+        : state.isOut(member, now);
+      if (out) needed.delete(member);
+    }
+    return needed;
+  }
+
+  private *request(
+    members: readonly MemberId[],
+    now: Millis,
+  ): Generator<LeadershipAction> {
+    const epoch = this.state.view?.epoch;
+    if (epoch === undefined || members.length === 0) return;
+    const nonce = this.grants.request(now);
+    for (const to of members) {
+      yield {kind: 'send', to, message: {kind: 'grant-request', epoch, nonce}};
+    }
+  }
+
+  private *changeView(now: Millis): Generator<LeadershipAction> {
+    const {state} = this;
+    if (!state.view || state.pending || !state.logAvailable) return;
+    const kept = state.view.members.filter(m => !this.isSilent(m, now));
+    const added = [...this.joining.keys()].filter(
+      member => this.grants.until(member) > now,
+    );
+    const changed = kept.length < state.view.members.length || added.length > 0;
+    const checkpointDue =
+      now - state.viewReadAt >= state.timing.viewCheckpointMs;
+    if (changed || checkpointDue) yield* state.propose([...kept, ...added]);
+  }
+
+  private isSilent(member: MemberId, now: Millis): boolean {
+    const {state} = this;
+    if (member === state.self) return false;
+    if (state.isOut(member, now)) return true;
+    const heard = Math.max(
+      this.grants.lastHeard(member),
+      state.viewReadAt,
+      state.listeningSince,
+    );
+    return now - heard > state.timing.suspectMs;
+  }
+
+  private forgetJoining(now: Millis): void {
+    for (const [member, askedAt] of this.joining) {
+      if (now - askedAt > this.state.timing.suspectMs) {
+        this.joining.delete(member);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/common/leadership/leadership.ts
@@ -0,0 +1,277 @@
+import {Millis} from '../base/clock.js';
+import {Epoch, MemberId, View} from '../stream/types.js';
+import {CandidateRole} from './candidate_role.js';
+import {GoneTable} from './gone_table.js';
+import {LeaderRole} from './leader_role.js';
+import {LeadershipState} from './leadership_state.js';
+import {MemberRole} from './member_role.js';
+import {
+  DEFAULT_LEADERSHIP_TIMING,
+  LeadershipAction,
+  LeadershipMessage,
+  LeadershipPeerMessage,
+  LeadershipTiming,
+} from './types.js';
+
+/** Settings of a leadership core. */
+export interface LeadershipOptions {
+  readonly self: MemberId;
+  readonly dataCentre: string;
+  readonly timing?: LeadershipTiming;
+  /** Source of nonces and jitter: numbers from 0 up to 1. */
+  readonly random: () => number;
+}
+
+type Handlers<M extends {readonly kind: string}> = {
+  readonly [K in M['kind']]: (
+    message: Extract<M, {kind: K}>,
+    now: Millis,
+    from: MemberId,
+  ) => Generator<LeadershipAction> | void;
+};
+
+/**
+ * Decides which entry instance of a data centre may promise the capacity of
+ * its workers; see section 3.1 of the design page. At most one instance of a
+ * data centre has `mayAct` true at any time, as long as clocks differ by less
+ * than `driftFraction` and the instance list drops no process that runs.
+ *
+ * Needs a `tick` several times in each `renewMs`. Yielded actions have to be
+ * carried out in order; they may be late.
+ */
+export class Leadership {
+  private readonly state: LeadershipState;
+  private readonly leader: LeaderRole;
+  private readonly member: MemberRole;
+  private readonly candidate: CandidateRole;
+
+  constructor(options: LeadershipOptions) {
+    const timing = options.timing ?? DEFAULT_LEADERSHIP_TIMING;
+    const gone = new GoneTable(
+      options.self,
+      options.dataCentre,
+      timing.leaseMs,
+    );
+    this.state = new LeadershipState(
+      options.self,
+      timing,
+      gone,
+      options.random,
+    );
+    this.leader = new LeaderRole(this.state);
+    this.member = new MemberRole(this.state);
+    this.candidate = new CandidateRole(this.state);
+  }
+
+  /** The view in force as far as this instance has read the stream. */
+  get view(): View | undefined {
+    return this.state.view;
+  }
+
+  /** Whether this instance may promise capacity at `now`. */
+  mayAct(now: Millis): boolean {
+    return this.leaseUntil(now) > now;
+  }
+
+  /** End of the lease on the local clock; 0 without one. */
+  leaseUntil(now: Millis): Millis {
+    return this.leader.leaseUntil(now);
+  }
+
+  /** Takes in a message and yields what has to be done. */
+  *handle(
+    message: LeadershipMessage,
+    now: Millis,
+  ): Generator<LeadershipAction> {
+    yield* this.state.advance(now);
+    yield* dispatch(this.handlers, message, now, this.state.self);
+    yield* this.leader.tick(now);
+    yield* this.member.tick(now);
+    yield* this.candidate.tick(now);
+  }
+
+  private readonly handlers: Handlers<LeadershipMessage> = {
+    tick: () => {},
+    'view-read': (message, now) => this.viewRead(message.view, now),
+    'view-void': message => this.viewVoid(message.record.base),
+    'caught-up': message => this.caughtUp(message.sentAt),
+    log: message => {
+      this.state.logAvailable = message.available;
+    },
+    peer: ({from, message}, now) => this.peerMessage(from, message, now),
+    'peer-up': (message, now) => this.peerUp(message.member, now),
+    'peer-down': message => this.candidate.peerDown(message.member),
+    instances: (message, now) => this.instances(message, now),
+    'declared-gone': (message, now) => this.declaredGone(message.ids, now),
+    resign: (unusedMessage, now) => this.resign(now),
+  };
+
+  private readonly peerHandlers: Handlers<LeadershipPeerMessage> = {
+    'grant-request': (message, now, from) =>
+      this.member.grantRequested(from, message.epoch, message.nonce, now),
+    grant: (message, now, from) =>
+      this.grant(message.epoch, message.nonce, now, from),
+    join: (message, now, from) => this.join(message.epoch, now, from),
+    'consent-request': (message, unusedNow, from) =>
+      this.consentRequested(message.epoch, from),
+    consent: (message, unusedNow, from) => {
+      this.state.consents.set(from, message.epoch);
+    },
+    'view-held': (message, now, from) => this.viewHeld(message.view, now, from),
+    resign: (message, unusedNow, from) =>
+      this.member.resigned(from, message.epoch),
+  };
+
+  private *peerMessage(
+    from: MemberId,
+    message: LeadershipPeerMessage,
+    now: Millis,
+  ): Generator<LeadershipAction> {
+    this.state.gone.noteStart(from);
+    yield* this.checkDropped(now);
+    yield* dispatch(this.peerHandlers, message, now, from);
+  }
+
+  private *viewRead(view: View, now: Millis): Generator<LeadershipAction> {
+    const {state} = this;
+    if (state.view && view.epoch <= state.view.epoch) return;
+    const led = state.isLeader;
+    state.setView(view, now);
+    this.member.viewRead(now);
+    if (state.isLeader) {
+      this.leader.viewRead(view, led);
+      yield {kind: 'lead', view, continued: led};
+    } else {
+      const known = view.leader === state.self ? undefined : view;
+      yield {kind: 'follow', view: known};
+    }
+    if (state.leaving) yield* this.handOver();
+  }
+
+  private viewVoid(base: Epoch | null): void {
+    if (this.state.pending?.base === base) this.state.pending = undefined;
+  }
+
+  private caughtUp(sentAt: Millis): void {
+    this.state.caughtUp = true;
+    this.state.confirmAwake(sentAt);
+  }
+
+  private *peerUp(member: MemberId, now: Millis): Generator<LeadershipAction> {
+    this.state.gone.noteStart(member);
+    this.candidate.peerUp(member);
+    yield* this.checkDropped(now);
+  }
+
+  private *instances(
+    message: Extract<LeadershipMessage, {kind: 'instances'}>,
+    now: Millis,
+  ): Generator<LeadershipAction> {
+    const {state} = this;
+    state.gone.readList(message.instances, now);
+    yield* this.checkDropped(now);
+    // While the log answers, only the stream tells who leads now.
+    const shown =
+      message.instances.length > 0 && !state.gone.isSelfDropped(now);
+    if (shown && !state.logAvailable) state.confirmAwake(message.sentAt);
+  }
+
+  private *declaredGone(
+    ids: readonly string[],
+    now: Millis,
+  ): Generator<LeadershipAction> {
+    this.state.gone.declare(ids);
+    yield* this.checkDropped(now);
+  }
+
+  private *resign(now: Millis): Generator<LeadershipAction> {
+    const {state} = this;
+    if (state.leaving) return;
+    const led = state.isLeader;
+    const successor = led ? this.leader.successor(now) : undefined;
+    state.leaving = true;
+    if (led) yield {kind: 'follow', view: undefined};
+    yield* this.handOver(successor);
+  }
+
+  /** Tells the leader, or a successor, that this instance leaves the view. */
+  private *handOver(successor?: MemberId): Generator<LeadershipAction> {
+    const {view, self} = this.state;
+    if (!view?.members.includes(self)) return;
+    const epoch = view.epoch;
+    if (view.leader !== self) {
+      yield send(view.leader, {kind: 'consent', epoch});
+      return;
+    }
+    const to = successor ?? view.members.find(member => member !== self);
+    if (to !== undefined) yield send(to, {kind: 'resign', epoch});
+  }
+
+  private grant(epoch: Epoch, nonce: number, now: Millis, from: MemberId) {
+    if (epoch === this.state.epoch) this.leader.granted(from, nonce, now);
+  }
+
+  private *join(
+    epoch: Epoch,
+    now: Millis,
+    from: MemberId,
+  ): Generator<LeadershipAction> {
+    // One that cannot read the stream could give no grant for the next view.
+    if (epoch === this.state.epoch) yield* this.leader.join(from, now);
+  }
+
+  private *consentRequested(
+    epoch: Epoch | null,
+    from: MemberId,
+  ): Generator<LeadershipAction> {
+    const {state} = this;
+    const {view} = state;
+    if (view && (state.isActive || epoch === null || epoch < view.epoch)) {
+      yield send(from, {kind: 'view-held', view});
+      return;
+    }
+    if (epoch !== null) yield* state.relinquish(epoch);
+    yield send(from, {kind: 'consent', epoch});
+  }
+
+  private *viewHeld(
+    view: View,
+    now: Millis,
+    from: MemberId,
+  ): Generator<LeadershipAction> {
+    const {state} = this;
+    state.consents.delete(from);
+    if (!state.view) {
+      // The log no longer has the view; it is needed to join.
+      if (state.caughtUp) yield* this.viewRead(view, now);
+    } else if (view.epoch > state.view.epoch && view.leader !== state.self) {
+      yield* state.relinquish(state.view.epoch);
+    }
+  }
+
+  private *checkDropped(now: Millis): Generator<LeadershipAction> {
+    const {view, gone} = this.state;
+    if (!view || !gone.isSelfDropped(now)) return;
+    yield* this.state.relinquish(view.epoch);
+  }
+}
+
+function send(to: MemberId, message: LeadershipPeerMessage): LeadershipAction {
+  return {kind: 'send', to, message};
+}
+
+function* dispatch<M extends {readonly kind: string}>(
+  handlers: Handlers<M>,
+  message: M,
+  now: Millis,
+  from: MemberId,
+): Generator<LeadershipAction> {
+  // The table has a handler for each kind; the compiler cannot relate them.
+  const handler = handlers[message.kind as M['kind']] as (
+    message: M,
+    now: Millis,
+    from: MemberId,
+  ) => Generator<LeadershipAction> | void;
+  const actions = handler(message, now, from);
+  if (actions) yield* actions;
+}
--- /dev/null
+++ b/src/common/leadership/member_role.ts
@@ -0,0 +1,78 @@
+import {Millis} from '../base/clock.js';
+import {Epoch, MemberId} from '../stream/types.js';
+import {LeadershipState} from './leadership_state.js';
+import {LeadershipAction} from './types.js';
+
+/** The part of a member: grants to the leader, or takes over from it. */
+export class MemberRole {
+  /**
+   * End of the last grant. A grant promises to take part in no takeover until
+   * then, whatever the view.
+   */
+  private grantedUntil: Millis = -Infinity;
+  private requestedAt: Millis = 0;
+  private released = false;
+  private jitterMs: Millis = 0;
+
+  constructor(private readonly state: LeadershipState) {}
+
+  /** A new view came into force. */
+  viewRead(now: Millis): void {
+    this.requestedAt = now;
+    this.released = false;
+    // Members that suspect at the same time do not all append a view.
+    this.jitterMs = this.state.random() * this.state.timing.renewMs;
+  }
+
+  *grantRequested(
+    from: MemberId,
+    epoch: Epoch,
+    nonce: number,
+    now: Millis,
+  ): Generator<LeadershipAction> {
+    const {state} = this;
+    const view = state.view;
+    if (!view) return;
+    if (epoch < view.epoch) {
+      yield {kind: 'send', to: from, message: {kind: 'view-held', view}};
+      return;
+    }
+    if (from !== view.leader) return;
+    this.requestedAt = now;
+    if (epoch > view.epoch) return;
+    if (state.leaving || epoch <= state.relinquished) {
+      yield {kind: 'send', to: from, message: {kind: 'consent', epoch}};
+      return;
+    }
+    // A view that was appended may come into force at any time.
+    if (state.pending || this.released) return;
+    this.grantedUntil = now + state.timing.leaseMs;
+    yield {kind: 'send', to: from, message: {kind: 'grant', epoch, nonce}};
+  }
+
+  /** The leader gives up: its lease has ended, so the grant is void. */
+  resigned(from: MemberId, epoch: Epoch): void {
+    const {view} = this.state;
+    if (view?.epoch !== epoch || view.leader !== from) return;
+    this.released = true;
+    this.grantedUntil = -Infinity;
+  }
+
+  *tick(now: Millis): Generator<LeadershipAction> {
+    const {state} = this;
+    const view = state.view;
+    if (!view || !state.isActive || state.isLeader || state.pending) return;
+    if (!this.suspects(now) || now < this.grantedUntil) return;
+    if (!state.logAvailable || !state.caughtUp) return;
+    const members = view.members.filter(
+      member => member !== view.leader && !state.isOut(member, now),
+    );
+    yield* state.propose(members);
+  }
+
+  private suspects(now: Millis): boolean {
+    if (this.released) return true;
+    const heard = Math.max(this.requestedAt, this.state.listeningSince);
+    return now - heard > this.state.timing.suspectMs + this.jitterMs;
+  }
+}
--- /dev/null
+++ b/src/common/stream/record_schema.ts
@@ -0,0 +1,45 @@
+import {z} from 'zod';
+import {DataCentreRecord} from './types.js';
+
+const identity = {
+  writer: z.string().min(1),
+  sequence: z.number().int().positive(),
+};
+
+const offset = z.number().int().nonnegative();
+
+const viewRecord = z
+  .object({
+    ...identity,
+    kind: z.literal('view'),
+    base: offset.nullable(),
+    leader: z.string().min(1),
+    members: z.array(z.string().min(1)).min(1),
+  })
+  .refine(record => record.members.includes(record.leader), {
+    message: 'the leader is not a member',
+  });
+
+const batchRecord = z.object({
+  ...identity,
+  kind: z.literal('batch'),
+  epoch: offset,
+  entries: z.array(z.looseObject({kind: z.string()})),
+});
+
+const dataCentreRecord = z.union([viewRecord, batchRecord]);
+
+/** Result of checking a record: the record, or why it is malformed. */
+export type ParsedRecord =
+  | {readonly valid: true; readonly record: DataCentreRecord}
+  | {readonly valid: false; readonly reason: string};
+
+/** Checks the shape of a record of a stream `dc-<data centre>`. */
+export function parseDataCentreRecord(data: unknown): ParsedRecord {
+  const result = dataCentreRecord.safeParse(data);
+  if (result.success) {
+    return {valid: true, record: result.data as DataCentreRecord};
+  }
+  const issue = result.error.issues[0];
+  return {valid: false, reason: `${issue.path.join('.')}: ${issue.message}`};
+}
--- /dev/null
+++ b/src/common/stream/record_writer.ts
@@ -0,0 +1,243 @@
+import {Millis} from '../base/clock.js';
+import {SendRate} from './send_rate.js';
+import {MemberId, Offset, RecordIdentity} from './types.js';
+
+/** A record without its identity, which the writer adds. */
+export type Body<T extends RecordIdentity> = T extends unknown
+  ? Omit<T, keyof RecordIdentity>
+  : never;
+
+/** What the caller of a writer has to do or to know. */
+export type WriterAction<T> =
+  /** Append the record and report `answered` or `failed` exactly once. */
+  | {readonly kind: 'append'; readonly record: T}
+  /** The record was read back: it is on the stream, in force or void. */
+  | {readonly kind: 'confirmed'; readonly record: T}
+  /** The log stopped or resumed to confirm records in time. */
+  | {readonly kind: 'availability'; readonly available: boolean};
+
+/** Durations and limits of a writer. */
+export interface WriterLimits {
+  /** Least time between two batches. */
+  readonly batchMs: Millis;
+  /** Least time between two batches while the stream is busy. */
+  readonly busyBatchMs: Millis;
+  /** Batches in the last second from which on the stream is busy. */
+  readonly busyBatches: number;
+  readonly maxBatchEntries: number;
+  readonly maxQueuedEntries: number;
+  /** A confirmation that takes longer means that the log is unavailable. */
+  readonly confirmMs: Millis;
+  /** Wait before the first repeated append; doubles with each failure. */
+  readonly backoffMs: Millis;
+  readonly maxBackoffMs: Millis;
+}
+
+/** The figures of the design page, 3.2; the back-off is chosen here. */
+export const DEFAULT_WRITER_LIMITS: WriterLimits = {
+  batchMs: 25,
+  busyBatchMs: 100,
+  busyBatches: 10,
+  maxBatchEntries: 500,
+  maxQueuedEntries: 10_000,
+  confirmMs: 2000,
+  backoffMs: 100,
+  maxBackoffMs: 5000,
+};
+
+/** Raised when a writer's queue has no room for more entries. */
+export class QueueFull extends Error {
+  constructor(readonly limit: number) {
+    super(
+      `The queue of records for the log holds ${limit} entries. ` +
+        'Try again when the log is available.',
+    );
+  }
+}
+
+/** A record that is not confirmed yet. */
+interface Outstanding<T> {
+  readonly record: T;
+  readonly firstSentAt: Millis;
+  answeredAt?: Millis;
+  /** Set after a lost answer: earliest time of the repeated append. */
+  retryAt?: Millis;
+  /** The reader reached the end of the stream without the record. */
+  absent: boolean;
+}
+
+/**
+ * Appends records with an identity, one at a time. A record is confirmed only
+ * when it has been read back. After a lost answer the same record is appended
+ * again only when the reader has reached the end of the stream without it.
+ *
+ * Entries are collected into batches; `build` makes the body of a batch when
+ * it is sent, so that it can name the epoch in force at that time. Other
+ * records, such as views, are sent alone and before waiting entries.
+ */
+export class RecordWriter<T extends RecordIdentity, E = never> {
+  private sequence = 0;
+  private readonly records: Array<Body<T>> = [];
+  private entries: E[] = [];
+  private outstanding: Outstanding<T> | undefined;
+  private requestInFlight = false;
+  private failures = 0;
+  private isAvailable = true;
+  private readonly rate: SendRate;
+
+  constructor(
+    private readonly writer: MemberId,
+    private readonly build: (entries: readonly E[]) => Body<T>,
+    private readonly limits: WriterLimits = DEFAULT_WRITER_LIMITS,
+  ) {
+    this.rate = new SendRate(limits);
+  }
+
+  /** Whether the log confirms records in time. */
+  get available(): boolean {
+    return this.isAvailable;
+  }
+
+  /** Records and entries that wait to be sent. */
+  get queued(): number {
+    return this.records.length + this.entries.length;
+  }
+
+  /**
+   * Adds entries to the next batches.
+   *
+   * @throws QueueFull when there is no room for all of them.
+   */
+  *enqueue(entries: readonly E[], now: Millis): Generator<WriterAction<T>> {
+    this.checkRoom(entries.length);
+    this.entries.push(...entries);
+    yield* this.send(now);
+  }
+
+  /**
+   * Adds a record that is sent alone, before waiting entries.
+   *
+   * @throws QueueFull when there is no room for it.
+   */
+  *enqueueRecord(body: Body<T>, now: Millis): Generator<WriterAction<T>> {
+    this.checkRoom(1);
+    this.records.push(body);
+    yield* this.send(now);
+  }
+
+  /** Drops and returns the entries that were not sent yet. */
+  discardEntries(): readonly E[] {
+    const dropped = this.entries;
+    this.entries = [];
+    return dropped;
+  }
+
+  /** The append was answered with the offset of the record. */
+  *answered(offset: Offset, now: Millis): Generator<WriterAction<T>> {
+    this.requestInFlight = false;
+    if (this.outstanding) this.outstanding.answeredAt = now;
+    yield* this.send(now);
+  }
+
+  /** The append failed or its answer was lost: the record may be stored. */
+  *failed(now: Millis): Generator<WriterAction<T>> {
+    this.requestInFlight = false;
+    if (!this.outstanding) {
+      // It was read back before its answer was lost.
+      yield* this.send(now);
+      return;
+    }
+    this.outstanding.retryAt = now + this.backoff();
+    this.outstanding.absent = false;
+    this.failures++;
+    yield* this.setAvailable(false);
+  }
+
+  /** A record with this identity was read from the stream. */
+  *read(identity: RecordIdentity, now: Millis): Generator<WriterAction<T>> {
+    const record = this.outstanding?.record;
+    if (
+      !record ||
+      identity.writer !== record.writer ||
+      identity.sequence !== record.sequence
+    ) {
+      return;
+    }
+    this.outstanding = undefined;
+    this.failures = 0;
+    yield {kind: 'confirmed', record};
+    yield* this.setAvailable(true);
+    yield* this.send(now);
+  }
+
+  /** The reader has read all records up to the end of the stream. */
+  *caughtUp(now: Millis): Generator<WriterAction<T>> {
+    const waiting = this.outstanding;
+    if (!waiting || this.requestInFlight) return;
+    const overdue =
+      waiting.answeredAt !== undefined &&
+      now - waiting.answeredAt > this.limits.confirmMs;
+    if (waiting.retryAt !== undefined || overdue) waiting.absent = true;
+    yield* this.send(now);
+  }
+
+  *tick(now: Millis): Generator<WriterAction<T>> {
+    const waiting = this.outstanding;
+    if (waiting && now - waiting.firstSentAt > this.limits.confirmMs) {
+      yield* this.setAvailable(false);
+    }
+    yield* this.send(now);
+  }
+
+  private checkRoom(count: number): void {
+    if (this.queued + count > this.limits.maxQueuedEntries) {
+      throw new QueueFull(this.limits.maxQueuedEntries);
+    }
+  }
+
+  private *send(now: Millis): Generator<WriterAction<T>> {
+    if (this.requestInFlight) return;
+    if (this.outstanding) {
+      yield* this.repeat(this.outstanding, now);
+      return;
+    }
+    const body = this.nextBody(now);
+    if (!body) return;
+    const identity = {writer: this.writer, sequence: ++this.sequence};
+    const record = {...body, ...identity} as unknown as T;
+    this.outstanding = {record, firstSentAt: now, absent: false};
+    this.requestInFlight = true;
+    yield {kind: 'append', record};
+  }
+
+  private *repeat(
+    waiting: Outstanding<T>,
+    now: Millis,
+  ): Generator<WriterAction<T>> {
+    if (!waiting.absent || now < (waiting.retryAt ?? now)) return;
+    waiting.absent = false;
+    waiting.answeredAt = undefined;
+    waiting.retryAt = undefined;
+    this.requestInFlight = true;
+    yield {kind: 'append', record: waiting.record};
+  }
+
+  private nextBody(now: Millis): Body<T> | undefined {
+    const record = this.records.shift();
+    if (record) return record;
+    if (this.entries.length === 0 || !this.rate.allows(now)) return undefined;
+    this.rate.sent(now);
+    return this.build(this.entries.splice(0, this.limits.maxBatchEntries));
+  }
+
+  private backoff(): Millis {
+    const {backoffMs, maxBackoffMs} = this.limits;
+    return Math.min(maxBackoffMs, backoffMs * 2 ** Math.min(this.failures, 30));
+  }
+
+  private *setAvailable(available: boolean): Generator<WriterAction<T>> {
+    if (available === this.isAvailable) return;
+    this.isAvailable = available;
+    yield {kind: 'availability', available};
+  }
+}
--- /dev/null
+++ b/src/common/stream/sequence_table.ts
@@ -0,0 +1,36 @@
+import {MemberId, RecordIdentity} from './types.js';
+
+/**
+ * Writers that are remembered. At 306 starts of entry instances a day the
+ * table covers two weeks; a record is repeated within minutes.
+ */
+const MAX_WRITERS = 4096;
+
+/**
+ * Recognizes repeated records. A writer's records appear in increasing order
+ * of sequence apart from repeats, so the highest sequence of each writer is
+ * enough. Forgets the writer that was silent longest when it is full.
+ */
+export class SequenceTable {
+  private readonly highest = new Map<MemberId, number>();
+
+  constructor(private readonly maxWriters = MAX_WRITERS) {}
+
+  /** Notes a record; false when it repeats an earlier one. */
+  accept({writer, sequence}: RecordIdentity): boolean {
+    const last = this.highest.get(writer) ?? 0;
+    if (sequence <= last) return false;
+    // Deleting first keeps the map in order of the last record.
+    this.highest.delete(writer);
+    this.highest.set(writer, sequence);
+    if (this.highest.size > this.maxWriters) this.forgetOldest();
+    return true;
+  }
+
+  private forgetOldest(): void {
+    for (const writer of this.highest.keys()) {
+      this.highest.delete(writer);
+      return;
+    }
+  }
+}
