Add the routing core: target choice, ejection and retry budget

The request path needs a target chooser that works without shared state. Router keeps in-flight counts, peak-sensitive latencies, ejections and ramps per target, chooses by a policy from a table, and prefers its own data centre. RoutingState gains extraDelayMs, Choice gains probe, and markLeaving takes an optional start number.

--- /dev/null
+++ b/src/common/routing/policies.ts
@@ -0,0 +1,51 @@
+import {Millis} from '../base/clock.js';
+import {RoutingPolicy} from '../tickets/types.js';
+import {Random} from './random.js';
+import {ServiceTarget} from './service_target.js';
+
+/** What a policy may use besides the candidates. */
+export interface PolicyContext {
+  readonly now: Millis;
+  readonly random: Random;
+  /** Latency to assume for a target without recent samples. */
+  readonly resting: Millis;
+  /** Number of the choice, counted per service. */
+  readonly turn: number;
+}
+
+/** Picks one of the candidates; there is at least one. */
+export type Policy = (
+  candidates: readonly ServiceTarget[],
+  context: PolicyContext,
+) => ServiceTarget;
+
+const twoChoices: Policy = (candidates, {now, random, resting}) => {
+  const first = random.below(candidates.length);
+  if (candidates.length === 1) return candidates[0];
+  // The second is drawn from the others, so the two always differ.
+  const step = 1 + random.below(candidates.length - 1);
+  const a = candidates[first];
+  const b = candidates[(first + step) % candidates.length];
+  return b.score(now, resting) < a.score(now, resting) ? b : a;
+};
+
+const roundRobin: Policy = (candidates, {turn}) =>
+  candidates[turn % candidates.length];
+
+const leastLoad: Policy = (candidates, {random}) => {
+  // A random start spreads ties over routers that do not see each other.
+  const start = random.below(candidates.length);
+  let best = candidates[start];
+  for (let i = 1; i < candidates.length; i++) {
+    const candidate = candidates[(start + i) % candidates.length];
+    if (candidate.record.load < best.record.load) best = candidate;
+  }
+  return best;
+};
+
+/** The ways to choose a target, by name. */
+export const POLICIES: Readonly<Record<RoutingPolicy, Policy>> = {
+  [RoutingPolicy.TWO_CHOICES]: twoChoices,
+  [RoutingPolicy.ROUND_ROBIN]: roundRobin,
+  [RoutingPolicy.LEAST_LOAD]: leastLoad,
+};
--- /dev/null
+++ b/src/common/routing/router.ts
@@ -0,0 +1,262 @@
+import {Either, Left, Right} from 'purify-ts';
+import {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {Millis, SECOND} from '../base/clock.js';
+import {Emitter} from '../base/emitter.js';
+import {Instance} from '../base/platform.js';
+import {refuse, Refusal, RefusalKind} from '../base/refusal.js';
+import {LeavingTargets} from './leaving_targets.js';
+import {OUTCOME_EFFECTS, OutcomeEffect} from './outcome_effects.js';
+import {Random} from './random.js';
+import {Route, ServiceRoutes} from './service_routes.js';
+import {ServiceTarget} from './service_target.js';
+import {TargetGroup} from './target_group.js';
+import {TargetRecord} from './target_record.js';
+import {
+  AttemptOutcome,
+  Choice,
+  RoutedRequest,
+  RoutingState,
+  TargetChooser,
+} from './types.js';
+
+/** A target was ejected from one service. */
+export interface Ejection {
+  readonly service: string;
+  readonly target: string;
+  readonly until: Millis;
+}
+
+/** Chooses targets for the requests of one entry instance; shares nothing. */
+export class Router implements TargetChooser {
+  private state: RoutingState | undefined;
+  private readonly records = new Map<string, TargetRecord>();
+  private readonly targets = new Map<
+    TargetRecord,
+    Map<string, ServiceTarget>
+  >();
+  private readonly routes = new Map<string, ServiceRoutes>();
+  private readonly leaving = new LeavingTargets();
+  private readonly open = new WeakMap<Choice, Route>();
+  private readonly random: Random;
+  private readonly ejection = new Emitter<Ejection>();
+  /** Latest time that was passed in. */
+  private time: Millis = 0;
+
+  readonly onEjection = this.ejection.event;
+
+  constructor(generator: RandomGenerator) {
+    this.random = new Random(generator);
+  }
+
+  update(state: RoutingState, now: Millis): void {
+    this.time = now;
+    const first = this.records.size === 0;
+    const listed = new Set(state.targets.map(target => target.id));
+    for (const [id, record] of this.records) {
+      if (!listed.has(id)) record.markAbsent(now);
+      if (record.obsolete(now)) this.drop(id, record);
+    }
+    for (const instance of state.targets) {
+      this.leaving.observe(instance);
+      this.takeIn(instance, state.entryInstances, first ? undefined : now);
+    }
+    this.state = state;
+    this.rebuild(now);
+  }
+
+  markLeaving(target: string, start?: number): void {
+    const known = this.records.get(target)?.instance.start;
+    const marked = start ?? known;
+    if (marked === undefined) return;
+    this.leaving.mark(target, marked);
+    this.rebuild(this.time);
+  }
+
+  choose(request: RoutedRequest, now: Millis): Either<Refusal, Choice> {
+    this.time = now;
+    const routes = this.routes.get(request.service);
+    if (routes === undefined) return Left(unknownService(request.service));
+    const retry = request.tried.length > 0;
+    if (retry && !routes.budget.available) {
+      return Left(budgetSpent(request.service));
+    }
+    const route = routes.pick(request, now);
+    if (route === undefined) return Left(noTarget(request.service, routes));
+    if (retry) routes.budget.spend();
+    else routes.budget.deposit(routes.configuration.retryBudget);
+    return Right(this.take(request.service, route, retry, now));
+  }
+
+  finish(choice: Choice, outcome: AttemptOutcome, now: Millis): void {
+    this.time = now;
+    const route = this.open.get(choice);
+    if (route === undefined) return;
+    this.open.delete(choice);
+    const {target} = route;
+    target.record.inFlight--;
+    const latency = now - choice.chosenAt;
+    const effect = this.effect(outcome, latency, route.group, now);
+    if (outcome === AttemptOutcome.NOT_SENT) target.record.skip(now);
+    if (effect !== OutcomeEffect.NONE) route.group.sampled(now);
+    if (effect === OutcomeEffect.SUCCESS) target.observeSuccess(latency, now);
+    if (effect === OutcomeEffect.FAILURE) target.observeFailure(latency, now);
+    this.judge(choice, route, effect, now);
+  }
+
+  private effect(
+    outcome: AttemptOutcome,
+    latency: Millis,
+    group: TargetGroup,
+    now: Millis,
+  ): OutcomeEffect {
+    // A deadline shorter than the usual latency says nothing about the target.
+    const hasty =
+      outcome === AttemptOutcome.TIMED_OUT && latency < group.median(now);
+    return hasty ? OutcomeEffect.NONE : OUTCOME_EFFECTS[outcome];
+  }
+
+  private judge(
+    choice: Choice,
+    {target, group}: Route,
+    effect: OutcomeEffect,
+    now: Millis,
+  ): void {
+    const {health} = target;
+    const failed = effect === OutcomeEffect.FAILURE;
+    if (choice.probe) {
+      health.endProbe(effect === OutcomeEffect.NONE ? undefined : failed, now);
+      if (!health.ejected) target.readmit(now);
+      return;
+    }
+    // Late results of requests from before the ejection are not counted.
+    if (effect === OutcomeEffect.NONE || health.ejected) return;
+    health.record(failed);
+    if (group.judge(target, now)) {
+      this.ejection.fire({
+        service: choice.service,
+        target: target.record.instance.id,
+        until: health.until,
+      });
+    }
+  }
+
+  private take(
+    service: string,
+    {target, group}: Route,
+    retry: boolean,
+    now: Millis,
+  ): Choice {
+    const probe = target.health.ejected;
+    if (probe) target.health.startProbe();
+    target.record.inFlight++;
+    const choice: Choice = {
+      service,
+      target: target.record.instance,
+      chosenAt: now,
+      retry,
+      probe,
+    };
+    this.open.set(choice, {target, group});
+    return choice;
+  }
+
+  private drop(id: string, record: TargetRecord): void {
+    this.records.delete(id);
+    this.targets.delete(record);
+  }
+
+  /** Adds or updates a target; a higher start number begins a new record. */
+  private takeIn(
+    instance: Instance,
+    sharers: number,
+    seenAt: Millis | undefined,
+  ): void {
+    const known = this.records.get(instance.id);
+    // An older list may come late from a lagging source.
+    if (known && known.instance.start > instance.start) return;
+    if (known && known.instance.start === instance.start) {
+      known.update(instance, sharers);
+      return;
+    }
+    if (known) this.drop(instance.id, known);
+    const record = new TargetRecord(instance, seenAt);
+    record.update(instance, sharers);
+    this.records.set(instance.id, record);
+    this.targets.set(record, new Map());
+  }
+
+  private rebuild(now: Millis): void {
+    if (this.state === undefined) return;
+    const {services} = this.state;
+    for (const name of this.routes.keys()) {
+      if (!Object.hasOwn(services, name)) this.routes.delete(name);
+    }
+    for (const [name, configuration] of Object.entries(services)) {
+      let routes = this.routes.get(name);
+      if (routes === undefined) {
+        routes = new ServiceRoutes(configuration, this.state, this.random);
+        this.routes.set(name, routes);
+      }
+      routes.update(configuration, this.liveTargets(name), this.state, now);
+    }
+  }
+
+  /** Live targets of a service by data centre. */
+  private liveTargets(service: string): Map<string, ServiceTarget[]> {
+    const byDataCentre = new Map<string, ServiceTarget[]>();
+    for (const record of this.records.values()) {
+      const {instance} = record;
+      if (record.absentSince !== undefined) continue;
+      if (!instance.services.includes(service)) continue;
+      if (this.leaving.has(instance)) continue;
+      const targets = byDataCentre.get(instance.dataCentre) ?? [];
+      targets.push(this.serviceTarget(record, service));
+      byDataCentre.set(instance.dataCentre, targets);
+    }
+    return byDataCentre;
+  }
+
+  private serviceTarget(record: TargetRecord, service: string): ServiceTarget {
+    const byService = this.targets.get(record)!;
+    let target = byService.get(service);
+    if (target === undefined) {
+      target = new ServiceTarget(record);
+      byService.set(service, target);
+    }
+    return target;
+  }
+}
+
+function unknownService(service: string): Refusal {
+  return refuse(
+    RefusalKind.UNKNOWN_SERVICE,
+    `No service is called "${service}".`,
+    'Check the name, or create the service with a ticket.',
+  );
+}
+
+function budgetSpent(service: string): Refusal {
+  return refuse(
+    RefusalKind.OVERLOADED,
+    `The retry budget of service "${service}" is spent.`,
+    'Try again later, or raise retryBudget with a ticket.',
+    1 * SECOND,
+  );
+}
+
+function noTarget(service: string, routes: ServiceRoutes): Refusal {
+  if (routes.anyFull()) {
+    return refuse(
+      RefusalKind.OVERLOADED,
+      `All targets of service "${service}" are at their limits.`,
+      'Try again later, or add workers for the service.',
+      1 * SECOND,
+    );
+  }
+  return refuse(
+    RefusalKind.NO_TARGET,
+    `No target of service "${service}" can take a request.`,
+    'Try again later, and check that workers list the service.',
+    1 * SECOND,
+  );
+}
--- /dev/null
+++ b/src/common/routing/service_target.ts
@@ -0,0 +1,74 @@
+import {Millis, SECOND} from '../base/clock.js';
+import {LatencyAverage} from './latency_average.js';
+import {TargetHealth} from './target_health.js';
+import {TargetRecord} from './target_record.js';
+
+/** Time over which a new or readmitted target gets its full share. */
+export const RAMP_MS: Millis = 10 * SECOND;
+
+/** Share of the load that a target gets at the start of its ramp. */
+const RAMP_START = 0.1;
+
+/**
+ * Latency that a failed request counts as, at least. Without it a target that
+ * fails at once would look fast and draw requests until it is ejected.
+ */
+export const FAILURE_LATENCY_MS: Millis = 1 * SECOND;
+
+/** Weight of a new sample in the mean that is used to find slow targets. */
+const MEAN_WEIGHT = 0.1;
+
+/** Successful requests before a target can be called slow. */
+const MEAN_SAMPLES = 20;
+
+/** One target as one service sees it. */
+export class ServiceTarget {
+  readonly health = new TargetHealth();
+  /** Peak-sensitive latency; failures count as slow. */
+  readonly latency = new LatencyAverage();
+  private mean: Millis = 0;
+  private samples = 0;
+  private rampFrom: Millis | undefined;
+
+  constructor(readonly record: TargetRecord) {
+    this.rampFrom = record.seenAt;
+  }
+
+  /** Counts the latency of a whole answer. */
+  observeSuccess(latency: Millis, now: Millis): void {
+    this.latency.observe(latency, now);
+    this.mean += (latency - this.mean) * (this.samples === 0 ? 1 : MEAN_WEIGHT);
+    this.samples++;
+  }
+
+  observeFailure(latency: Millis, now: Millis): void {
+    this.latency.observe(Math.max(latency, FAILURE_LATENCY_MS), now);
+  }
+
+  /** Mean latency of whole answers; undefined with too few samples. */
+  get meanLatency(): Millis | undefined {
+    return this.samples >= MEAN_SAMPLES ? this.mean : undefined;
+  }
+
+  /** Load score: lower is better. */
+  score(now: Millis, resting: Millis): number {
+    // A latency of 0 would hide the requests in flight.
+    const latency = Math.max(0.01, this.latency.value(now, resting));
+    return latency * (this.record.inFlight + 1);
+  }
+
+  /** Starts the ramp again after an ejection; old latencies are dropped. */
+  readmit(now: Millis): void {
+    this.rampFrom = now;
+    this.samples = 0;
+    this.mean = 0;
+  }
+
+  /** Share of the usual load that the target may get, up to 1. */
+  ramp(now: Millis): number {
+    if (this.rampFrom === undefined) return 1;
+    const share = (now - this.rampFrom) / RAMP_MS;
+    if (share >= 1) this.rampFrom = undefined;
+    return Math.min(1, Math.max(RAMP_START, share));
+  }
+}
--- a/src/common/routing/types.ts
+++ b/src/common/routing/types.ts
@@ -21,6 +21,8 @@
   readonly chosenAt: Millis;
   /** Whether the choice counts against the retry budget. */
   readonly retry: boolean;
+  /** Whether the choice tests a target that was ejected. */
+  readonly probe: boolean;
 }
 
 /** How an attempt ended. */
@@ -48,14 +50,29 @@
   readonly entryInstances: number;
   readonly targets: readonly Instance[];
   readonly services: Readonly<Record<string, ServiceConfiguration>>;
+  /**
+   * Time that a request to another data centre takes longer, there and back,
+   * by data centre. `DEFAULT_EXTRA_DELAY_MS` where it is absent.
+   */
+  readonly extraDelayMs?: Readonly<Record<string, Millis>>;
 }
 
+/**
+ * Extra delay of a data centre that the settings don't name. Twice the widest
+ * round trip between data centres that is known today (2 × 1.5 ms).
+ */
+export const DEFAULT_EXTRA_DELAY_MS: Millis = 6;
+
 /** Chooses targets for requests. */
 export interface TargetChooser {
   /** Replaces the surroundings; in-flight counts and statistics are kept. */
   update(state: RoutingState, now: Millis): void;
-  /** Marks a target as leaving until it has a higher start number. */
-  markLeaving(target: string): void;
+  /**
+   * Marks a target as leaving until it has a start number above `start`, by
+   * default the one that is known. A target that is not known is ignored when
+   * no start number is given.
+   */
+  markLeaving(target: string, start?: number): void;
   /**
    * Chooses a target at once.
    *
