--- /dev/null
+++ b/src/node/proxy_fixture.test_support.ts
@@ -0,0 +1,123 @@
+import {performance} from 'node:perf_hooks';
+import {Either, Right} from 'purify-ts';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {Instance} from '../common/base/platform.js';
+import {Refusal} from '../common/base/refusal.js';
+import {EMPTY_SIZE} from '../common/base/size.js';
+import {ClaimAnswer} from '../common/jobs/types.js';
+import {Router} from '../common/routing/router.js';
+import {RoutingPolicy, ServiceConfiguration} from '../common/tickets/types.js';
+import {Worker} from '../../test_support/worker.js';
+import {JsonServer} from './json_server.js';
+import {
+  ClaimOutcome,
+  ClaimSource,
+  ProxyOptions,
+  RequestEnd,
+} from './proxy_types.js';
+import {ServiceProxy} from './service_proxy.js';
+
+/** Grants each key once and remembers how its claim ended. */
+export class FakeClaims implements ClaimSource {
+  readonly asked: string[] = [];
+  readonly open = new Set<string>();
+  readonly outcomes = new Map<string, ClaimOutcome>();
+  /** Takes the place of the answer when it is set. */
+  answer: (() => Promise<Either<Refusal, ClaimAnswer>>) | undefined;
+
+  async claim(key: string): Promise<Either<Refusal, ClaimAnswer>> {
+    this.asked.push(key);
+    if (this.answer !== undefined) return this.answer();
+    const outcome = this.outcomes.get(key);
+    if (this.open.has(key) || typeof outcome === 'number') {
+      const status = typeof outcome === 'number' ? outcome : undefined;
+      const state = status === undefined ? 'open' : 'ended';
+      const held = {key, instance: 'e1', timeMs: 0, state, status} as const;
+      return Right({granted: false, held});
+    }
+    this.open.add(key);
+    return Right({granted: true});
+  }
+
+  ended(key: string, outcome: ClaimOutcome): void {
+    this.open.delete(key);
+    this.outcomes.set(key, outcome);
+  }
+}
+
+/** Setup of a fixture. */
+export interface FixtureSetup {
+  readonly workers?: number;
+  readonly options?: Partial<ProxyOptions>;
+  readonly service?: Partial<ServiceConfiguration>;
+  /** Targets besides the workers, e.g. misbehaving servers. */
+  readonly targets?: readonly Instance[];
+}
+
+/** Generous, so that a busy machine fails no test. */
+const DEADLINE_MS = 30_000;
+
+/** A proxy on a loopback port in front of workers in the same process. */
+export class ProxyFixture {
+  readonly claims = new FakeClaims();
+  readonly ends: RequestEnd[] = [];
+  readonly workers: Worker[] = [];
+  readonly server = new JsonServer();
+  readonly router = new Router(xoroshiro128plus(1));
+  targets: Instance[] = [];
+  proxy!: ServiceProxy;
+  origin = '';
+
+  static async create(setup: FixtureSetup = {}): Promise<ProxyFixture> {
+    const fixture = new ProxyFixture();
+    await fixture.start(setup);
+    return fixture;
+  }
+
+  private async start(setup: FixtureSetup): Promise<void> {
+    for (let i = 0; i < (setup.workers ?? 0); i++) {
+      const worker = new Worker(`w${i}`);
+      const port = await worker.listen(0);
+      this.workers.push(worker);
+      this.targets.push(
+        worker.describe(port, 'north', 'r1', EMPTY_SIZE, ['s']),
+      );
+    }
+    this.targets.push(...(setup.targets ?? []));
+    const service: ServiceConfiguration = {
+      reservation: EMPTY_SIZE,
+      routing: RoutingPolicy.TWO_CHOICES,
+      queueLimit: 1000,
+      deadlineMs: DEADLINE_MS,
+      retryBudget: 0.1,
+      ...setup.service,
+    };
+    this.proxy = new ServiceProxy(
+      {
+        router: this.router,
+        claims: this.claims,
+        clock: {now: () => performance.now()},
+        wallClock: Date.now,
+        service: name => (name === 's' ? service : undefined),
+      },
+      setup.options,
+    );
+    this.proxy.onRequestEnd(end => this.ends.push(end));
+    this.proxy.update({
+      dataCentre: 'north',
+      entryInstances: 1,
+      targets: this.targets,
+      services: {s: service},
+    });
+    this.proxy.mount(this.server);
+    const port = await this.server.listen(0, '127.0.0.1');
+    this.origin = `http://127.0.0.1:${port}`;
+  }
+
+  async close(): Promise<void> {
+    this.proxy.dispose();
+    this.server.closeAllConnections();
+    await this.server.close();
+    await Promise.all(this.workers.map(worker => worker.close()));
+  }
+}
