--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -13,8 +13,8 @@
     '^.+\\.ts$': [
       'ts-jest',
       {
-        isolatedModules: true,
         tsconfig: {
+          isolatedModules: true,
           module: 'commonjs',
           moduleResolution: 'node10',
           target: 'es2022',
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,287 @@
+import {ConsolaInstance} from 'consola';
+import {Clock, Millis} from '../common/base/clock.js';
+import {Instance, InstanceRole} from '../common/base/platform.js';
+import {refuse, RefusalKind} from '../common/base/refusal.js';
+import {Kernel} from '../common/kernel/kernel.js';
+import {addJobRoutes} from '../node/job_api.js';
+import {InstanceListClient} from '../node/instance_list_client.js';
+import {JsonServer, sendJson, sendRefusal} from '../node/json_server.js';
+import {LogClient} from '../node/log_client.js';
+import {Metrics} from '../node/metrics.js';
+import {addOperatorRoutes} from '../node/operator_api.js';
+import {PeerState} from '../node/peer_messages.js';
+import {memberId, PeerMesh} from '../node/peer_mesh.js';
+import {PlatformClient} from '../node/platform_client.js';
+import {SystemClock} from '../node/system_clock.js';
+import {WorkerClient} from '../node/worker_client.js';
+import {DataCentreService} from './data_centre_service.js';
+import {JobService} from './job_service.js';
+import {OperatorService} from './operator_service.js';
+import {PeerStateService} from './peer_state_service.js';
+import {RoutingService} from './routing_service.js';
+import {TicketService} from './ticket_service.js';
+import {Settings} from './types.js';
+
+declare module '../common/kernel/kernel.js' {
+  interface Services {
+    clock: Clock;
+    platform: PlatformClient;
+    list: InstanceListClient;
+    mesh: PeerMesh;
+    metrics: Metrics;
+    workers: WorkerClient;
+  }
+}
+
+/** Period of the cores' ticks; a batch is due every 25 ms at most. */
+const TICK_MS: Millis = 25;
+
+/** How long the balancer gets to see that an instance is not ready. */
+const UNREADY_MS: Millis = 1000;
+
+const DRAIN_POLL_MS: Millis = 25;
+
+/** One entry instance: wires the services and owns their life. */
+export class Daemon {
+  private readonly kernel = new Kernel();
+  private readonly callers: JsonServer;
+  private readonly operators: JsonServer;
+  private readonly startNumber = Date.now();
+  private timer: NodeJS.Timeout | undefined;
+  private draining = false;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly logger: ConsolaInstance,
+  ) {
+    const limits = {
+      maxBodyBytes: settings.limits.maxBodyBytes,
+      requestTimeoutMs: settings.timeouts.requestMs,
+    };
+    this.callers = new JsonServer(limits);
+    this.operators = new JsonServer(limits);
+    this.registerPlatform();
+    this.registerCores();
+    this.registerInterfaces();
+  }
+
+  /** Opens the ports and joins the data centre. */
+  async start(): Promise<void> {
+    const {caller, operator, peer} = this.settings;
+    await this.kernel.get('mesh').listen(peer.port, peer.host);
+    await this.operators.listen(operator.port, operator.host);
+    await this.callers.listen(caller.port, caller.host);
+    this.kernel.get('list').start();
+    this.kernel.get('tickets').start();
+    this.kernel.get('dataCentre').start();
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.logger.withTag('daemon').info('The daemon has started.', {
+      instance: this.settings.instance,
+      caller,
+      operator,
+      peer,
+    });
+  }
+
+  /**
+   * Shuts down without cutting a request: says that it is not ready, hands the
+   * lead over, and waits for requests in flight up to `drainMs`.
+   */
+  async stop(): Promise<void> {
+    if (this.draining) return;
+    this.draining = true;
+    const end = Date.now() + this.settings.timeouts.drainMs;
+    const dataCentre = this.kernel.get('dataCentre');
+    this.logger.withTag('daemon').info('The daemon is draining.');
+    this.kernel.get('peerStates').send();
+    dataCentre.drain();
+    await this.waitUntil(() => false, Date.now() + UNREADY_MS);
+    await this.waitUntil(() => dataCentre.settled, end);
+    dataCentre.handOver();
+    const closed = this.callers.close();
+    const proxy = this.kernel.get('routing').proxy;
+    await this.waitUntil(() => proxy.inFlight === 0, end);
+    await Promise.race([closed, this.waitUntil(() => false, end)]);
+    this.dispose();
+    this.logger.withTag('daemon').info('The daemon has stopped.');
+  }
+
+  /** Frees everything at once; requests in flight are cut. */
+  dispose(): void {
+    clearInterval(this.timer);
+    this.callers.closeAllConnections();
+    this.operators.closeAllConnections();
+    void this.operators.close();
+    this.kernel.dispose();
+  }
+
+  private registerPlatform(): void {
+    const {kernel, settings, logger} = this;
+    const clock = kernel.register('clock', new SystemClock());
+    const platform = kernel.register('platform', new PlatformClient());
+    const {instances} = settings.platform;
+    kernel.register('metrics', new Metrics());
+    kernel.register('workers', new WorkerClient(platform, clock));
+    const list = kernel.register(
+      'list',
+      new InstanceListClient(platform, instances, clock),
+    );
+    const {host, port} = settings.peer;
+    const mesh = kernel.register(
+      'mesh',
+      new PeerMesh(
+        {
+          kind: 'hello',
+          version: 1,
+          instance: settings.instance,
+          start: this.startNumber,
+          dataCentre: settings.dataCentre,
+          address: `${host}:${port}`,
+        },
+        clock,
+      ),
+    );
+    mesh.setAddresses(settings.peers);
+    const peers = logger.withTag('peers');
+    mesh.onPeerUp(peer => peers.info('A link was opened.', {peer}));
+    mesh.onPeerDown(peer => peers.info('A link was closed.', {peer}));
+    list.onList(({instances: listed}) => this.dialListed(mesh, listed));
+  }
+
+  private dialListed(mesh: PeerMesh, listed: readonly Instance[]): void {
+    const entries = listed
+      .filter(instance => instance.role === InstanceRole.ENTRY)
+      .map(({id, host, peerPort}) => ({id, host, port: peerPort}));
+    mesh.setAddresses([...entries, ...this.settings.peers]);
+  }
+
+  private registerCores(): void {
+    const {kernel, settings, logger} = this;
+    const clock = kernel.get('clock');
+    const mesh = kernel.get('mesh');
+    const self = memberId(settings.instance, this.startNumber);
+    const log = new LogClient(
+      kernel.get('platform'),
+      settings.platform.log,
+      clock,
+    );
+    const tickets = kernel.register(
+      'tickets',
+      new TicketService(
+        log,
+        mesh,
+        clock,
+        self,
+        settings.timeouts,
+        logger.withTag('tickets'),
+      ),
+    );
+    const dataCentre = kernel.register(
+      'dataCentre',
+      new DataCentreService({
+        log,
+        mesh,
+        workers: kernel.get('workers'),
+        clock,
+        self,
+        settings,
+        logger: logger.withTag('scheduler'),
+      }),
+    );
+    kernel.get('list').onList(read => dataCentre.takeList(read));
+    tickets.state.onChange(configuration =>
+      dataCentre.takeConfiguration(configuration),
+    );
+    const metrics = kernel.get('metrics');
+    dataCentre.onJobEnd(job => metrics.jobsEnded.inc({state: job.state}));
+  }
+
+  private registerInterfaces(): void {
+    const {kernel, settings} = this;
+    const parts = {
+      settings,
+      start: this.startNumber,
+      clock: kernel.get('clock'),
+      list: kernel.get('list'),
+      metrics: kernel.get('metrics'),
+      tickets: kernel.get('tickets'),
+      dataCentre: kernel.get('dataCentre'),
+    };
+    const mesh = kernel.get('mesh');
+    const peerStates = kernel.register(
+      'peerStates',
+      new PeerStateService(mesh, () => this.peerState()),
+    );
+    const jobs = kernel.register(
+      'jobs',
+      new JobService(mesh, parts.dataCentre, peerStates, settings),
+    );
+    const routing = kernel.register(
+      'routing',
+      new RoutingService({...parts, peerStates, claims: jobs}),
+    );
+    const operator = kernel.register(
+      'operator',
+      new OperatorService({...parts, jobs, peerStates, routing}),
+    );
+    routing.proxy.mount(this.callers);
+    addJobRoutes(this.callers, operator);
+    this.addProbes();
+    addOperatorRoutes(this.operators, operator);
+  }
+
+  private addProbes(): void {
+    this.callers.route('GET', '/ready', ({response}) => {
+      const refusal = this.notReady();
+      if (refusal === undefined) sendJson(response, 200, {ready: true});
+      else sendRefusal(response, refusal);
+    });
+    for (const server of [this.callers, this.operators]) {
+      server.route('GET', '/metrics', async ({response}) => {
+        const text = await this.kernel.get('metrics').text();
+        response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+        response.end(text);
+      });
+    }
+  }
+
+  private notReady() {
+    if (this.draining) {
+      return refuse(
+        RefusalKind.SHUTTING_DOWN,
+        'This instance is shutting down.',
+        'Use another instance.',
+      );
+    }
+    if (this.kernel.get('tickets').ready) return undefined;
+    return refuse(
+      RefusalKind.NOT_READY,
+      'This instance knows no configuration yet.',
+      'Try again when the log service or a peer can be reached.',
+      1000,
+    );
+  }
+
+  private peerState(): PeerState {
+    const tickets = this.kernel.get('tickets');
+    return {
+      kind: 'state',
+      ticketNumber: tickets.state.configuration.number,
+      ticketAgeMs: tickets.ageMs,
+      leads: this.kernel.get('dataCentre').leads?.epoch ?? null,
+      leaving: [],
+      draining: this.draining,
+    };
+  }
+
+  private tick(): void {
+    this.kernel.get('tickets').tick();
+    this.kernel.get('dataCentre').tick();
+  }
+
+  private async waitUntil(reached: () => boolean, end: number): Promise<void> {
+    while (!reached() && Date.now() < end) {
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+    }
+  }
+}
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -246,9 +246,7 @@
   private listenToChannel(): void {
     this.store.add(this.channel.onRecord(record => this.read(record)));
     this.store.add(
-      this.channel.onCaughtUp(sentAt =>
-        this.lead({kind: 'caught-up', sentAt}),
-      ),
+      this.channel.onCaughtUp(sentAt => this.lead({kind: 'caught-up', sentAt})),
     );
     this.store.add(
       this.channel.onAvailability(available => {
--- /dev/null
+++ b/src/daemon/job_service.ts
@@ -0,0 +1,244 @@
+import {Either, Left, Right} from 'purify-ts';
+import {Millis, SECOND} from '../common/base/clock.js';
+import {Disposable} from '../common/base/disposable.js';
+import {Refusal, refuse, RefusalKind} from '../common/base/refusal.js';
+import {rendezvous} from '../common/base/rendezvous.js';
+import {
+  ClaimAnswer,
+  JobId,
+  JobView,
+  SchedulerAnswer,
+  Submission,
+} from '../common/jobs/types.js';
+import {ClaimOutcome, ClaimSource} from '../node/proxy_types.js';
+import {PeerAnswer, PeerRequest} from '../node/peer_messages.js';
+import {PeerMesh} from '../node/peer_mesh.js';
+import {PeerRequests} from '../node/peer_requests.js';
+import {isFinal} from '../node/job_api.js';
+import {DataCentreService} from './data_centre_service.js';
+import {PeerStateService} from './peer_state_service.js';
+import {Settings} from './types.js';
+
+declare module '../common/kernel/kernel.js' {
+  interface Services {
+    jobs: JobService;
+  }
+}
+
+/** How often a waiting caller's job is looked at in another data centre. */
+const RESULT_POLL_MS: Millis = SECOND / 4;
+
+/** Most jobs that a list returns; bounds the size of a peer's answer. */
+const MAX_LISTED_JOBS = 10_000;
+
+function noLeader(dataCentre: string): Refusal {
+  return refuse(
+    RefusalKind.NO_LEADER,
+    `No leader of data centre ${dataCentre} is known here.`,
+    'Send the request again; a leader is found within seconds.',
+    3 * SECOND,
+  );
+}
+
+function noSuchJob(id: JobId): Refusal {
+  return refuse(
+    RefusalKind.NOT_FOUND,
+    `There is no job ${id}.`,
+    'Check the id; jobs are forgotten some time after their end.',
+  );
+}
+
+function answerFrom<T>(result: Either<Refusal, T>): PeerAnswer {
+  return result.caseOf<PeerAnswer>({
+    Left: refusal => ({ok: false, refusal}),
+    Right: value => ({ok: true, value: value as never}),
+  });
+}
+
+function resultFrom<T>(answer: PeerAnswer): Either<Refusal, T> {
+  return answer.ok ? Right(answer.value as T) : Left(answer.refusal);
+}
+
+type ServeTable = {
+  readonly [K in PeerRequest['kind']]: (
+    request: Extract<PeerRequest, {kind: K}>,
+  ) => Promise<Either<Refusal, unknown>>;
+};
+
+/**
+ * Brings requests about jobs and claims to the leader of their home data
+ * centre, here or at a peer.
+ */
+export class JobService implements ClaimSource, Disposable {
+  private readonly requests: PeerRequests;
+
+  constructor(
+    mesh: PeerMesh,
+    private readonly dataCentre: DataCentreService,
+    private readonly peerStates: PeerStateService,
+    private readonly settings: Settings,
+  ) {
+    this.requests = new PeerRequests(mesh, request => this.serve(request));
+  }
+
+  dispose(): void {
+    this.requests.dispose();
+  }
+
+  submit(
+    submission: Submission,
+    dataCentre: string | undefined,
+  ): Promise<Either<Refusal, JobView>> {
+    const home = dataCentre ?? this.homeOf(submission.key);
+    const {logAppendMs} = this.settings.timeouts;
+    return this.atLeader(home, {kind: 'submit', submission}, logAppendMs);
+  }
+
+  cancel(id: JobId): Promise<Either<Refusal, JobView>> {
+    const {logAppendMs} = this.settings.timeouts;
+    return this.atLeader(
+      this.homeOfJob(id),
+      {kind: 'cancel', job: id},
+      logAppendMs,
+    );
+  }
+
+  /** The job as its leader knows it, or else as the records here tell. */
+  async job(id: JobId): Promise<Either<Refusal, JobView>> {
+    const home = this.homeOfJob(id);
+    const {logAppendMs} = this.settings.timeouts;
+    const view = await this.atLeader<JobView | null>(
+      home,
+      {kind: 'job', job: id},
+      logAppendMs,
+    );
+    const known = view.orDefault(null) ?? this.dataCentre.job(id);
+    if (known !== undefined) return Right(known);
+    return view.chain(() => Left(noSuchJob(id)));
+  }
+
+  /** Waits up to `waitMs` for the job's final state. */
+  async result(id: JobId, waitMs: Millis): Promise<Either<Refusal, JobView>> {
+    const end = Date.now() + waitMs;
+    for (;;) {
+      const view = await this.job(id);
+      const settled = view.map(isFinal).orDefault(waitMs === 0);
+      const left = end - Date.now();
+      if (settled || left <= 0) return view;
+      await this.pause(id, Math.min(left, RESULT_POLL_MS));
+    }
+  }
+
+  /** Jobs of this data centre, as its leader knows them. */
+  async list(): Promise<Either<Refusal, readonly JobView[]>> {
+    const {logAppendMs} = this.settings.timeouts;
+    const listed = await this.atLeader<readonly JobView[]>(
+      this.settings.dataCentre,
+      {kind: 'jobs'},
+      logAppendMs,
+    );
+    return listed.alt(Right(this.localJobs()));
+  }
+
+  async claim(key: string): Promise<Either<Refusal, ClaimAnswer>> {
+    const {instance, timeouts} = this.settings;
+    return this.atLeader(
+      this.homeOf(key),
+      {kind: 'claim', key, instance},
+      timeouts.claimMs,
+    );
+  }
+
+  ended(key: string, outcome: ClaimOutcome): void {
+    const request: PeerRequest = {kind: 'end-claim', key, outcome};
+    void this.atLeader(
+      this.homeOf(key),
+      request,
+      this.settings.timeouts.claimMs,
+    );
+  }
+
+  private homeOf(key: string): string {
+    const names = Object.keys(this.settings.dataCentres);
+    return rendezvous(key, names) ?? this.settings.dataCentre;
+  }
+
+  private homeOfJob(id: JobId): string {
+    return id.slice(0, id.indexOf('/'));
+  }
+
+  private async atLeader<T>(
+    home: string,
+    request: PeerRequest,
+    timeoutMs: Millis,
+  ): Promise<Either<Refusal, T>> {
+    const isHere = home === this.settings.dataCentre;
+    if (isHere && this.dataCentre.leads !== undefined) {
+      return (await this.serveHere(request, timeoutMs)) as Either<Refusal, T>;
+    }
+    const leader = this.peerStates.leaderOf(home);
+    if (leader === undefined) return Left(noLeader(home));
+    return resultFrom(await this.requests.ask(leader, request, timeoutMs));
+  }
+
+  /** Serves a request of a peer that takes this instance for the leader. */
+  private async serve(request: PeerRequest): Promise<PeerAnswer> {
+    const {logAppendMs} = this.settings.timeouts;
+    return answerFrom(await this.serveHere(request, logAppendMs));
+  }
+
+  private serveHere(
+    request: PeerRequest,
+    timeoutMs: Millis,
+  ): Promise<Either<Refusal, unknown>> {
+    const ask = async (
+      message: Parameters<DataCentreService['ask']>[0],
+    ): Promise<Either<Refusal, unknown>> => {
+      const answer = await this.dataCentre.ask(message, timeoutMs);
+      return answer.map(valueOf);
+    };
+    const table: ServeTable = {
+      submit: ({submission}) => ask({kind: 'submit', submission}),
+      cancel: ({job}) => ask({kind: 'cancel', job}),
+      claim: ({key, instance}) => ask({kind: 'claim', key, instance}),
+      'end-claim': async ({key, outcome}) => {
+        this.dataCentre.schedule({kind: 'end-claim', key, outcome});
+        return Right(null);
+      },
+      job: async ({job}) => Right(this.dataCentre.job(job) ?? null),
+      jobs: async () => Right(this.localJobs()),
+    };
+    const handler = table[request.kind] as (
+      request: PeerRequest,
+    ) => Promise<Either<Refusal, unknown>>;
+    return handler(request);
+  }
+
+  private localJobs(): readonly JobView[] {
+    const jobs: JobView[] = [];
+    for (const job of this.dataCentre.jobs()) {
+      if (jobs.length >= MAX_LISTED_JOBS) break;
+      jobs.push(job);
+    }
+    return jobs;
+  }
+
+  /** Waits for the end of a job of this leader, or for `ms`. */
+  private pause(id: JobId, ms: Millis): Promise<void> {
+    return new Promise(resolve => {
+      const done = () => {
+        clearTimeout(timer);
+        subscription.dispose();
+        resolve();
+      };
+      const timer = setTimeout(done, ms);
+      const subscription = this.dataCentre.onJobEnd(job => {
+        if (job.id === id) done();
+      });
+    });
+  }
+}
+
+function valueOf(answer: SchedulerAnswer): JobView | ClaimAnswer {
+  return answer.kind === 'job' ? answer.job : answer.claim;
+}
--- /dev/null
+++ b/src/node/peer_mesh.test.ts
@@ -0,0 +1,165 @@
+import {pack} from 'msgpackr';
+import {WebSocket} from 'ws';
+import {eventually} from '../../test_support/http.js';
+import {Hello, PEER_PROTOCOL_VERSION} from './peer_messages.js';
+import {LinkCloseCode} from './peer_link.js';
+import {memberId, PeerAddress, PeerMesh, Received} from './peer_mesh.js';
+import {PeerRequests} from './peer_requests.js';
+import {SystemClock} from './system_clock.js';
+
+const HOST = '127.0.0.1';
+
+interface Node {
+  readonly id: string;
+  readonly port: number;
+  readonly mesh: PeerMesh;
+  readonly received: Received[];
+  ups: number;
+  downs: number;
+}
+
+function hello(instance: string, start: number): Hello {
+  return {
+    kind: 'hello',
+    version: PEER_PROTOCOL_VERSION,
+    instance,
+    start,
+    dataCentre: 'd',
+    address: `${HOST}:unknown-${instance}`,
+  };
+}
+
+describe('PeerMesh', () => {
+  const nodes: Node[] = [];
+
+  async function start(id: string, startNumber = 1): Promise<Node> {
+    const mesh = new PeerMesh(hello(id, startNumber), new SystemClock());
+    const port = await mesh.listen(0, HOST);
+    const node: Node = {id, port, mesh, received: [], ups: 0, downs: 0};
+    mesh.onMessage(received => node.received.push(received));
+    mesh.onPeerUp(() => node.ups++);
+    mesh.onPeerDown(() => node.downs++);
+    nodes.push(node);
+    return node;
+  }
+
+  function addresses(...known: Node[]): PeerAddress[] {
+    return known.map(({id, port}) => ({id, host: HOST, port}));
+  }
+
+  async function connect(...members: Node[]): Promise<void> {
+    for (const {mesh} of members) mesh.setAddresses(addresses(...members));
+    await eventually('all links are open', () =>
+      members.every(({mesh}) => mesh.peers.length === members.length - 1)
+        ? true
+        : undefined,
+    );
+  }
+
+  function dialAs(node: Node): Promise<WebSocket> {
+    const socket = new WebSocket(`ws://${HOST}:${node.port}`);
+    return new Promise(resolve => socket.once('open', () => resolve(socket)));
+  }
+
+  function closeCode(socket: WebSocket): Promise<number> {
+    return new Promise(resolve => socket.once('close', resolve));
+  }
+
+  afterEach(() => {
+    for (const {mesh} of nodes.splice(0)) mesh.dispose();
+  });
+
+  it('opens one link for each pair and carries messages both ways', async () => {
+    const [a, b] = [await start('a'), await start('b')];
+    await connect(a, b);
+    expect(a.mesh.send(memberId('b', 1), {kind: 'snapshot-request'})).toBe(
+      true,
+    );
+    expect(b.mesh.send(memberId('a', 1), {kind: 'goodbye'})).toBe(true);
+    await eventually('both arrive', () =>
+      a.received.length === 1 && b.received.length === 1 ? true : undefined,
+    );
+    expect([a.ups, b.ups]).toEqual([1, 1]);
+  });
+
+  it('does not send to an earlier start of an instance', async () => {
+    const [a, b] = [await start('a'), await start('b', 2)];
+    await connect(a, b);
+    expect(a.mesh.send(memberId('b', 1), {kind: 'goodbye'})).toBe(false);
+  });
+
+  it('replaces the link of an earlier start', async () => {
+    const [a, b] = [await start('a'), await start('b')];
+    await connect(a, b);
+    b.mesh.dispose();
+    const later = await start('b', 2);
+    await eventually('the old link is gone', () => a.downs > 0 || undefined);
+    await connect(a, later);
+    expect(a.mesh.peers.map(peer => peer.member)).toEqual([memberId('b', 2)]);
+  });
+
+  it('refuses a peer of an unknown version with a typed reason', async () => {
+    const node = await start('a');
+    const socket = await dialAs(node);
+    const closed = closeCode(socket);
+    socket.send(pack({...hello('z', 1), version: 99}));
+    expect(await closed).toBe(LinkCloseCode.UNKNOWN_VERSION);
+    expect(node.mesh.peers).toEqual([]);
+  });
+
+  it('survives truncated and unknown messages', async () => {
+    const node = await start('a');
+    const socket = await dialAs(node);
+    socket.send(pack(hello('z', 1)));
+    socket.send(pack({kind: 'goodbye'}).subarray(0, 3));
+    socket.send(pack({kind: 'no-such-kind'}));
+    socket.send(pack({kind: 'goodbye'}));
+    await eventually('the valid one', () => node.received.length || undefined);
+    expect(node.received.map(({message}) => message.kind)).toEqual(['goodbye']);
+    socket.terminate();
+  });
+
+  it('drops messages that come before a hello', async () => {
+    const node = await start('a');
+    const socket = await dialAs(node);
+    const closed = closeCode(socket);
+    socket.send(pack({kind: 'goodbye'}));
+    await closed;
+    expect(node.received).toEqual([]);
+  });
+
+  it('answers requests, and calls an unanswered one unknown', async () => {
+    const [a, b] = [await start('a'), await start('b')];
+    const asking = new PeerRequests(a.mesh, async () => ({
+      ok: true,
+      value: null,
+    }));
+    let answering = true;
+    new PeerRequests(b.mesh, () =>
+      answering
+        ? Promise.resolve({ok: true, value: []})
+        : new Promise(() => undefined),
+    );
+    await connect(a, b);
+    const target = memberId('b', 1);
+    const answer = await asking.ask(target, {kind: 'jobs'}, 10_000);
+    expect(answer).toEqual({ok: true, value: []});
+    answering = false;
+    const lost = asking.ask(target, {kind: 'jobs'}, 60_000);
+    await eventually('the request arrives', () =>
+      b.received.length >= 2 ? true : undefined,
+    );
+    b.mesh.dispose();
+    expect(await lost).toMatchObject({ok: false, refusal: {ran: 'unknown'}});
+  });
+
+  it('says not run when the request could not be sent', async () => {
+    const a = await start('a');
+    const asking = new PeerRequests(a.mesh, async () => ({
+      ok: true,
+      value: null,
+    }));
+    const answer = await asking.ask('b#1', {kind: 'jobs'}, 1000);
+    expect(answer).toMatchObject({ok: false, refusal: {ran: 'no'}});
+  });
+});
