--- /dev/null
+++ b/src/common/jobs/clock_estimate.ts
@@ -0,0 +1,86 @@
+import {Millis} from '../base/clock.js';
+
+/** A reading of a worker's clock between two local times. */
+export interface ClockSample {
+  /** Local time before the worker read its clock. */
+  readonly sentAt: Millis;
+  /** Local time after the worker read its clock. */
+  readonly receivedAt: Millis;
+  /** The worker's clock. */
+  readonly nowMs: Millis;
+}
+
+/**
+ * Bounds a worker's clock from the times of its reports.
+ *
+ * Each reading lies between two local times, and the two clocks may differ in
+ * speed by `driftFraction`. The bounds of the readings are intersected; readings
+ * that contradict the bounds replace them, because the worker's clock was set.
+ */
+export class ClockEstimate {
+  private earliest: ClockSample | undefined;
+  private latest: ClockSample | undefined;
+
+  constructor(private readonly driftFraction: number) {}
+
+  /** Whether at least one reading is known. */
+  get known(): boolean {
+    return this.earliest !== undefined;
+  }
+
+  /** Adds a reading. */
+  add(sample: ClockSample): void {
+    if (this.contradicts(sample)) {
+      this.earliest = sample;
+      this.latest = sample;
+      return;
+    }
+    if (sample.nowMs >= this.lowerBound(sample.receivedAt)) {
+      this.earliest = sample;
+    }
+    if (sample.nowMs <= this.upperBound(sample.sentAt)) {
+      this.latest = sample;
+    }
+  }
+
+  /**
+   * Least reading that the worker's clock can show at a local time. The worker
+   * has reached this reading by then, so a lease with this end is certainly not
+   * longer than until `time`. -Infinity without a reading.
+   */
+  lowerBound(time: Millis): Millis {
+    const sample = this.earliest;
+    if (sample === undefined) return -Infinity;
+    return Math.floor(sample.nowMs + this.slowest(time - sample.receivedAt));
+  }
+
+  /** Greatest reading that the worker's clock can show at a local time. */
+  upperBound(time: Millis): Millis {
+    const sample = this.latest;
+    if (sample === undefined) return Infinity;
+    return Math.ceil(sample.nowMs + this.fastest(time - sample.sentAt));
+  }
+
+  /** Whether the worker's clock has certainly reached `workerMs` by `now`. */
+  hasPassed(workerMs: Millis, now: Millis): boolean {
+    return this.lowerBound(now) >= workerMs;
+  }
+
+  private contradicts(sample: ClockSample): boolean {
+    return (
+      !this.known ||
+      sample.nowMs < this.lowerBound(sample.sentAt) ||
+      sample.nowMs > this.upperBound(sample.receivedAt)
+    );
+  }
+
+  private slowest(duration: Millis): Millis {
+    const sign = duration < 0 ? 1 : -1;
+    return duration * (1 + sign * this.driftFraction);
+  }
+
+  private fastest(duration: Millis): Millis {
+    const sign = duration < 0 ? -1 : 1;
+    return duration * (1 + sign * this.driftFraction);
+  }
+}
--- /dev/null
+++ b/src/common/jobs/evictions.ts
@@ -0,0 +1,117 @@
+import {Millis, SECOND} from '../base/clock.js';
+import {TaskStatus} from '../base/platform.js';
+import {ActiveJob, ActiveTask, TaskPhase} from './active_job.js';
+import {ReactionTask} from './reaction.js';
+import {SchedulerState} from './scheduler_state.js';
+import {checkpointTask, stopTask} from './task_commands.js';
+import {SchedulerAction, SchedulerMessage} from './types.js';
+import {WorkerEntry} from './worker_entry.js';
+
+type Interference = Extract<SchedulerMessage, {kind: 'interference'}>;
+
+/** Evictions of a job whose class sets no limit. */
+const DEFAULT_MAX_EVICTIONS = 3;
+
+/** How long an eviction waits for a checkpoint. */
+const CHECKPOINT_WAIT_MS: Millis = 10 * SECOND;
+
+function isEvictable(state: SchedulerState, job: ActiveJob): boolean {
+  const {jobClasses} = state.configuration;
+  const {jobClass} = job.submission;
+  const limit = Object.hasOwn(jobClasses, jobClass)
+    ? jobClasses[jobClass].maxEvictions
+    : DEFAULT_MAX_EVICTIONS;
+  return job.evictions < limit;
+}
+
+function reactionTasks(
+  state: SchedulerState,
+  worker: WorkerEntry,
+): ReactionTask[] {
+  const tasks: ReactionTask[] = [];
+  for (const task of worker.tasks.values()) {
+    const job = state.jobs.get(task.job);
+    if (job === undefined || task.phase !== TaskPhase.RUNNING) continue;
+    tasks.push({
+      task: task.id,
+      share: task.share,
+      evictable: isEvictable(state, job),
+      workLostMs:
+        Math.max(0, task.progress - task.checkpoint) * job.submission.runMs,
+    });
+  }
+  return tasks;
+}
+
+/** Takes in a measurement of interference and reacts to it. */
+export function* onInterference(
+  state: SchedulerState,
+  message: Interference,
+  now: Millis,
+): Generator<SchedulerAction> {
+  const worker = state.workers.get(message.worker);
+  if (worker === undefined || !state.mayAct(now)) return;
+  const decisions = state.reaction.measure(
+    worker.id,
+    message.slowdown,
+    message.measuredAt,
+    reactionTasks(state, worker),
+    now,
+  );
+  state.dirty = true;
+  for (const decision of decisions) {
+    const task = worker.tasks.get(decision.task);
+    if (task === undefined) continue;
+    if (decision.kind === 'evict') yield* evict(state, task, now);
+    else yield* throttle(task, decision.share);
+  }
+}
+
+function* throttle(
+  task: ActiveTask,
+  share: number,
+): Generator<SchedulerAction> {
+  task.share = share;
+  yield {kind: 'throttle-task', worker: task.worker, task: task.id, share};
+}
+
+/** Begins an eviction: a checkpoint first, then the stop. */
+export function* evict(
+  state: SchedulerState,
+  task: ActiveTask,
+  now: Millis,
+): Generator<SchedulerAction> {
+  if (!state.mayAct(now) || task.phase !== TaskPhase.RUNNING) return;
+  task.phase = TaskPhase.CHECKPOINTING;
+  task.evicting = true;
+  task.askedAt = now;
+  yield* checkpointTask(state, task, now);
+}
+
+/** A status shows a task that is being evicted and still runs. */
+export function* continueEviction(
+  state: SchedulerState,
+  job: ActiveJob,
+  task: ActiveTask,
+  report: {readonly sentAt: Millis},
+  status: TaskStatus,
+  now: Millis,
+): Generator<SchedulerAction> {
+  if (report.sentAt < task.askedAt) return;
+  const kept =
+    status.checkpoint > job.checkpoint &&
+    (status.checkpoint > task.checkpoint ||
+      status.checkpoint >= status.progress);
+  const late = now - task.askedAt >= CHECKPOINT_WAIT_MS;
+  if (task.phase === TaskPhase.STOPPING || kept) {
+    yield* stopTask(state, task, now);
+  } else if (!late) {
+    yield* checkpointTask(state, task, now);
+  } else if (job.submission.idempotent) {
+    yield* stopTask(state, task, now);
+  } else {
+    // Without a checkpoint the work would be lost or done twice.
+    task.phase = TaskPhase.RUNNING;
+    task.evicting = false;
+  }
+}
--- /dev/null
+++ b/src/common/jobs/job_table.ts
@@ -0,0 +1,293 @@
+import {HOUR, Millis} from '../base/clock.js';
+import {BatchRecord} from '../stream/types.js';
+import {CheckpointAssembly} from './checkpoint_assembly.js';
+import {digestOf} from './job_id.js';
+import {
+  Claim,
+  JobId,
+  JobRecord,
+  JobState,
+  JobView,
+  Submission,
+  Tombstone,
+} from './types.js';
+
+/** How long the fold keeps what has ended, in milliseconds of Unix time. */
+export interface Retention {
+  /** How long an ended job can be looked up. */
+  readonly jobKeptMs: Millis;
+  /** How long the key of an ended job is known, counted from its end. */
+  readonly keyKeptMs: Millis;
+  readonly claimKeptMs: Millis;
+}
+
+export const DEFAULT_RETENTION: Retention = {
+  jobKeptMs: HOUR,
+  keyKeptMs: 24 * HOUR,
+  claimKeptMs: 24 * HOUR,
+};
+
+const FINAL_STATES: ReadonlySet<JobState> = new Set([
+  JobState.FINISHED,
+  JobState.FAILED,
+  JobState.CANCELLED,
+  JobState.INTERRUPTED,
+]);
+
+/** Whether a job in this state never runs again. */
+export function isFinal(state: JobState): boolean {
+  return FINAL_STATES.has(state);
+}
+
+type RecordOf<K extends JobRecord['kind']> = Extract<JobRecord, {kind: K}>;
+
+/**
+ * Folds the batches in force of a data centre's stream into jobs and claims.
+ * Every instance runs this fold and gets the same result at the same offset.
+ * Records about unknown jobs are ignored, because a reader may start in the
+ * middle of the stream.
+ */
+export class JobTable {
+  private jobs = new Map<JobId, JobView>();
+  /** Ended jobs in the order of their ends. */
+  private ended = new Map<JobId, Millis>();
+  private tombstones = new Map<JobId, Tombstone>();
+  /** Open and ended claims in the order of their times. */
+  private claims = new Map<string, Claim>();
+  private assembly = new CheckpointAssembly();
+  private records = 0;
+
+  constructor(private readonly retention: Retention = DEFAULT_RETENTION) {}
+
+  /** Records applied since the last complete checkpoint. */
+  get recordsSinceCheckpoint(): number {
+    return this.records;
+  }
+
+  job(id: JobId): JobView | undefined {
+    return this.jobs.get(id);
+  }
+
+  /** What is known of a job whose view has been dropped. */
+  tombstone(id: JobId): Tombstone | undefined {
+    return this.tombstones.get(id);
+  }
+
+  claim(key: string): Claim | undefined {
+    return this.claims.get(key);
+  }
+
+  allJobs(): IterableIterator<JobView> {
+    return this.jobs.values();
+  }
+
+  allClaims(): IterableIterator<Claim> {
+    return this.claims.values();
+  }
+
+  allTombstones(): IterableIterator<Tombstone> {
+    return this.tombstones.values();
+  }
+
+  /** Applies a batch in force. */
+  applyBatch(batch: BatchRecord): void {
+    for (const record of batch.entries) this.apply(record, batch.epoch);
+  }
+
+  /** Applies one record. */
+  apply(record: JobRecord, epoch = 0): void {
+    this.records++;
+    if (record.kind === 'checkpoint') {
+      this.applyCheckpoint(record, epoch);
+      return;
+    }
+    this.assembly.reset();
+    const handler = this.handlers[record.kind] as (record: JobRecord) => void;
+    handler(record);
+  }
+
+  /** A copy that can be changed on its own; job views are shared. */
+  clone(): JobTable {
+    const copy = new JobTable(this.retention);
+    copy.jobs = new Map(this.jobs);
+    copy.ended = new Map(this.ended);
+    copy.tombstones = new Map(this.tombstones);
+    copy.claims = new Map(this.claims);
+    return copy;
+  }
+
+  /** Drops what has passed its retention at the Unix time `unixMs`. */
+  prune(unixMs: Millis): void {
+    for (const [id, endedMs] of this.ended) {
+      if (unixMs - endedMs < this.retention.jobKeptMs) break;
+      this.bury(id);
+    }
+    for (const [id, {endedMs}] of this.tombstones) {
+      if (unixMs - endedMs < this.retention.keyKeptMs) break;
+      this.tombstones.delete(id);
+    }
+    for (const [key, {timeMs}] of this.claims) {
+      if (unixMs - timeMs < this.retention.claimKeptMs) break;
+      this.claims.delete(key);
+    }
+  }
+
+  private readonly handlers: {
+    readonly [K in Exclude<JobRecord['kind'], 'checkpoint'>]: (
+      record: RecordOf<K>,
+    ) => void;
+  } = {
+    submitted: record => this.applySubmitted(record),
+    starting: ({job, task, worker, workerStart}) =>
+      this.update(job, view => ({
+        ...view,
+        state: JobState.STARTING,
+        attempts: view.attempts + 1,
+        task,
+        worker,
+        workerStart,
+      })),
+    'not-started': ({job, task}) =>
+      this.update(job, view => (view.task === task ? requeued(view) : view)),
+    ended: record => this.applyEnded(record),
+    requeued: record => this.applyRequeued(record),
+    cancelled: ({job, task, timeMs}) =>
+      this.update(job, view =>
+        isFinal(view.state)
+          ? view
+          : {
+              ...view,
+              state: JobState.CANCELLED,
+              task: task ?? view.task,
+              endedMs: timeMs,
+            },
+      ),
+    claimed: record => this.applyClaimed(record),
+    'claim-ended': ({key, status}) => {
+      const claim = this.claims.get(key);
+      if (claim !== undefined) {
+        this.claims.set(key, {...claim, state: 'ended', status});
+      }
+    },
+    'claim-released': ({key}) => {
+      this.claims.delete(key);
+    },
+  };
+
+  private applySubmitted(record: RecordOf<'submitted'>): void {
+    const {job, submission, timeMs} = record;
+    // The first submission of a key wins; a later one asks for its outcome.
+    if (this.jobs.has(job) || this.tombstones.has(job)) return;
+    this.jobs.set(job, {
+      id: job,
+      state: JobState.QUEUED,
+      submission,
+      submittedMs: timeMs,
+      attempts: 0,
+      evictions: 0,
+      checkpoint: 0,
+    });
+  }
+
+  private applyEnded(record: RecordOf<'ended'>): void {
+    const {job, task, outcome, result, reason, timeMs} = record;
+    this.update(job, view => {
+      // The outcome of an interrupted job may become known later.
+      const learned = view.state === JobState.INTERRUPTED && view.task === task;
+      if (isFinal(view.state) && !learned) return view;
+      return {...view, state: outcome, task, result, reason, endedMs: timeMs};
+    });
+  }
+
+  private applyRequeued(record: RecordOf<'requeued'>): void {
+    this.update(record.job, view => {
+      if (isFinal(view.state)) return view;
+      const failedOn = new Set(view.failedOn);
+      if (record.failedOn !== undefined) failedOn.add(record.failedOn);
+      return {
+        ...requeued(view),
+        checkpoint: Math.max(view.checkpoint, record.checkpoint),
+        evictions: view.evictions + (record.evicted ? 1 : 0),
+        failedOn: [...failedOn],
+      };
+    });
+  }
+
+  private applyClaimed(record: RecordOf<'claimed'>): void {
+    const {key, instance, timeMs} = record;
+    const held = this.claims.get(key);
+    if (held !== undefined) {
+      // Decided by the times in the records, so that every reader agrees.
+      if (timeMs - held.timeMs < this.retention.claimKeptMs) return;
+      this.claims.delete(key);
+    }
+    this.claims.set(key, {key, instance, timeMs, state: 'open'});
+  }
+
+  private applyCheckpoint(record: RecordOf<'checkpoint'>, epoch: number): void {
+    const whole = this.assembly.add(record, epoch);
+    if (whole === undefined) return;
+    this.jobs = new Map(whole.jobs.map(view => [view.id, view]));
+    this.claims = new Map(whole.claims.map(claim => [claim.key, claim]));
+    this.tombstones = new Map(
+      whole.tombstones.map(tombstone => [tombstone.id, tombstone]),
+    );
+    const ended = whole.jobs.filter(view => view.endedMs !== undefined);
+    ended.sort((a, b) => (a.endedMs ?? 0) - (b.endedMs ?? 0));
+    this.ended = new Map(ended.map(view => [view.id, view.endedMs ?? 0]));
+    this.records = 0;
+  }
+
+  private update(id: JobId, change: (view: JobView) => JobView): void {
+    const view = this.jobs.get(id);
+    if (view === undefined) return;
+    const next = change(view);
+    this.jobs.set(id, next);
+    if (next !== view && next.endedMs !== undefined) {
+      this.ended.delete(id);
+      this.ended.set(id, next.endedMs);
+    }
+  }
+
+  private bury(id: JobId): void {
+    const view = this.jobs.get(id);
+    this.ended.delete(id);
+    this.jobs.delete(id);
+    if (view === undefined) return;
+    this.tombstones.set(id, {
+      id,
+      state: view.state,
+      digest: digestOf(view.submission),
+      submittedMs: view.submittedMs,
+      endedMs: view.endedMs ?? 0,
+    });
+  }
+}
+
+function requeued(view: JobView): JobView {
+  return {
+    ...view,
+    state: JobState.QUEUED,
+    task: undefined,
+    worker: undefined,
+    workerStart: undefined,
+  };
+}
+
+/** View of a job of which only a tombstone is left. */
+export function viewOfTombstone(
+  tombstone: Tombstone,
+  submission: Submission,
+): JobView {
+  return {
+    id: tombstone.id,
+    state: tombstone.state,
+    submission,
+    submittedMs: tombstone.submittedMs,
+    attempts: 0,
+    evictions: 0,
+    checkpoint: 0,
+    reason: 'The result is no longer kept.',
+    endedMs: tombstone.endedMs,
+  };
+}
--- /dev/null
+++ b/src/common/jobs/placement.ts
@@ -0,0 +1,72 @@
+import {Size, dominantShare, fits, subtractSizes} from '../base/size.js';
+
+/** A worker on which a task may be placed. */
+export interface Candidate {
+  readonly worker: string;
+  readonly rack: string;
+  /** Free size. */
+  readonly room: Size;
+  /** Size that tasks may use when the worker is idle. */
+  readonly usable: Size;
+}
+
+/** Names of the ways to choose a worker. */
+export const PlacementPolicy = {
+  BEST_FIT: 'best-fit',
+  FIRST_FIT: 'first-fit',
+} as const;
+export type PlacementPolicy =
+  (typeof PlacementPolicy)[keyof typeof PlacementPolicy];
+
+/**
+ * Chooses a worker among candidates.
+ *
+ * @param tasksOnRack number of tasks that run on a rack.
+ * @returns undefined when the size fits on none.
+ */
+export type Placement = (
+  size: Size,
+  candidates: Iterable<Candidate>,
+  tasksOnRack: (rack: string) => number,
+) => Candidate | undefined;
+
+/** Shares that differ by less than this are a tie. */
+const TIE = 1e-6;
+
+/** Share of the worker that stays free in its fullest dimension. */
+function remainingShare(size: Size, candidate: Candidate): number {
+  return dominantShare(subtractSizes(candidate.room, size), candidate.usable);
+}
+
+const bestFit: Placement = (size, candidates, tasksOnRack) => {
+  let best: Candidate | undefined;
+  let bestShare = Infinity;
+  for (const candidate of candidates) {
+    if (!fits(size, candidate.room)) continue;
+    const share = remainingShare(size, candidate);
+    const tie = Math.abs(share - bestShare) <= TIE;
+    const better =
+      best === undefined ||
+      (tie
+        ? tasksOnRack(candidate.rack) < tasksOnRack(best.rack)
+        : share < bestShare);
+    if (better) {
+      best = candidate;
+      bestShare = share;
+    }
+  }
+  return best;
+};
+
+const firstFit: Placement = (size, candidates) => {
+  for (const candidate of candidates) {
+    if (fits(size, candidate.room)) return candidate;
+  }
+  return undefined;
+};
+
+/** Placement by the name of the policy. */
+export const PLACEMENTS: Readonly<Record<PlacementPolicy, Placement>> = {
+  [PlacementPolicy.BEST_FIT]: bestFit,
+  [PlacementPolicy.FIRST_FIT]: firstFit,
+};
--- /dev/null
+++ b/src/common/jobs/queue.ts
@@ -0,0 +1,140 @@
+import {Urgency} from '../tickets/types.js';
+import {Fairness} from './fairness.js';
+import {JobId} from './types.js';
+
+/** What the queue needs to know of a job. */
+export interface QueuedJob {
+  readonly id: JobId;
+  readonly team: string;
+  readonly urgency: Urgency;
+  readonly submittedMs: number;
+}
+
+/** Urgencies in the order in which they are served. */
+const URGENCIES: readonly Urgency[] = [
+  Urgency.URGENT,
+  Urgency.NORMAL,
+  Urgency.LOW,
+];
+
+/**
+ * Jobs of a team that are looked at behind a job that cannot be placed, so that
+ * one large job does not hold up its team.
+ */
+const LOOKAHEAD_JOBS = 16;
+
+function compare(a: QueuedJob, b: QueuedJob): number {
+  if (a.submittedMs !== b.submittedMs) return a.submittedMs - b.submittedMs;
+  return a.id < b.id ? -1 : a.id > b.id ? 1 : 0;
+}
+
+/** Index of the first job that does not come before `job`. */
+function position(jobs: readonly QueuedJob[], job: QueuedJob): number {
+  let low = 0;
+  let high = jobs.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (compare(jobs[middle], job) < 0) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+/**
+ * Queued jobs in the order of urgency, team share and submission time. One
+ * sorted list for each team and urgency, so that a decision looks at one entry
+ * for each team, not at each job.
+ */
+export class JobQueue<J extends QueuedJob> {
+  private readonly lists = new Map<Urgency, Map<string, J[]>>(
+    URGENCIES.map(urgency => [urgency, new Map<string, J[]>()]),
+  );
+  private count = 0;
+
+  get size(): number {
+    return this.count;
+  }
+
+  has(job: J): boolean {
+    const jobs = this.lists.get(job.urgency)?.get(job.team) ?? [];
+    return jobs[position(jobs, job)]?.id === job.id;
+  }
+
+  add(job: J): void {
+    const teams = this.lists.get(job.urgency);
+    if (teams === undefined) return;
+    let jobs = teams.get(job.team);
+    if (jobs === undefined) {
+      jobs = [];
+      teams.set(job.team, jobs);
+    }
+    const index = position(jobs, job);
+    if (jobs[index]?.id === job.id) return;
+    jobs.splice(index, 0, job);
+    this.count++;
+  }
+
+  remove(job: J): void {
+    const teams = this.lists.get(job.urgency);
+    const jobs = teams?.get(job.team);
+    if (jobs === undefined) return;
+    const index = position(jobs, job);
+    if (jobs[index]?.id !== job.id) return;
+    jobs.splice(index, 1);
+    if (jobs.length === 0) teams?.delete(job.team);
+    this.count--;
+  }
+
+  /**
+   * Offers jobs in order until none can be placed. `place` returns whether it
+   * took the job; a job that it took is removed from the queue.
+   */
+  drain(fairness: Fairness, place: (job: J) => boolean): void {
+    for (const urgency of URGENCIES) {
+      this.drainUrgency(this.lists.get(urgency) ?? new Map(), fairness, place);
+    }
+  }
+
+  private drainUrgency(
+    teams: Map<string, J[]>,
+    fairness: Fairness,
+    place: (job: J) => boolean,
+  ): void {
+    const open = new Map<string, number>();
+    for (const team of teams.keys()) open.set(team, fairness.shareOf(team));
+    while (open.size > 0) {
+      const team = lowest(open);
+      const placed = this.placeOne(teams.get(team) ?? [], place);
+      if (placed === undefined) {
+        open.delete(team);
+      } else {
+        this.remove(placed);
+        if (teams.has(team)) open.set(team, fairness.shareOf(team));
+        else open.delete(team);
+      }
+    }
+  }
+
+  private placeOne(
+    jobs: readonly J[],
+    place: (job: J) => boolean,
+  ): J | undefined {
+    const end = Math.min(jobs.length, LOOKAHEAD_JOBS);
+    for (let i = 0; i < end; i++) {
+      if (place(jobs[i])) return jobs[i];
+    }
+    return undefined;
+  }
+}
+
+function lowest(shares: ReadonlyMap<string, number>): string {
+  let best = '';
+  let bestShare = Infinity;
+  for (const [team, share] of shares) {
+    if (best === '' || share < bestShare) {
+      best = team;
+      bestShare = share;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/common/jobs/read_back.ts
@@ -0,0 +1,112 @@
+import {Millis} from '../base/clock.js';
+import {onClaimedRead} from './claims.js';
+import {isFinal} from './job_table.js';
+import {SchedulerState, answer} from './scheduler_state.js';
+import {onStartingRead} from './starts.js';
+import {onSubmittedRead} from './submissions.js';
+import {forgetTask} from './task_commands.js';
+import {
+  JobId,
+  JobRecord,
+  SchedulerAction,
+  SchedulerMessage,
+  TaskId,
+} from './types.js';
+
+type BatchRead = Extract<SchedulerMessage, {kind: 'batch-read'}>;
+
+type Settle<R extends JobRecord> = (
+  state: SchedulerState,
+  record: R,
+  now: Millis,
+) => Generator<SchedulerAction>;
+
+/** Folds a batch in force; the leader acts on its records from now on. */
+export function* onBatchRead(
+  state: SchedulerState,
+  {batch}: BatchRead,
+  now: Millis,
+): Generator<SchedulerAction> {
+  for (const record of batch.entries) {
+    const before = endOf(state, record);
+    state.table.apply(record, batch.epoch);
+    // Only the leader of an epoch writes batches for it.
+    if (state.term?.epoch === batch.epoch) {
+      state.inFlight.shift();
+      const settle = SETTLE[record.kind] as Settle<JobRecord> | undefined;
+      if (settle !== undefined) yield* settle(state, record, now);
+    }
+    yield* reportEnd(state, record, before);
+  }
+}
+
+function endOf(state: SchedulerState, record: JobRecord): Millis | undefined {
+  return 'job' in record ? state.table.job(record.job)?.endedMs : undefined;
+}
+
+/** Tells waiting callers of a job's end, on every instance. */
+function* reportEnd(
+  state: SchedulerState,
+  record: JobRecord,
+  before: Millis | undefined,
+): Generator<SchedulerAction> {
+  if (!('job' in record)) return;
+  const job = state.table.job(record.job);
+  if (job?.endedMs !== undefined && before !== job.endedMs) {
+    yield {kind: 'job-ended', job};
+  }
+}
+
+// eslint-disable-next-line require-yield
+function* onCheckpointRead(
+  {term}: SchedulerState,
+  {part, parts}: Extract<JobRecord, {kind: 'checkpoint'}>,
+  now: Millis,
+): Generator<SchedulerAction> {
+  if (part < parts - 1 || term === undefined) return;
+  term.checkpointAt = now;
+  term.checkpointPending = false;
+}
+
+const SETTLE: {
+  readonly [K in JobRecord['kind']]?: Settle<Extract<JobRecord, {kind: K}>>;
+} = {
+  submitted: (state, {job}) => onSubmittedRead(state, job),
+  starting: (state, {task}, now) => onStartingRead(state, task, now),
+  'not-started': (state, {task}, now) => forgetRecorded(state, task, now),
+  requeued: (state, {task}, now) => forgetRecorded(state, task, now),
+  ended: function* (state, {job, task}, now) {
+    yield* forgetRecorded(state, task, now);
+    yield* onEndRead(state, job);
+  },
+  cancelled: function* (state, {job, task}, now) {
+    if (task !== undefined) yield* forgetRecorded(state, task, now);
+    yield* onEndRead(state, job);
+  },
+  claimed: (state, record) => onClaimedRead(state, record),
+  checkpoint: onCheckpointRead,
+};
+
+/** The outcome is in the log, so the worker need not keep it. */
+function* forgetRecorded(
+  state: SchedulerState,
+  id: TaskId,
+  now: Millis,
+): Generator<SchedulerAction> {
+  const task = state.closed.markRecorded(id, now);
+  if (task !== undefined) yield* forgetTask(state, task.worker, id, now);
+}
+
+/** The end of a job is in the log. */
+function* onEndRead(
+  state: SchedulerState,
+  id: JobId,
+): Generator<SchedulerAction> {
+  const view = state.table.job(id);
+  if (view === undefined || !isFinal(view.state)) return;
+  const job = state.jobs.get(id);
+  state.jobs.delete(id);
+  for (const request of job?.cancellations ?? []) {
+    yield answer(request, {kind: 'job', job: view});
+  }
+}
--- /dev/null
+++ b/src/common/jobs/records_out.ts
@@ -0,0 +1,45 @@
+import {MINUTE, Millis} from '../base/clock.js';
+import {checkpointParts} from './checkpoint_parts.js';
+import {SchedulerState} from './scheduler_state.js';
+import {SchedulerAction} from './types.js';
+
+/** A checkpoint is due after this time if anything was recorded. */
+const CHECKPOINT_MS: Millis = 10 * MINUTE;
+
+/** A checkpoint is due after this many records. */
+const CHECKPOINT_RECORDS = 5000;
+
+/** Hands the records that wait to the writer, in order. */
+export function* flushRecords(
+  state: SchedulerState,
+): Generator<SchedulerAction> {
+  if (state.term === undefined || !state.logAvailable) return;
+  if (state.outbox.length === 0) return;
+  const entries = state.outbox;
+  state.outbox = [];
+  state.inFlight.push(...entries);
+  yield {kind: 'append', entries};
+}
+
+/** Writes a checkpoint of the job table when one is due. */
+export function* checkpointDue(
+  state: SchedulerState,
+  now: Millis,
+): Generator<SchedulerAction> {
+  const {term, table} = state;
+  if (term === undefined || term.checkpointPending) return;
+  if (!state.logAvailable || !state.mayAct(now)) return;
+  const records = table.recordsSinceCheckpoint;
+  const late = records > 0 && now - term.checkpointAt >= CHECKPOINT_MS;
+  if (!late && records < CHECKPOINT_RECORDS) return;
+  yield* flushRecords(state);
+  term.checkpointPending = true;
+  // The writer keeps the order, so the records on their way come before the
+  // checkpoint in the stream and must be part of it.
+  const copy = table.clone();
+  for (const record of state.inFlight) copy.apply(record);
+  for (const part of checkpointParts(copy)) {
+    state.inFlight.push(part);
+    yield {kind: 'append', entries: [part]};
+  }
+}
--- /dev/null
+++ b/src/common/jobs/scheduler.ts
@@ -0,0 +1,161 @@
+import {Millis} from '../base/clock.js';
+import {onCancel} from './cancellations.js';
+import {onClaim, onEndClaim} from './claims.js';
+import {onInterference} from './evictions.js';
+import {JobTable} from './job_table.js';
+import {PlacementPolicy} from './placement.js';
+import {endLapsedTasks, onWorkerUnreachable, pollDue} from './polls.js';
+import {ReactionPolicy} from './reaction.js';
+import {onBatchRead} from './read_back.js';
+import {checkpointDue, flushRecords} from './records_out.js';
+import {SchedulerSettings, SchedulerState} from './scheduler_state.js';
+import {sendRecorded, startQueued} from './starts.js';
+import {currentView, onSubmit} from './submissions.js';
+import {onFollow, onLead, refuseAppended, surveyProgress} from './survey.js';
+import {onStartRefused, onWorkerStatus} from './task_lifecycle.js';
+import {
+  Claim,
+  DEFAULT_SCHEDULER_TIMING,
+  JobId,
+  JobView,
+  Lease,
+  SchedulerAction,
+  SchedulerMessage,
+} from './types.js';
+import {onConfiguration, onInstances} from './workers.js';
+
+/** Jobs that a data centre holds at most. */
+const DEFAULT_QUEUE_LIMIT = 50_000;
+
+type Handler<K extends SchedulerMessage['kind']> = (
+  state: SchedulerState,
+  message: Extract<SchedulerMessage, {kind: K}>,
+  now: Millis,
+) => Generator<SchedulerAction>;
+
+const HANDLERS: {readonly [K in SchedulerMessage['kind']]: Handler<K>} = {
+  submit: onSubmit,
+  cancel: onCancel,
+  claim: onClaim,
+  'end-claim': onEndClaim,
+  'batch-read': onBatchRead,
+  log: onLog,
+  lead: onLead,
+  follow: onFollow,
+  'worker-status': onWorkerStatus,
+  'worker-unreachable': onWorkerUnreachable,
+  'start-refused': onStartRefused,
+  instances: onInstances,
+  configuration: onConfiguration,
+  interference: onInterference,
+  drain: onDrain,
+  tick: onTick,
+};
+
+function* onLog(
+  state: SchedulerState,
+  {available}: Extract<SchedulerMessage, {kind: 'log'}>,
+): Generator<SchedulerAction> {
+  state.logAvailable = available;
+  state.dirty = true;
+  if (!available) yield* refuseAppended(state);
+}
+
+// eslint-disable-next-line require-yield
+function* onDrain(state: SchedulerState): Generator<SchedulerAction> {
+  if (state.term !== undefined) state.term.draining = true;
+}
+
+function* onTick(
+  state: SchedulerState,
+  unusedMessage: SchedulerMessage,
+  now: Millis,
+): Generator<SchedulerAction> {
+  state.table.prune(state.unixMs);
+  if (state.term === undefined) return;
+  state.closed.prune(now);
+  endLapsedTasks(state, now);
+  yield* surveyProgress(state, now);
+  yield* sendRecorded(state, now);
+  yield* startQueued(state, now);
+  yield* pollDue(state, now);
+  yield* checkpointDue(state, now);
+}
+
+/**
+ * Scheduler of one data centre. Every instance feeds it the batches in force;
+ * the one that leads also starts tasks, renews their leases and answers
+ * requests. All state is in memory: a new leader gets the jobs from the records
+ * and the tasks from the workers.
+ */
+export class Scheduler {
+  private readonly state: SchedulerState;
+
+  constructor(
+    lease: Lease,
+    settings: Partial<SchedulerSettings> & {readonly dataCentre: string},
+    table = new JobTable(),
+  ) {
+    const complete: SchedulerSettings = {
+      timing: DEFAULT_SCHEDULER_TIMING,
+      placement: PlacementPolicy.BEST_FIT,
+      reaction: ReactionPolicy.THROTTLE_THEN_EVICT,
+      queueLimit: DEFAULT_QUEUE_LIMIT,
+      ...settings,
+    };
+    this.state = new SchedulerState(complete, lease, table);
+  }
+
+  /**
+   * Handles a message and yields what is to be done. The caller must take all
+   * actions before it hands in the next message.
+   *
+   * @param now local monotonic time.
+   * @param unixMs Unix time, for the times in records.
+   */
+  *handle(
+    message: SchedulerMessage,
+    now: Millis,
+    unixMs: Millis = now,
+  ): Generator<SchedulerAction> {
+    const {state} = this;
+    state.unixMs = unixMs;
+    const handler = HANDLERS[message.kind] as Handler<typeof message.kind>;
+    yield* handler(state, message as never, now);
+    yield* flushRecords(state);
+  }
+
+  /** The job as this instance knows it. */
+  job(id: JobId): JobView | undefined {
+    return currentView(this.state, id);
+  }
+
+  /** All jobs as this instance knows them. */
+  *allJobs(): Generator<JobView> {
+    const {table} = this.state;
+    for (const {id} of table.allJobs()) yield currentView(this.state, id)!;
+  }
+
+  claim(key: string): Claim | undefined {
+    return this.state.table.claim(key);
+  }
+
+  /** Jobs that wait to be placed. */
+  get queuedJobs(): number {
+    return this.state.queue.size;
+  }
+
+  /** Starts that may still take effect on a worker. */
+  get unsettledStarts(): number {
+    let count = 0;
+    for (const task of this.state.tasks.values()) {
+      if (!task.seen && task.startedAt !== Infinity) count++;
+    }
+    return count;
+  }
+
+  /** Tasks that hold a promise. */
+  get promisedTasks(): number {
+    return this.state.tasks.size;
+  }
+}
--- /dev/null
+++ b/src/common/jobs/scheduler_state.ts
@@ -0,0 +1,180 @@
+import {Either, Left, Right} from 'purify-ts';
+import {Millis} from '../base/clock.js';
+import {Refusal} from '../base/refusal.js';
+import {Epoch} from '../stream/types.js';
+import {Configuration, EMPTY_CONFIGURATION} from '../tickets/types.js';
+import {ActiveJob, ActiveTask} from './active_job.js';
+import {Capacity} from './capacity.js';
+import {ClosedTasks} from './closed_tasks.js';
+import {Fairness} from './fairness.js';
+import {JobTable} from './job_table.js';
+import {PlacementPolicy} from './placement.js';
+import {Quarantine} from './quarantine.js';
+import {JobQueue} from './queue.js';
+import {Reaction, ReactionPolicy} from './reaction.js';
+import {
+  JobId,
+  JobRecord,
+  Lease,
+  RequestId,
+  SchedulerAction,
+  SchedulerAnswer,
+  SchedulerTiming,
+  TaskId,
+} from './types.js';
+import {WorkerEntry} from './worker_entry.js';
+
+/** Settings of a scheduler. */
+export interface SchedulerSettings {
+  readonly dataCentre: string;
+  readonly timing: SchedulerTiming;
+  readonly placement: PlacementPolicy;
+  readonly reaction: ReactionPolicy;
+  /** Jobs that may be queued or running. */
+  readonly queueLimit: number;
+}
+
+/** The time in which this instance leads one view. */
+export interface Term {
+  readonly epoch: Epoch;
+  readonly since: Millis;
+  /** A non-empty instance list was read in this term. */
+  listRead: boolean;
+  /** Jobs that an earlier leader may have started no longer wait. */
+  surveyDone: boolean;
+  /** No more starts; the lead is about to be handed over. */
+  draining: boolean;
+  /** Number of the last task; part of task ids. */
+  lastTask: number;
+  /** Local time of the last checkpoint of the job table. */
+  checkpointAt: Millis;
+  checkpointPending: boolean;
+  /** Local time of the last pass over the queue. */
+  placedAt: Millis;
+}
+
+/** A request whose record was appended and is not yet read back. */
+export type Pending = Map<string, RequestId[]>;
+
+/** State that the handlers of the scheduler share. */
+export class SchedulerState {
+  term: Term | undefined;
+  logAvailable = false;
+  /** Unix time of the message that is being handled. */
+  unixMs: Millis = 0;
+  configuration: Configuration = EMPTY_CONFIGURATION;
+  readonly workers = new Map<string, WorkerEntry>();
+  capacity = new Capacity();
+  fairness = new Fairness();
+  readonly quarantine = new Quarantine();
+  readonly reaction: Reaction;
+  readonly closed = new ClosedTasks();
+  queue = new JobQueue<ActiveJob>();
+  readonly jobs = new Map<JobId, ActiveJob>();
+  readonly tasks = new Map<TaskId, ActiveTask>();
+  /** Starts whose record was read back and that are not yet sent. */
+  readonly recordedStarts = new Set<ActiveTask>();
+  readonly tasksOnRack = new Map<string, number>();
+  /** Requests by job id. */
+  readonly submits: Pending = new Map();
+  /** Requests by claim key, with the instance that asked. */
+  readonly claims: Pending = new Map();
+  /** Digests of submissions whose record is not yet read back. */
+  readonly submitDigests = new Map<JobId, string>();
+  /** Records that wait for the log, oldest first. */
+  outbox: JobRecord[] = [];
+  /** Records that were handed to the writer and are not yet read back. */
+  inFlight: JobRecord[] = [];
+  /** Whether jobs may be placeable that were not before. */
+  dirty = false;
+
+  constructor(
+    readonly settings: SchedulerSettings,
+    readonly lease: Lease,
+    readonly table: JobTable,
+  ) {
+    this.reaction = new Reaction(settings.reaction);
+  }
+
+  /** Whether this instance leads and may act at `now`. */
+  mayAct(now: Millis): boolean {
+    return this.term !== undefined && this.lease.mayAct(now);
+  }
+
+  /** Longest time that a lease given now can last on the local clock. */
+  get longestLeaseMs(): Millis {
+    const {taskLeaseMs, driftFraction} = this.settings.timing;
+    return taskLeaseMs * (1 + 2 * driftFraction);
+  }
+
+  /** Queues a record; it is appended at the end of the message. */
+  record(entry: JobRecord): void {
+    this.outbox.push(entry);
+  }
+
+  worker(id: string): WorkerEntry {
+    let entry = this.workers.get(id);
+    if (entry === undefined) {
+      entry = new WorkerEntry(id, this.settings.timing.driftFraction);
+      this.workers.set(id, entry);
+    }
+    return entry;
+  }
+
+  /** Counts a task as promised. The capacity is accounted by the caller. */
+  addTask(task: ActiveTask, job: ActiveJob): void {
+    job.task = task;
+    this.tasks.set(task.id, task);
+    this.worker(task.worker).tasks.set(task.id, task);
+    this.fairness.add(job.team, task.size);
+    this.countOnRack(task.rack, 1);
+  }
+
+  /** Ends the promise of a task that provably runs no more. */
+  removeTask(task: ActiveTask, job: ActiveJob): void {
+    if (job.task === task) job.task = undefined;
+    this.tasks.delete(task.id);
+    this.worker(task.worker).tasks.delete(task.id);
+    this.capacity.release(task.worker, task.id);
+    this.fairness.remove(job.team, task.size);
+    this.countOnRack(task.rack, -1);
+    this.dirty = true;
+  }
+
+  private countOnRack(rack: string, change: number): void {
+    this.tasksOnRack.set(rack, (this.tasksOnRack.get(rack) ?? 0) + change);
+  }
+}
+
+/** A positive answer to a request. */
+export function answer(
+  request: RequestId,
+  value: SchedulerAnswer,
+): SchedulerAction {
+  const answer: Either<Refusal, SchedulerAnswer> = Right(value);
+  return {kind: 'answer', request, answer};
+}
+
+/** A refusal of a request. */
+export function refusal(request: RequestId, value: Refusal): SchedulerAction {
+  const answer: Either<Refusal, SchedulerAnswer> = Left(value);
+  return {kind: 'answer', request, answer};
+}
+
+/** Adds a request to the list of a key. */
+export function addPending(
+  pending: Pending,
+  key: string,
+  request: RequestId,
+): void {
+  const requests = pending.get(key);
+  if (requests === undefined) pending.set(key, [request]);
+  else requests.push(request);
+}
+
+/** Takes all requests of a key. */
+export function takePending(pending: Pending, key: string): RequestId[] {
+  const requests = pending.get(key) ?? [];
+  pending.delete(key);
+  return requests;
+}
--- /dev/null
+++ b/src/common/jobs/submissions.ts
@@ -0,0 +1,221 @@
+import {MINUTE, Millis, SECOND} from '../base/clock.js';
+import {Refusal, RefusalKind, refuse, refuseUnknown} from '../base/refusal.js';
+import {Size, fits} from '../base/size.js';
+import {activeJobOf, viewOfActive} from './active_job.js';
+import {digestOf, jobIdOf} from './job_id.js';
+import {viewOfTombstone} from './job_table.js';
+import {
+  SchedulerState,
+  addPending,
+  answer,
+  refusal,
+  takePending,
+} from './scheduler_state.js';
+import {
+  JobId,
+  JobState,
+  JobView,
+  SchedulerAction,
+  SchedulerMessage,
+  Submission,
+} from './types.js';
+
+type Submit = Extract<SchedulerMessage, {kind: 'submit'}>;
+
+/** When a caller may try again while there is no leader: a takeover's time. */
+const LEADER_RETRY_MS: Millis = 3 * SECOND;
+const LOG_RETRY_MS: Millis = 5 * SECOND;
+const FULL_RETRY_MS: Millis = MINUTE;
+
+export function noLeader(): Refusal {
+  return refuse(
+    RefusalKind.NO_LEADER,
+    'This instance does not lead its data centre.',
+    'Send the request again; a leader is found within seconds.',
+    LEADER_RETRY_MS,
+  );
+}
+
+export function logUnavailable(): Refusal {
+  return refuse(
+    RefusalKind.LOG_UNAVAILABLE,
+    'The log service does not answer.',
+    'Send the request again later.',
+    LOG_RETRY_MS,
+  );
+}
+
+export function unknownOutcome(): Refusal {
+  return refuseUnknown(
+    RefusalKind.UNKNOWN_OUTCOME,
+    'The record was sent to the log and has not been read back.',
+    'Send the request again with the same key to get the outcome.',
+  );
+}
+
+/** The job as the leader knows it, or as the records tell. */
+export function currentView(
+  state: SchedulerState,
+  id: JobId,
+): JobView | undefined {
+  const active = state.jobs.get(id);
+  return active === undefined ? state.table.job(id) : viewOfActive(active);
+}
+
+function describeSize(size: Size): string {
+  const {processors, memoryMb, accelerators} = size;
+  return `${processors} processors, ${memoryMb} MB and ${accelerators} accelerators`;
+}
+
+/** Largest usable sizes; a size that fits none of them fits no worker. */
+function largestUsable(state: SchedulerState): Size[] {
+  const sizes = [...state.workers.values()]
+    .filter(worker => worker.instance !== undefined)
+    .map(worker => state.capacity.usable(worker.id));
+  return sizes.sort(
+    (a, b) =>
+      b.processors - a.processors ||
+      b.memoryMb - a.memoryMb ||
+      b.accelerators - a.accelerators,
+  );
+}
+
+function refuseSize(
+  state: SchedulerState,
+  submission: Submission,
+): Refusal | undefined {
+  const usable = largestUsable(state);
+  // Without a list of workers nothing can be said about the size.
+  if (usable.length === 0) return undefined;
+  if (usable.some(size => fits(submission.size, size))) return undefined;
+  return refuse(
+    RefusalKind.TOO_LARGE_FOR_ANY_WORKER,
+    `The job needs ${describeSize(submission.size)}, more than any worker has.`,
+    `Ask for at most ${describeSize(usable[0])}.`,
+  );
+}
+
+function refuseQuota(
+  state: SchedulerState,
+  submission: Submission,
+): Refusal | undefined {
+  const quota = state.fairness.quotaOf(submission.team);
+  if (quota === undefined) {
+    return refuse(
+      RefusalKind.QUOTA,
+      `The team ${submission.team} has no quota.`,
+      'Add the team with a ticket.',
+    );
+  }
+  if (fits(submission.size, quota)) return undefined;
+  return refuse(
+    RefusalKind.QUOTA,
+    `The job needs more than the quota of the team ${submission.team}.`,
+    `Ask for at most ${describeSize(quota)}, or raise the quota with a ticket.`,
+  );
+}
+
+function refuseLoad(state: SchedulerState): Refusal | undefined {
+  if (state.jobs.size + state.submitDigests.size < state.settings.queueLimit) {
+    return undefined;
+  }
+  return refuse(
+    RefusalKind.OVERLOADED,
+    `The data centre holds ${state.settings.queueLimit} jobs already.`,
+    'Send the job again later.',
+    FULL_RETRY_MS,
+  );
+}
+
+function conflict(): Refusal {
+  return refuse(
+    RefusalKind.CONFLICT,
+    'The key belongs to a job with another body.',
+    'Use a new key for a new job, or send the same body.',
+  );
+}
+
+/** The existing job of the submission's key, or undefined for a new key. */
+function existing(
+  state: SchedulerState,
+  id: JobId,
+  submission: Submission,
+): {digest: string; view: JobView} | undefined {
+  const view = currentView(state, id);
+  if (view !== undefined) return {digest: digestOf(view.submission), view};
+  const tombstone = state.table.tombstone(id);
+  if (tombstone === undefined) return undefined;
+  return {
+    digest: tombstone.digest,
+    view: viewOfTombstone(tombstone, submission),
+  };
+}
+
+/** Accepts a submission once its record has been read back. */
+export function* onSubmit(
+  state: SchedulerState,
+  message: Submit,
+  now: Millis,
+): Generator<SchedulerAction> {
+  const {request, submission} = message;
+  if (!state.mayAct(now)) {
+    yield refusal(request, noLeader());
+    return;
+  }
+  const id = jobIdOf(state.settings.dataCentre, submission.key);
+  const digest = digestOf(submission);
+  const known = existing(state, id, submission);
+  const knownDigest = known?.digest ?? state.submitDigests.get(id) ?? digest;
+  if (knownDigest !== digest) {
+    yield refusal(request, conflict());
+  } else if (known !== undefined) {
+    yield answer(request, {kind: 'job', job: known.view});
+  } else if (!state.logAvailable) {
+    // An earlier append of this key may still take effect.
+    const appended = state.submitDigests.has(id);
+    yield refusal(request, appended ? unknownOutcome() : logUnavailable());
+  } else if (state.submitDigests.has(id)) {
+    addPending(state.submits, id, request);
+  } else {
+    yield* submitNew(state, message, id, digest);
+  }
+}
+
+function* submitNew(
+  state: SchedulerState,
+  {request, submission}: Submit,
+  job: JobId,
+  digest: string,
+): Generator<SchedulerAction> {
+  const refused =
+    refuseSize(state, submission) ??
+    refuseQuota(state, submission) ??
+    refuseLoad(state);
+  if (refused !== undefined) {
+    yield refusal(request, refused);
+    return;
+  }
+  state.submitDigests.set(job, digest);
+  addPending(state.submits, job, request);
+  state.record({kind: 'submitted', job, submission, timeMs: state.unixMs});
+}
+
+/** A `submitted` record of this term was read back. */
+export function* onSubmittedRead(
+  state: SchedulerState,
+  id: JobId,
+): Generator<SchedulerAction> {
+  state.submitDigests.delete(id);
+  const folded = state.table.job(id);
+  if (folded?.state === JobState.QUEUED && !state.jobs.has(id)) {
+    const job = activeJobOf(folded);
+    state.jobs.set(id, job);
+    state.queue.add(job);
+    state.dirty = true;
+  }
+  const view = currentView(state, id);
+  if (view === undefined) return;
+  for (const request of takePending(state.submits, id)) {
+    yield answer(request, {kind: 'job', job: view});
+  }
+}
--- /dev/null
+++ b/src/common/jobs/task_endings.ts
@@ -0,0 +1,166 @@
+import {Millis} from '../base/clock.js';
+import {ActiveJob, ActiveTask, stateOfActive} from './active_job.js';
+import {SchedulerState} from './scheduler_state.js';
+
+/** Workers on which a job must fail before it is set aside. */
+const FAILURES_TO_SET_ASIDE = 3;
+
+function close(state: SchedulerState, job: ActiveJob, task: ActiveTask): void {
+  state.removeTask(task, job);
+  state.closed.close(task.id, job.id, task.worker);
+}
+
+/** The job has ended; callers see that when the record is read back. */
+function markEnding(job: ActiveJob): void {
+  job.stateBeforeEnd = stateOfActive(job);
+  job.ending = true;
+}
+
+function end(
+  state: SchedulerState,
+  job: ActiveJob,
+  task: ActiveTask,
+  outcome: 'finished' | 'failed' | 'interrupted',
+  fields: {result?: string; reason?: string},
+): void {
+  markEnding(job);
+  close(state, job, task);
+  state.record({
+    kind: 'ended',
+    job: job.id,
+    task: task.id,
+    outcome,
+    ...fields,
+    timeMs: state.unixMs,
+  });
+}
+
+/** Records that a job was cancelled before its end. */
+export function cancelled(
+  state: SchedulerState,
+  job: ActiveJob,
+  task?: ActiveTask,
+): void {
+  markEnding(job);
+  if (task !== undefined) close(state, job, task);
+  state.queue.remove(job);
+  state.record({
+    kind: 'cancelled',
+    job: job.id,
+    task: task?.id,
+    timeMs: state.unixMs,
+  });
+}
+
+function requeue(
+  state: SchedulerState,
+  job: ActiveJob,
+  task: ActiveTask,
+  fields: {checkpoint: number; evicted: boolean; failedOn?: string},
+): void {
+  close(state, job, task);
+  job.checkpoint = Math.max(job.checkpoint, fields.checkpoint);
+  if (fields.evicted) job.evictions++;
+  state.record({
+    kind: 'requeued',
+    job: job.id,
+    task: task.id,
+    ...fields,
+    checkpoint: job.checkpoint,
+  });
+  state.queue.add(job);
+}
+
+/** The task ended with a result. */
+export function finished(
+  state: SchedulerState,
+  job: ActiveJob,
+  task: ActiveTask,
+  result: string | undefined,
+): void {
+  state.quarantine.succeeded(task.worker);
+  end(state, job, task, 'finished', {result});
+}
+
+function isFailedEverywhere(state: SchedulerState, job: ActiveJob): boolean {
+  if (job.failedOn.size >= FAILURES_TO_SET_ASIDE) return true;
+  const listed = [...state.workers.values()].filter(
+    worker => worker.instance !== undefined,
+  );
+  return listed.every(worker => job.failedOn.has(worker.id));
+}
+
+/** The task failed; an idempotent job is tried on other workers. */
+export function failed(
+  state: SchedulerState,
+  job: ActiveJob,
+  task: ActiveTask,
+  checkpoint: number,
+  now: Millis,
+): void {
+  state.quarantine.failed(task.worker, job.id, now);
+  job.failedOn.add(task.worker);
+  if (!job.submission.idempotent) {
+    const reason = `The task failed on ${task.worker}.`;
+    end(state, job, task, 'failed', {reason});
+  } else if (job.cancellations.length > 0) {
+    cancelled(state, job, task);
+  } else if (isFailedEverywhere(state, job)) {
+    const reason = `Set aside: failed on ${[...job.failedOn].join(', ')}.`;
+    end(state, job, task, 'failed', {reason});
+  } else {
+    const failedOn = task.worker;
+    requeue(state, job, task, {checkpoint, evicted: false, failedOn});
+  }
+}
+
+/** The task was stopped, by an eviction or a cancellation. */
+export function stopped(
+  state: SchedulerState,
+  job: ActiveJob,
+  task: ActiveTask,
+  checkpoint: number,
+): void {
+  if (job.cancellations.length > 0) {
+    cancelled(state, job, task);
+  } else if (job.submission.idempotent || checkpoint > job.checkpoint) {
+    requeue(state, job, task, {checkpoint, evicted: true});
+  } else {
+    const reason = 'Stopped without a new checkpoint; it may have run.';
+    end(state, job, task, 'interrupted', {reason});
+  }
+}
+
+/** The task's lease ended before the task did, or its worker is lost. */
+export function lapsed(
+  state: SchedulerState,
+  job: ActiveJob,
+  task: ActiveTask,
+  checkpoint: number,
+): void {
+  if (job.cancellations.length > 0) {
+    cancelled(state, job, task);
+  } else if (job.submission.idempotent) {
+    requeue(state, job, task, {checkpoint, evicted: false});
+  } else {
+    const reason = `The lease ended on ${task.worker}; the job may have run.`;
+    end(state, job, task, 'interrupted', {reason});
+  }
+}
+
+/** The start provably did not run. */
+export function neverRan(
+  state: SchedulerState,
+  job: ActiveJob,
+  task: ActiveTask,
+  now: Millis,
+): void {
+  if (job.cancellations.length > 0) {
+    cancelled(state, job, task);
+    return;
+  }
+  close(state, job, task);
+  if (job.submission.idempotent) state.closed.markRecorded(task.id, now);
+  else state.record({kind: 'not-started', job: job.id, task: task.id});
+  state.queue.add(job);
+}
--- a/src/common/jobs/types.ts
+++ b/src/common/jobs/types.ts
@@ -56,6 +56,24 @@
   readonly result?: string;
   /** Why the job failed, was set aside or waits. */
   readonly reason?: string;
+  /** Task of the open `starting` record, or the last task of an ended job. */
+  readonly task?: TaskId;
+  /** Start number of the worker when the `starting` record was written. */
+  readonly workerStart?: number;
+  /** Workers on which the job failed. */
+  readonly failedOn?: readonly string[];
+  /** Unix time of the end of an ended job. */
+  readonly endedMs?: Millis;
+}
+
+/** What is kept of an ended job after its view has been dropped. */
+export interface Tombstone {
+  readonly id: JobId;
+  readonly state: JobState;
+  /** Digest of the submission, to detect a different body for the same key. */
+  readonly digest: string;
+  readonly submittedMs: Millis;
+  readonly endedMs: Millis;
 }
 
 /** State of a claim on a non-idempotent request. */
@@ -81,6 +99,8 @@
       readonly job: JobId;
       readonly task: TaskId;
       readonly worker: string;
+      /** Start number of the worker; tells a restarted worker apart. */
+      readonly workerStart?: number;
     }
   /** The start provably did not run; the job is queued again. */
   | {
@@ -95,6 +115,7 @@
       readonly outcome: 'finished' | 'failed' | 'interrupted';
       readonly result?: string;
       readonly reason?: string;
+      readonly timeMs: Millis;
     }
   /** A task stopped and its job is queued again from the checkpoint. */
   | {
@@ -105,7 +126,13 @@
       readonly evicted: boolean;
       readonly failedOn?: string;
     }
-  | {readonly kind: 'cancelled'; readonly job: JobId}
+  | {
+      readonly kind: 'cancelled';
+      readonly job: JobId;
+      /** The task that was stopped, if one had been started. */
+      readonly task?: TaskId;
+      readonly timeMs: Millis;
+    }
   | {
       readonly kind: 'claimed';
       readonly key: string;
@@ -125,6 +152,7 @@
       readonly parts: number;
       readonly jobs: readonly JobView[];
       readonly claims: readonly Claim[];
+      readonly tombstones: readonly Tombstone[];
     };
 
 /** Correlates an answer with its request, within one process. */
@@ -183,6 +211,19 @@
     }
   | {readonly kind: 'instances'; readonly instances: readonly Instance[]}
   | {readonly kind: 'configuration'; readonly configuration: Configuration}
+  /** Measured slowdown of a worker's services; 1.0 is no slowdown. */
+  | {
+      readonly kind: 'interference';
+      readonly worker: string;
+      readonly slowdown: number;
+      /** Local time of the measurement; earlier than its arrival. */
+      readonly measuredAt: Millis;
+    }
+  /**
+   * Stop starting tasks before a planned hand-over. Leadership may be handed
+   * over when `Scheduler.unsettledStarts` is 0.
+   */
+  | {readonly kind: 'drain'}
   | {readonly kind: 'tick'};
 
 /** Answer to a request for a claim. */
@@ -250,7 +291,25 @@
       readonly task: TaskId;
     }
   /** A job reached a final state. */
-  | {readonly kind: 'job-ended'; readonly job: JobView};
+  | {readonly kind: 'job-ended'; readonly job: JobView}
+  /** A state that the protocol rules out was seen; for logs and metrics. */
+  | {
+      readonly kind: 'violation';
+      readonly rule: Violation;
+      readonly worker: string;
+      readonly task: TaskId;
+    };
+
+/** States that the protocol rules out. */
+export const Violation = {
+  /** One worker lists the same task twice. */
+  TASK_LISTED_TWICE: 'task-listed-twice',
+  /** Two workers list the same task. */
+  TASK_ON_TWO_WORKERS: 'task-on-two-workers',
+  /** A task runs that its job does not account for. */
+  UNEXPECTED_TASK: 'unexpected-task',
+} as const;
+export type Violation = (typeof Violation)[keyof typeof Violation];
 
 /** Durations of the scheduler, in milliseconds. */
 export interface SchedulerTiming {
--- /dev/null
+++ b/src/common/jobs/unaccounted_tasks.ts
@@ -0,0 +1,157 @@
+import {Millis} from '../base/clock.js';
+import {TaskState, TaskStatus} from '../base/platform.js';
+import {ActiveJob, newTask} from './active_job.js';
+import {SchedulerState} from './scheduler_state.js';
+import {forgetTask, stopListed} from './task_commands.js';
+import {StatusReport, onListed} from './task_lifecycle.js';
+import {JobState, SchedulerAction, Violation} from './types.js';
+
+/**
+ * A status shows a task that is not among the promised ones: an outcome that is
+ * not forgotten yet, a task of an earlier leader, or one that must not exist.
+ */
+export function* onUnaccountedTask(
+  state: SchedulerState,
+  report: StatusReport,
+  status: TaskStatus,
+  now: Millis,
+): Generator<SchedulerAction> {
+  // Work that was not started by this project only takes up room.
+  if (!status.job.startsWith(`${state.settings.dataCentre}/`)) {
+    countRoom(state, report, status);
+    return;
+  }
+  const job = state.jobs.get(status.job);
+  if (job !== undefined && isInherited(state, job, status)) {
+    yield* adopt(state, report, job, status, now);
+  } else if (status.state === TaskState.RUNNING) {
+    yield* onStray(state, report, status, now);
+  } else {
+    yield* onOldOutcome(state, report, status, now);
+  }
+}
+
+function countRoom(
+  state: SchedulerState,
+  {worker}: StatusReport,
+  {task, size, state: taskState}: TaskStatus,
+): void {
+  if (taskState === TaskState.RUNNING) {
+    state.capacity.observe(worker.id, task, size);
+  } else {
+    state.capacity.release(worker.id, task);
+  }
+}
+
+/** Whether an earlier leader may have started the task without a record. */
+function isInherited(
+  state: SchedulerState,
+  job: ActiveJob,
+  {task}: TaskStatus,
+): boolean {
+  return (
+    job.awaitsSurvey &&
+    job.task === undefined &&
+    !job.ending &&
+    state.closed.get(task) === undefined
+  );
+}
+
+/** Takes over a task of an idempotent job that has no `starting` record. */
+function* adopt(
+  state: SchedulerState,
+  report: StatusReport,
+  job: ActiveJob,
+  status: TaskStatus,
+  now: Millis,
+): Generator<SchedulerAction> {
+  const {worker} = report;
+  const rack = worker.instance?.rack ?? '';
+  const workerStart = worker.instance?.start;
+  const place = {worker: worker.id, rack, workerStart};
+  const task = newTask(job, status.task, place, true);
+  task.startedAt = state.term?.since ?? now;
+  // The earlier leader may have sent a renewal right before its end.
+  task.leaseEndsAt = now + state.longestLeaseMs;
+  state.addTask(task, job);
+  state.capacity.observe(worker.id, task.id, task.size);
+  yield* onListed(state, report, task, status, now);
+  // The ended task of an inherited job does not end the wait for the survey:
+  // a later task of the job may run on another worker.
+  if (job.task === undefined && !job.ending) state.queue.remove(job);
+}
+
+/** A task runs that no job accounts for. It is counted, reported and stopped. */
+function* onStray(
+  state: SchedulerState,
+  report: StatusReport,
+  status: TaskStatus,
+  now: Millis,
+): Generator<SchedulerAction> {
+  const {worker} = report;
+  countRoom(state, report, status);
+  if (!isSuperseded(state, status)) {
+    yield {
+      kind: 'violation',
+      rule: Violation.UNEXPECTED_TASK,
+      worker: worker.id,
+      task: status.task,
+    };
+  }
+  yield* stopListed(state, worker.id, status.task, now);
+}
+
+/**
+ * Whether an idempotent job had ended by the outcome of an earlier task, which
+ * became known after a later task was started.
+ */
+function isSuperseded(state: SchedulerState, {job: id}: TaskStatus): boolean {
+  const active = state.jobs.get(id);
+  if (active !== undefined) {
+    return active.submission.idempotent && active.ending;
+  }
+  return state.table.job(id)?.submission.idempotent ?? false;
+}
+
+/** The outcome of a task that was closed before, or of an earlier attempt. */
+function* onOldOutcome(
+  state: SchedulerState,
+  report: StatusReport,
+  status: TaskStatus,
+  now: Millis,
+): Generator<SchedulerAction> {
+  countRoom(state, report, status);
+  const closed = state.closed.get(status.task);
+  if (closed !== undefined) {
+    // Forgotten only after the record; sent again when it was lost.
+    if (!closed.recorded || report.sentAt <= closed.forgottenAt) return;
+  }
+  if (recordsLateEnd(state, report.worker.id, status)) return;
+  const {worker} = report;
+  yield* forgetTask(state, worker.id, status.task, now);
+}
+
+/** An interrupted job finished after all, on a worker that was lost. */
+function recordsLateEnd(
+  state: SchedulerState,
+  worker: string,
+  status: TaskStatus,
+): boolean {
+  const view = state.table.job(status.job);
+  const learned =
+    view?.state === JobState.INTERRUPTED &&
+    view.task === status.task &&
+    status.state === TaskState.FINISHED;
+  if (!learned) return false;
+  if (!state.logAvailable) return true;
+  state.closed.close(status.task, status.job, worker);
+  state.record({
+    kind: 'ended',
+    job: status.job,
+    task: status.task,
+    outcome: 'finished',
+    result: status.result,
+    timeMs: state.unixMs,
+  });
+  return true;
+}
--- /dev/null
+++ b/src/common/jobs/workers.ts
@@ -0,0 +1,52 @@
+import {Millis} from '../base/clock.js';
+import {Instance, InstanceRole, InstanceState} from '../base/platform.js';
+import {SchedulerState} from './scheduler_state.js';
+import {surveyProgress} from './survey.js';
+import {SchedulerAction, SchedulerMessage} from './types.js';
+import {WorkerEntry} from './worker_entry.js';
+import {updateCapacity} from './worker_state.js';
+
+type Instances = Extract<SchedulerMessage, {kind: 'instances'}>;
+type ConfigurationMessage = Extract<SchedulerMessage, {kind: 'configuration'}>;
+
+function updateWorker(worker: WorkerEntry, instance: Instance): void {
+  const replaced = worker.instance?.start !== instance.start;
+  if (replaced) worker.leaving = false;
+  // Once a worker is known to leave, only a new start number takes that back.
+  if (instance.state === InstanceState.LEAVING) worker.leaving = true;
+  worker.instance = instance;
+}
+
+/** Takes in a list of instances. An empty list is a fault and is ignored. */
+export function* onInstances(
+  state: SchedulerState,
+  {instances}: Instances,
+  now: Millis,
+): Generator<SchedulerAction> {
+  const listed = instances.filter(
+    ({role, dataCentre}) =>
+      role === InstanceRole.WORKER && dataCentre === state.settings.dataCentre,
+  );
+  if (listed.length === 0) return;
+  const ids = new Set(listed.map(({id}) => id));
+  for (const worker of state.workers.values()) {
+    if (!ids.has(worker.id)) worker.instance = undefined;
+  }
+  for (const instance of listed) {
+    updateWorker(state.worker(instance.id), instance);
+  }
+  if (state.term !== undefined) state.term.listRead = true;
+  updateCapacity(state);
+  yield* surveyProgress(state, now);
+}
+
+/** Takes in the configuration in force. */
+// eslint-disable-next-line require-yield
+export function* onConfiguration(
+  state: SchedulerState,
+  {configuration}: ConfigurationMessage,
+): Generator<SchedulerAction> {
+  state.configuration = configuration;
+  state.fairness.setTeams(configuration.teams);
+  updateCapacity(state);
+}
