--- a/src/common/jobs/scheduler_state.ts
+++ b/src/common/jobs/scheduler_state.ts
@@ -36,7 +36,7 @@
 
 /** The time in which this instance leads one view. */
 export interface Term {
-  readonly epoch: Epoch;
+  epoch: Epoch;
   readonly since: Millis;
   /** A non-empty instance list was read in this term. */
   listRead: boolean;
--- a/src/common/jobs/survey.ts
+++ b/src/common/jobs/survey.ts
@@ -36,9 +36,14 @@
 /** Starts a term: the job table tells the jobs, the workers their tasks. */
 export function* onLead(
   state: SchedulerState,
-  {epoch}: Lead,
+  {epoch, continued = false}: Lead,
   now: Millis,
 ): Generator<SchedulerAction> {
+  if (continued && state.term !== undefined) {
+    // Nobody else has led in between, so all that is known still holds.
+    state.term.epoch = epoch;
+    return;
+  }
   yield* refusePending(state);
   clearRuntime(state);
   state.term = {
--- a/src/common/jobs/types.ts
+++ b/src/common/jobs/types.ts
@@ -190,8 +190,15 @@
       readonly own: boolean;
     }
   | {readonly kind: 'log'; readonly available: boolean}
-  /** This instance leads; all records up to its view have been read. */
-  | {readonly kind: 'lead'; readonly epoch: Epoch}
+  /**
+   * This instance leads; all records up to its view have been read.
+   * `continued` when it has led up to this view: only the epoch changes.
+   */
+  | {
+      readonly kind: 'lead';
+      readonly epoch: Epoch;
+      readonly continued?: boolean;
+    }
   | {readonly kind: 'follow'}
   | {
       readonly kind: 'worker-status';
--- a/src/common/stream/record_writer.test.ts
+++ b/src/common/stream/record_writer.test.ts
@@ -8,7 +8,7 @@
 
 type Entry = BatchRecord['entries'][number];
 
-const ENTRY: Entry = {kind: 'cancelled', job: 'dc-1/x'};
+const ENTRY: Entry = {kind: 'cancelled', timeMs: 0, job: 'dc-1/x'};
 
 function newWriter() {
   return new RecordWriter<BatchRecord, Entry>('a#1', entries => ({
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -19,7 +19,11 @@
   LeadershipMessage,
 } from '../common/leadership/types.js';
 import {DataCentreReader} from '../common/stream/data_centre_reader.js';
-import {QueueFull, RecordWriter} from '../common/stream/record_writer.js';
+import {
+  DEFAULT_WRITER_LIMITS,
+  QueueFull,
+  RecordWriter,
+} from '../common/stream/record_writer.js';
 import {
   DataCentreRecord,
   MemberId,
@@ -40,6 +44,12 @@
   }
 }
 
+/**
+ * Records that a job can have waiting during an outage of the log. A full
+ * queue would lose the end of a job, so it holds them for every job.
+ */
+const ENTRIES_PER_JOB = 4;
+
 /** A request to the scheduler that is answered later. */
 export type SchedulerRequest =
   Extract<SchedulerMessage, {readonly request: string}> extends infer M
@@ -122,6 +132,10 @@
         epoch: this.leading?.epoch ?? -1,
         entries,
       }),
+      {
+        ...DEFAULT_WRITER_LIMITS,
+        maxQueuedEntries: ENTRIES_PER_JOB * settings.limits.maxQueuedJobs,
+      },
     );
     this.channel = this.store.add(
       new StreamChannel(
@@ -340,7 +354,7 @@
       // Entries of an earlier lead must not be written in this one.
       this.writer.discardEntries();
     }
-    this.schedule({kind: 'lead', epoch: view.epoch});
+    this.schedule({kind: 'lead', epoch: view.epoch, continued});
   }
 
   private readonly handlers: ActionTable = {
--- a/src/node/worker_client.ts
+++ b/src/node/worker_client.ts
@@ -39,7 +39,10 @@
 const LEASE_LAPSED_STATUS = 409;
 
 /** Actions of the scheduler that are sent to a worker. */
-export type WorkerAction = Extract<SchedulerAction, {readonly worker: string}>;
+export type WorkerAction = Exclude<
+  Extract<SchedulerAction, {readonly worker: string}>,
+  {readonly kind: 'violation'}
+>;
 
 interface WorkerCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
