--- /dev/null
+++ b/src/common/tickets/checked_yaml.ts
@@ -0,0 +1,225 @@
+import {Either, Left, Right} from 'purify-ts';
+import {
+  Document,
+  isMap,
+  isNode,
+  isPair,
+  isScalar,
+  isSeq,
+  LineCounter,
+  parseDocument,
+  YAMLError,
+} from 'yaml';
+import {z} from 'zod';
+import {Fault} from './types.js';
+
+/** Longest piece of a wrong value that a message repeats. */
+const MAX_SHOWN_CHARACTERS = 60;
+
+/** Guards against documents that grow by nested aliases. */
+const MAX_ALIASES = 100;
+
+type Path = readonly PropertyKey[];
+
+/** Finds the place of a field in the text. */
+type Locate = (
+  path: Path,
+  key?: string,
+) => {line?: number; column?: number} | undefined;
+
+function show(value: unknown): string {
+  const text =
+    typeof value === 'number' ? String(value) : (JSON.stringify(value) ?? '');
+  return text.length > MAX_SHOWN_CHARACTERS
+    ? `${text.slice(0, MAX_SHOWN_CHARACTERS)}...`
+    : text;
+}
+
+function valueAt(root: unknown, path: Path): unknown {
+  let value = root;
+  for (const part of path) {
+    if (typeof value !== 'object' || value === null) return undefined;
+    if (!Object.hasOwn(value, part)) return undefined;
+    value = (value as Record<PropertyKey, unknown>)[part];
+  }
+  return value;
+}
+
+function fieldName(path: Path): string {
+  return path.map(String).join('.');
+}
+
+function faultsOfIssue(
+  issue: z.core.$ZodIssue,
+  value: unknown,
+  file: string,
+  locate: Locate,
+): Fault[] {
+  const accepted = issue.message;
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({
+      file,
+      ...locate(issue.path, key),
+      field: fieldName([...issue.path, key]),
+      message: 'is not a known field',
+      accepted,
+    }));
+  }
+  if (issue.code === 'invalid_key') {
+    return [
+      {
+        file,
+        ...locate(issue.path.slice(0, -1), String(issue.path.at(-1))),
+        field: fieldName(issue.path),
+        message: 'has a name that is not accepted',
+        accepted: issue.issues[0]?.message ?? accepted,
+      },
+    ];
+  }
+  const given = valueAt(value, issue.path);
+  return [
+    {
+      file,
+      ...locate(issue.path),
+      field: fieldName(issue.path),
+      message: given === undefined ? 'is missing' : `cannot be ${show(given)}`,
+      accepted,
+    },
+  ];
+}
+
+/**
+ * Checks a value against a schema made of the fields of fields.ts.
+ *
+ * @returns the parsed value, or all faults.
+ */
+export function check<T>(
+  schema: z.ZodType<T>,
+  value: unknown,
+  file: string,
+  locate: Locate = () => undefined,
+): Either<readonly Fault[], T> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return Right(parsed.data);
+  return Left(
+    parsed.error.issues.flatMap(issue =>
+      faultsOfIssue(issue, value, file, locate),
+    ),
+  );
+}
+
+/** Start of the deepest node on `path`, or of the key `key` below it. */
+function locateIn(document: Document, lines: LineCounter): Locate {
+  return (path, key) => {
+    let node: unknown = document.contents;
+    let start = isNode(node) ? node.range?.[0] : undefined;
+    for (const part of key === undefined ? path : [...path, key]) {
+      if (isSeq(node)) {
+        node = node.items[Number(part)];
+        if (!isNode(node)) break;
+        start = node.range?.[0] ?? start;
+        continue;
+      }
+      if (!isMap(node)) break;
+      const pair = node.items.find(
+        item =>
+          isPair(item) && isScalar(item.key) && String(item.key.value) === part,
+      );
+      if (pair === undefined) break;
+      const name = pair.key as {range?: readonly number[] | null};
+      start = name.range?.[0] ?? start;
+      node = pair.value;
+    }
+    if (start === undefined) return undefined;
+    const {line, col} = lines.linePos(start);
+    return {line, column: col};
+  };
+}
+
+function faultOfYaml(
+  error: YAMLError,
+  text: string,
+  file: string,
+  lines: LineCounter,
+): Fault {
+  const start = error.pos[0];
+  const {line, col} = lines.linePos(start);
+  const place = {file, line, column: col};
+  if (error.code === 'DUPLICATE_KEY') {
+    const field = /^[^\s:]*/.exec(text.slice(start))?.[0] ?? '';
+    return {...place, field, message: 'is given twice', accepted: 'once'};
+  }
+  const accepted = 'one well-formed YAML document';
+  return {...place, field: '', message: error.message, accepted};
+}
+
+/** A document and the means to find its fields. */
+export interface YamlText {
+  readonly value: unknown;
+  readonly locate: Locate;
+  /** Faults of the YAML itself. */
+  readonly faults: readonly Fault[];
+  /** Whether `value` has the document's fields in spite of the faults. */
+  readonly usable: boolean;
+}
+
+/** Reads YAML; never throws. */
+export function readYaml(text: string, file: string): YamlText {
+  const lines = new LineCounter();
+  const document = parseDocument(text, {
+    lineCounter: lines,
+    prettyErrors: false,
+  });
+  const errors = [...document.errors, ...document.warnings];
+  const faults = errors.map(error => faultOfYaml(error, text, file, lines));
+  const locate = locateIn(document, lines);
+  if (errors.some(error => error.code !== 'DUPLICATE_KEY')) {
+    return {value: undefined, locate, faults, usable: false};
+  }
+  try {
+    const value: unknown = document.toJS({maxAliasCount: MAX_ALIASES});
+    return {value, locate, faults, usable: true};
+  } catch (error) {
+    const message = (error as Error).message;
+    const accepted = `at most ${MAX_ALIASES} uses of aliases`;
+    const fault = {file, line: 1, column: 1, field: '', message, accepted};
+    return {value: undefined, locate, faults: [fault], usable: false};
+  }
+}
+
+/** Reads YAML and checks it; reports all faults in order of their place. */
+export function parseYaml<T>(
+  schema: z.ZodType<T>,
+  text: string,
+  file: string,
+): Either<readonly Fault[], T> {
+  const yaml = readYaml(text, file);
+  if (!yaml.usable) return Left(yaml.faults);
+  const checked = check(schema, yaml.value, file, yaml.locate);
+  if (yaml.faults.length === 0 && checked.isRight()) return checked;
+  return Left(sortFaults([...yaml.faults, ...checked.swap().orDefault([])]));
+}
+
+/** Orders faults by line and column; those without a place come first. */
+export function sortFaults(faults: readonly Fault[]): readonly Fault[] {
+  return [...faults].sort(
+    (a, b) =>
+      (a.line ?? 0) - (b.line ?? 0) || (a.column ?? 0) - (b.column ?? 0),
+  );
+}
+
+/** One line for each fault: `file:line:column: field: message; accepted: x`. */
+export function formatFaults(faults: readonly Fault[]): string {
+  return faults
+    .map(fault => {
+      const place =
+        fault.line === undefined
+          ? fault.file
+          : `${fault.file}:${fault.line}:${fault.column ?? 1}`;
+      const field = fault.field === '' ? '' : `${fault.field}: `;
+      const accepted =
+        fault.accepted === undefined ? '' : `; accepted: ${fault.accepted}`;
+      return `${place}: ${field}${fault.message}${accepted}`;
+    })
+    .join('\n');
+}
--- /dev/null
+++ b/src/common/tickets/fields.ts
@@ -0,0 +1,143 @@
+import {z} from 'zod';
+import {
+  ACCEPTED_DURATION,
+  ACCEPTED_MEMORY,
+  parseDuration,
+  parseMemory,
+} from './units.js';
+
+/*
+ * Building blocks of the schemas for text that people write. The message of
+ * each zod issue is the text of the accepted values; `check` in
+ * checked_yaml.ts adds what is wrong with the given value.
+ */
+
+/** Names of instances, services, teams and classes. */
+const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+const ACCEPTED_NAME =
+  'a name of 1 to 63 letters, digits, ".", "_" or "-" that starts with a letter or digit';
+
+/** A name of an object; no name can be `__proto__` or contain a slash. */
+export function nameField() {
+  return z
+    .string({error: ACCEPTED_NAME})
+    .regex(NAME_PATTERN, {error: ACCEPTED_NAME});
+}
+
+/** Text of 1 to `max` characters. */
+export function textField(max: number) {
+  const error = `text of 1 to ${max} characters`;
+  return z.string({error}).min(1, {error}).max(max, {error});
+}
+
+/** One of a list of values. */
+export function choiceField<const T extends string>(values: readonly T[]) {
+  return z.enum(values as [T, ...T[]], {
+    error: `one of ${values.join(', ')}`,
+  });
+}
+
+/** `true` or `false`. */
+export function booleanField() {
+  return z.boolean({error: 'true or false'});
+}
+
+/** A finite number from `min` up to `max`. */
+export function numberField(min: number, max = Infinity) {
+  const error =
+    max === Infinity
+      ? `a finite number of at least ${min}`
+      : `a number from ${min} to ${max}`;
+  const field = z.number({error}).min(min, {error});
+  return max === Infinity ? field : field.max(max, {error});
+}
+
+/** A finite number above 0. */
+export function positiveField() {
+  const error = 'a finite number above 0';
+  return z.number({error}).positive({error});
+}
+
+/** A whole number from `min` up to `max`. */
+export function wholeField(min: number, max = Number.MAX_SAFE_INTEGER) {
+  const error =
+    max === Number.MAX_SAFE_INTEGER
+      ? `a whole number of at least ${min}`
+      : `a whole number from ${min} to ${max}`;
+  return z.int({error}).min(min, {error}).max(max, {error});
+}
+
+/** A number or text, turned into a number by `parse`. */
+function amountField(
+  accepted: string,
+  parse: (value: unknown) => number | undefined,
+  allowed: (amount: number) => boolean,
+) {
+  return z
+    .union([z.number(), z.string()], {error: accepted})
+    .transform((value, context) => {
+      const amount = parse(value);
+      if (amount === undefined || !allowed(amount)) {
+        context.issues.push({code: 'custom', message: accepted, input: value});
+        return z.NEVER;
+      }
+      return amount;
+    });
+}
+
+/** A duration above 0, in ms or with a unit. */
+export function durationField() {
+  return amountField(
+    `a duration above 0: ${ACCEPTED_DURATION}`,
+    parseDuration,
+    amount => amount > 0,
+  );
+}
+
+/** A duration of 0 or more, in ms or with a unit. */
+export function delayField() {
+  return amountField(
+    `a duration of 0 or more: ${ACCEPTED_DURATION}`,
+    parseDuration,
+    amount => amount >= 0,
+  );
+}
+
+/** An amount of memory of 0 or more, in MB or with a unit. */
+export function memoryField() {
+  return amountField(
+    `0 or more: ${ACCEPTED_MEMORY}`,
+    parseMemory,
+    amount => amount >= 0,
+  );
+}
+
+/** A mapping with exactly the fields of `shape`; others are errors. */
+export function strictFields<T extends z.ZodRawShape>(shape: T) {
+  const names = Object.keys(shape).join(', ');
+  return z.strictObject(shape, {
+    error: issue =>
+      issue.code === 'unrecognized_keys'
+        ? `only the fields ${names}`
+        : `a mapping with the fields ${names}`,
+  });
+}
+
+/** A mapping from names to values. */
+export function namedFields<T extends z.ZodType>(value: T) {
+  const names = z.record(nameField(), value, {
+    error: issue =>
+      issue.code === 'invalid_key' ? ACCEPTED_NAME : 'a mapping from names',
+  });
+  // zod leaves the key `__proto__` out without an issue.
+  return z
+    .custom<z.input<typeof names>>(
+      given =>
+        typeof given !== 'object' ||
+        given === null ||
+        !Object.hasOwn(given, '__proto__'),
+      {error: ACCEPTED_NAME, path: ['__proto__']},
+    )
+    .pipe(names);
+}
--- /dev/null
+++ b/src/common/tickets/ticket_schema.ts
@@ -0,0 +1,197 @@
+import {Either} from 'purify-ts';
+import {z} from 'zod';
+import {SECOND} from '../base/clock.js';
+import {check} from './checked_yaml.js';
+import {
+  booleanField,
+  choiceField,
+  durationField,
+  memoryField,
+  namedFields,
+  numberField,
+  positiveField,
+  strictFields,
+  textField,
+  wholeField,
+} from './fields.js';
+import {Fault, RoutingPolicy, Ticket, Urgency} from './types.js';
+
+/** Values of the fields that a ticket may leave out. */
+export const TICKET_DEFAULTS = {
+  size: {
+    /** Most work needs none. */
+    accelerators: 0,
+  },
+  service: {
+    routing: RoutingPolicy.TWO_CHOICES,
+    /** About 4 requests for each of the 64 connections of one target. */
+    queueLimit: 256,
+    /** Deadline of a request that names none, in milliseconds. */
+    deadlineMs: 10 * SECOND,
+    /** The retry budget of section 3.9 of the design page. */
+    retryBudget: 0.1,
+  },
+  jobClass: {
+    urgency: Urgency.NORMAL,
+    /** A job that is executed twice by mistake wastes material. */
+    idempotent: false,
+    /** The limit of section 3.10 of the design page. */
+    maxEvictions: 3,
+  },
+  team: {
+    /** All teams count the same. */
+    weight: 1,
+  },
+} as const;
+
+const MAX_AUTHOR_CHARACTERS = 200;
+const MAX_COMMENT_CHARACTERS = 2000;
+
+/** Amounts of processors, memory and accelerators. */
+export const SIZE_SCHEMA = strictFields({
+  processors: numberField(0),
+  memoryMb: memoryField(),
+  accelerators: wholeField(0).default(TICKET_DEFAULTS.size.accelerators),
+});
+
+export const SERVICE_SCHEMA = strictFields({
+  reservation: SIZE_SCHEMA,
+  routing: choiceField(Object.values(RoutingPolicy)).default(
+    TICKET_DEFAULTS.service.routing,
+  ),
+  queueLimit: wholeField(0).default(TICKET_DEFAULTS.service.queueLimit),
+  deadlineMs: durationField().default(TICKET_DEFAULTS.service.deadlineMs),
+  retryBudget: numberField(0, 1).default(TICKET_DEFAULTS.service.retryBudget),
+});
+
+export const JOB_CLASS_SCHEMA = strictFields({
+  size: SIZE_SCHEMA,
+  runMs: durationField(),
+  urgency: choiceField(Object.values(Urgency)).default(
+    TICKET_DEFAULTS.jobClass.urgency,
+  ),
+  idempotent: booleanField().default(TICKET_DEFAULTS.jobClass.idempotent),
+  maxEvictions: wholeField(0).default(TICKET_DEFAULTS.jobClass.maxEvictions),
+});
+
+export const TEAM_SCHEMA = strictFields({
+  quota: SIZE_SCHEMA,
+  weight: positiveField().default(TICKET_DEFAULTS.team.weight),
+});
+
+export const WORKER_SCHEMA = strictFields({
+  state: choiceField(['live', 'leaving']),
+});
+
+export const INSTANCE_SCHEMA = strictFields({
+  state: choiceField(['live', 'leaving', 'gone']),
+});
+
+const CHANGES_SCHEMA = strictFields({
+  services: namedFields(SERVICE_SCHEMA.nullable()).optional(),
+  jobClasses: namedFields(JOB_CLASS_SCHEMA.nullable()).optional(),
+  teams: namedFields(TEAM_SCHEMA.nullable()).optional(),
+  workers: namedFields(WORKER_SCHEMA.nullable()).optional(),
+  instances: namedFields(INSTANCE_SCHEMA.nullable()).optional(),
+}).refine(
+  changes =>
+    Object.values(changes).some(
+      section => section !== undefined && Object.keys(section).length > 0,
+    ),
+  {error: 'at least one change'},
+);
+
+/** A ticket as an operator writes it; optional fields get their defaults. */
+export const TICKET_SCHEMA: z.ZodType<Ticket> = strictFields({
+  number: wholeField(1),
+  base: wholeField(0),
+  author: textField(MAX_AUTHOR_CHARACTERS),
+  comment: textField(MAX_COMMENT_CHARACTERS).optional(),
+  changes: CHANGES_SCHEMA,
+}).refine(ticket => ticket.number > ticket.base, {
+  path: ['number'],
+  error: 'a number above base',
+});
+
+/** Checks a ticket that was not read from YAML text. */
+export function checkTicket(
+  value: unknown,
+  source: string,
+): Either<readonly Fault[], Ticket> {
+  return check(TICKET_SCHEMA, value, source);
+}
+
+/*
+ * Records are checked more loosely than files. Daemons of two versions may
+ * read the same stream, and they must reach the same verdict: a field that
+ * only the newer one knows must not make the older one refuse the record.
+ */
+
+const LOOSE_SIZE = z.looseObject({
+  processors: z.number().min(0),
+  memoryMb: z.number().min(0),
+  accelerators: z.number().min(0),
+});
+
+function looseSection(shape: z.ZodRawShape) {
+  return namedFields(z.looseObject(shape).nullable());
+}
+
+const LOOSE_SECTIONS = {
+  services: looseSection({
+    reservation: LOOSE_SIZE,
+    routing: z.string(),
+    queueLimit: z.number().min(0),
+    deadlineMs: z.number().positive(),
+    retryBudget: z.number().min(0),
+  }),
+  jobClasses: looseSection({
+    size: LOOSE_SIZE,
+    runMs: z.number().positive(),
+    urgency: z.string(),
+    idempotent: z.boolean(),
+    maxEvictions: z.number().min(0),
+  }),
+  teams: looseSection({quota: LOOSE_SIZE, weight: z.number().positive()}),
+  workers: looseSection({state: z.string()}),
+  instances: looseSection({state: z.string()}),
+};
+
+const IDENTITY = {writer: z.string().min(1), sequence: z.int().min(0)};
+
+const AUDIT_ENTRY = z.looseObject({
+  ...IDENTITY,
+  offset: z.int().min(0),
+  timeMs: z.number(),
+  author: z.string(),
+  number: z.int(),
+  base: z.int(),
+  outcome: z.enum(['accepted', 'refused']),
+  touched: z.array(z.string()),
+});
+
+/** A snapshot, from a checkpoint record or from a peer. */
+export const SNAPSHOT_SCHEMA = z.looseObject({
+  configuration: z.looseObject({number: z.int().min(0), ...LOOSE_SECTIONS}),
+  audit: z.array(AUDIT_ENTRY),
+  through: z.int().min(-1),
+});
+
+/** A record of the stream `tickets`, as far as the verdict depends on it. */
+export const RECORD_SCHEMA = z.discriminatedUnion('kind', [
+  z.looseObject({
+    kind: z.literal('ticket'),
+    ...IDENTITY,
+    ticket: z.looseObject({
+      number: z.int().min(0),
+      base: z.int().min(0),
+      author: z.string(),
+      changes: z.looseObject(LOOSE_SECTIONS).partial(),
+    }),
+  }),
+  z.looseObject({
+    kind: z.literal('checkpoint'),
+    ...IDENTITY,
+    ...SNAPSHOT_SCHEMA.shape,
+  }),
+]);
--- /dev/null
+++ b/src/common/tickets/ticket_state.test.ts
@@ -0,0 +1,477 @@
+import fc from 'fast-check';
+import {StoredRecord} from '../stream/types.js';
+import {MAX_AUDIT_ENTRIES, TicketState} from './ticket_state.js';
+import {
+  Configuration,
+  Ticket,
+  TicketOutcome,
+  TicketRecord,
+  TicketSnapshot,
+  TicketVerdict,
+} from './types.js';
+
+/** Fixed, so that a failure is found again. */
+const SEED = 20_261_204;
+
+const RUNS = 200;
+
+function ticketRecord(
+  number: number,
+  base: number,
+  sequence: number,
+  changes: Ticket['changes'] = {workers: {[`w${number}`]: {state: 'leaving'}}},
+  writer = 'a#1',
+): TicketRecord {
+  const ticket = {number, base, author: 'ana', changes};
+  return {kind: 'ticket', writer, sequence, ticket};
+}
+
+function checkpointRecord(
+  snapshot: TicketSnapshot,
+  sequence: number,
+): TicketRecord {
+  return {kind: 'checkpoint', writer: 'c#1', sequence, ...snapshot};
+}
+
+function stored(offset: number, data: unknown): StoredRecord<unknown> {
+  // Through JSON, as a record from the log.
+  const copy: unknown = JSON.parse(JSON.stringify(data));
+  return {offset, timeMs: 1000 + offset, data: copy};
+}
+
+/** Applies records from offset `from` on. */
+function applyAll(state: TicketState, records: unknown[], from = 0) {
+  return records.map((data, i) => state.apply(stored(from + i, data)));
+}
+
+describe('TicketState', () => {
+  it('accepts a ticket on the current number and applies its changes', () => {
+    const state = new TicketState();
+    const [first, second] = applyAll(state, [
+      ticketRecord(1, 0, 1, {
+        workers: {w1: {state: 'leaving'}, w2: {state: 'live'}},
+      }),
+      ticketRecord(7, 1, 2, {workers: {w1: null}}),
+    ]);
+    expect(first.kind).toBe('accepted');
+    expect(second.kind).toBe('accepted');
+    expect(state.configuration).toEqual({
+      number: 7,
+      services: {},
+      jobClasses: {},
+      teams: {},
+      workers: {w2: {state: 'live'}},
+      instances: {},
+    });
+    expect(state.audit.map(entry => entry.touched)).toEqual([
+      ['workers/w1', 'workers/w2'],
+      ['workers/w1'],
+    ]);
+  });
+
+  it('names the ticket that won when two have the same base', () => {
+    const state = new TicketState();
+    const outcomes = applyAll(state, [
+      ticketRecord(1, 0, 1),
+      ticketRecord(2, 1, 2),
+      ticketRecord(9, 2, 3),
+      // Lost against 2, although 9 is the current number by now.
+      ticketRecord(3, 1, 4),
+    ]);
+    expect(outcomes[3]).toMatchObject({
+      kind: 'refused',
+      reason: 'base-passed',
+      winner: 2,
+    });
+    expect(state.configuration.number).toBe(9);
+    expect(state.audit[3]).toMatchObject({outcome: 'refused', winner: 2});
+  });
+
+  it('refuses an unknown base and a number that is not above its base', () => {
+    const state = new TicketState();
+    const outcomes = applyAll(state, [
+      ticketRecord(6, 5, 1),
+      ticketRecord(0, 0, 2),
+    ]);
+    expect(outcomes).toMatchObject([
+      {kind: 'refused', reason: 'base-unknown', winner: 0},
+      {kind: 'refused', reason: 'number-not-above-base', winner: 0},
+    ]);
+    expect(state.configuration.number).toBe(0);
+  });
+
+  it('ignores a repeat, so that a refused ticket is not accepted later', () => {
+    const state = new TicketState();
+    const early = ticketRecord(2, 1, 1, undefined, 'b#1');
+    const outcomes = applyAll(state, [early, ticketRecord(1, 0, 1), early]);
+    expect(outcomes.map(outcome => outcome.kind)).toEqual([
+      'refused',
+      'accepted',
+      'ignored',
+    ]);
+    expect(state.audit).toHaveLength(2);
+    expect(state.verdictOn('b#1', 1)?.outcome).toBe('refused');
+  });
+
+  it('skips records that were read before', () => {
+    const state = new TicketState();
+    applyAll(state, [ticketRecord(1, 0, 1)]);
+    expect(state.apply(stored(0, ticketRecord(5, 1, 9)))).toEqual({
+      kind: 'ignored',
+      reason: 'covered',
+    });
+  });
+
+  it.each([
+    ['no object', 'text'],
+    ['an unknown kind', {kind: 'other', writer: 'a', sequence: 1}],
+    ['no writer', {kind: 'ticket', sequence: 1, ticket: {}}],
+    ['a number that is text', ticketRecord('2' as unknown as number, 0, 1)],
+    [
+      'a service without a reservation',
+      ticketRecord(1, 0, 1, {
+        services: {s: {}},
+      } as unknown as Ticket['changes']),
+    ],
+    [
+      'a name that would set a prototype',
+      JSON.parse(
+        '{"kind":"ticket","writer":"a","sequence":1,"ticket":{"number":1,' +
+          '"base":0,"author":"a","changes":{"workers":{"__proto__":' +
+          '{"state":"live"}}}}}',
+      ) as unknown,
+    ],
+  ])(
+    'reports a record with %s as malformed and goes on',
+    (unusedName, data) => {
+      const state = new TicketState();
+      expect(state.apply({offset: 0, timeMs: 0, data}).kind).toBe('malformed');
+      expect(state.configuration.number).toBe(0);
+      expect(state.apply(stored(1, ticketRecord(1, 0, 2))).kind).toBe(
+        'accepted',
+      );
+    },
+  );
+
+  it('accepts fields that only a newer version knows', () => {
+    // A rolling upgrade runs both versions, which must reach one verdict.
+    const state = new TicketState();
+    const record = ticketRecord(1, 0, 1, {
+      workers: {w: {state: 'live', zone: 'z'}},
+      racks: {r1: {state: 'leaving'}},
+    } as Ticket['changes']);
+    expect(state.apply(stored(0, record)).kind).toBe('accepted');
+  });
+
+  it('keeps the last audit entries only', () => {
+    const state = new TicketState();
+    const count = MAX_AUDIT_ENTRIES + 5;
+    for (let i = 0; i < count; i++) {
+      state.apply(stored(i, ticketRecord(i + 1, i, i)));
+    }
+    expect(state.audit).toHaveLength(MAX_AUDIT_ENTRIES);
+    expect(state.audit[0].number).toBe(6);
+    expect(state.snapshot().audit).toHaveLength(MAX_AUDIT_ENTRIES);
+  });
+
+  it('fires onChange once for each new number', () => {
+    const state = new TicketState();
+    const numbers: number[] = [];
+    const subscription = state.onChange(({number}) => numbers.push(number));
+    const peer = ticketRecord(1, 0, 1);
+    state.takePassed(peer);
+    applyAll(state, [peer, ticketRecord(9, 0, 2), ticketRecord(2, 1, 3)]);
+    subscription.dispose();
+    state.apply(stored(3, ticketRecord(3, 2, 4)));
+    expect(numbers).toEqual([1, 2]);
+  });
+});
+
+describe('TicketState without the first records', () => {
+  it('judges nothing until a checkpoint covers what is missing', () => {
+    const writer = new TicketState();
+    applyAll(writer, [ticketRecord(1, 0, 1)]);
+    const late = new TicketState();
+    expect(late.apply(stored(1, ticketRecord(2, 1, 2))).kind).toBe('waiting');
+    expect(late.missesRecords).toBe(true);
+    expect(late.configuration.number).toBe(0);
+    // Describes the state before offset 1 and was appended after it.
+    const checkpoint = checkpointRecord(writer.snapshot(), 1);
+    expect(late.apply(stored(2, checkpoint))).toMatchObject({
+      kind: 'checkpoint-taken',
+      number: 1,
+      verdicts: [{kind: 'accepted', entry: {number: 2, offset: 1}}],
+    });
+    expect(late.configuration.number).toBe(2);
+    expect(late.through).toBe(2);
+  });
+
+  it('leaves a checkpoint that covers too little', () => {
+    const writer = new TicketState();
+    applyAll(writer, [ticketRecord(1, 0, 1)]);
+    const checkpoint = checkpointRecord(writer.snapshot(), 1);
+    const late = new TicketState();
+    // The record at offset 1 is missing between the checkpoint and this one.
+    late.apply(stored(2, ticketRecord(3, 2, 3)));
+    expect(late.apply(stored(3, checkpoint))).toEqual({
+      kind: 'ignored',
+      reason: 'records-missing',
+    });
+    expect(late.missesRecords).toBe(true);
+  });
+
+  it('keeps its state over a gap and continues from a snapshot', () => {
+    const peer = new TicketState();
+    const records = [1, 2, 3, 4].map(n => ticketRecord(n, n - 1, n));
+    applyAll(peer, records);
+    const state = new TicketState();
+    applyAll(state, records.slice(0, 1));
+    expect(state.apply(stored(3, records[3])).kind).toBe('waiting');
+    expect(state.configuration.number).toBe(1);
+    expect(state.takeSnapshot(peer.snapshot()).kind).toBe('checkpoint-taken');
+    expect(state.missesRecords).toBe(false);
+    expect(state.snapshot()).toEqual(peer.snapshot());
+  });
+});
+
+describe('TicketState with peers', () => {
+  const records = [1, 2, 3].map(n => ticketRecord(n, n - 1, n));
+
+  it('takes a snapshot only when its number is higher', () => {
+    const peer = new TicketState();
+    applyAll(peer, records);
+    const state = new TicketState();
+    expect(state.takeSnapshot(peer.snapshot()).kind).toBe('checkpoint-taken');
+    expect(state.takeSnapshot(peer.snapshot())).toEqual({
+      kind: 'ignored',
+      reason: 'not-newer',
+    });
+    const older = new TicketState();
+    applyAll(older, records.slice(0, 2));
+    expect(state.takeSnapshot(older.snapshot()).kind).toBe('ignored');
+    expect(state.configuration.number).toBe(3);
+    expect(state.takeSnapshot({through: 5}).kind).toBe('malformed');
+  });
+
+  it('takes passed tickets in order and reports a gap', () => {
+    const state = new TicketState();
+    expect(state.takePassed(records[1]).kind).toBe('gap');
+    expect(state.takePassed(records[0]).kind).toBe('accepted');
+    expect(state.takePassed(records[0]).kind).toBe('ignored');
+    expect(state.takePassed(records[1]).kind).toBe('accepted');
+    expect(state.takePassed({kind: 'ticket'}).kind).toBe('malformed');
+    expect(state.configuration.number).toBe(2);
+    // Passed tickets do not count as read: the log still gives the verdicts.
+    expect(state.through).toBe(-1);
+    expect(applyAll(state, records).map(({kind}) => kind)).toEqual([
+      'accepted',
+      'accepted',
+      'accepted',
+    ]);
+    expect(state.configuration.number).toBe(3);
+  });
+});
+
+/** One step of a generated stream. */
+type Step =
+  | {kind: 'ticket'; baseShift: number; step: number; object: number}
+  | {kind: 'repeat'; back: number}
+  | {kind: 'checkpoint'; lag: number}
+  | {kind: 'malformed'};
+
+const STEP: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('ticket' as const),
+      // Mostly the current number; also old bases and ones of the future.
+      baseShift: fc.oneof(
+        {weight: 3, arbitrary: fc.constant(0)},
+        {weight: 2, arbitrary: fc.integer({min: -4, max: 4})},
+      ),
+      step: fc.integer({min: 0, max: 3}),
+      object: fc.integer({min: 0, max: 9}),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('repeat' as const),
+      back: fc.integer({min: 1, max: 12}),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('checkpoint' as const),
+      lag: fc.integer({min: 0, max: 4}),
+    }),
+  },
+  {weight: 1, arbitrary: fc.constant({kind: 'malformed' as const})},
+);
+
+/** Small, so that generated streams exceed it. */
+const AUDIT_LIMIT = 6;
+
+interface Stream {
+  readonly records: StoredRecord<unknown>[];
+  /** Outcomes of the reader that started at the first record. */
+  readonly outcomes: TicketOutcome[];
+  /** Its state after each record; the first is the one before any. */
+  readonly snapshots: TicketSnapshot[];
+  readonly configurations: Map<number, Configuration>;
+}
+
+/** Makes a stream and reads it from its first record. */
+function makeStream(steps: readonly Step[]): Stream {
+  const reader = new TicketState(AUDIT_LIMIT);
+  const records: StoredRecord<unknown>[] = [];
+  const outcomes: TicketOutcome[] = [];
+  const snapshots = [reader.snapshot()];
+  const configurations = new Map([[0, reader.configuration]]);
+  const make = (step: Step, sequence: number): unknown => {
+    switch (step.kind) {
+      case 'ticket': {
+        const base = Math.max(0, reader.configuration.number + step.baseShift);
+        const name = `w${step.object % 3}`;
+        const value =
+          step.object < 3
+            ? null
+            : {state: step.object < 6 ? 'live' : 'leaving'};
+        const changes = {workers: {[name]: value}} as Ticket['changes'];
+        const writer = `i${step.object % 2}#1`;
+        return ticketRecord(base + step.step, base, sequence, changes, writer);
+      }
+      case 'repeat':
+        return records[Math.max(0, records.length - step.back)]?.data ?? {};
+      case 'checkpoint':
+        return checkpointRecord(
+          snapshots[Math.max(0, snapshots.length - 1 - step.lag)],
+          sequence,
+        );
+      case 'malformed':
+        return {kind: 'ticket', writer: 'm', sequence};
+    }
+  };
+  steps.forEach((step, offset) => {
+    const record = stored(offset, make(step, offset));
+    records.push(record);
+    outcomes.push(reader.apply(record));
+    snapshots.push(reader.snapshot());
+    configurations.set(reader.configuration.number, reader.configuration);
+  });
+  return {records, outcomes, snapshots, configurations};
+}
+
+function verdictsOf(outcome: TicketOutcome): readonly TicketVerdict[] {
+  switch (outcome.kind) {
+    case 'accepted':
+    case 'refused':
+      return [outcome];
+    case 'checkpoint-taken':
+      return outcome.verdicts;
+    default:
+      return [];
+  }
+}
+
+function expectAgreement(stream: Stream, reader: TicketState): void {
+  if (reader.missesRecords) return;
+  expect(reader.snapshot()).toEqual(stream.snapshots[reader.through + 1]);
+}
+
+describe('readers of one stream', () => {
+  const streams = fc.array(STEP, {minLength: 10, maxLength: 60});
+
+  it('agree wherever they start', () => {
+    let compared = 0;
+    fc.assert(
+      fc.property(streams, steps => {
+        const stream = makeStream(steps);
+        for (let from = 0; from < stream.records.length; from++) {
+          const reader = new TicketState(AUDIT_LIMIT);
+          for (const record of stream.records.slice(from)) {
+            for (const verdict of verdictsOf(reader.apply(record))) {
+              expect(verdict).toEqual(stream.outcomes[verdict.entry.offset]);
+            }
+          }
+          expectAgreement(stream, reader);
+          if (from > 0 && !reader.missesRecords) compared++;
+        }
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    // Guards against a generator that leaves nothing to compare.
+    expect(compared).toBeGreaterThan(RUNS);
+  });
+
+  it('take a checkpoint that covers the record before their start', () => {
+    fc.assert(
+      fc.property(streams, fc.nat(40), (steps, lag) => {
+        const stream = makeStream(steps);
+        const end = stream.records.length;
+        const through = Math.max(-1, end - 1 - lag);
+        const checkpoint = checkpointRecord(stream.snapshots[through + 1], 999);
+        const reader = new TicketState(AUDIT_LIMIT);
+        for (const record of stream.records.slice(through + 1)) {
+          reader.apply(record);
+        }
+        reader.apply(stored(end, checkpoint));
+        expect(reader.missesRecords).toBe(false);
+        expect(reader.snapshot()).toEqual({
+          ...stream.snapshots[end],
+          through: end,
+        });
+      }),
+      {seed: SEED + 1, numRuns: RUNS},
+    );
+  });
+
+  const events = fc.array(
+    fc.record({
+      kind: fc.constantFrom('read', 'read', 'read', 'skip', 'peer', 'passed'),
+      amount: fc.nat(40),
+    }),
+    {maxLength: 80},
+  );
+
+  it('agree over gaps, snapshots and passed tickets, and never go back', () => {
+    fc.assert(
+      fc.property(streams, events, (steps, actions) => {
+        const stream = makeStream(steps);
+        const reader = new TicketState(AUDIT_LIMIT);
+        let next = 0;
+        let number = 0;
+        reader.onChange(configuration => {
+          expect(configuration.number).toBeGreaterThan(number);
+          number = configuration.number;
+        });
+        for (const {kind, amount} of actions) {
+          const peer = amount % stream.snapshots.length;
+          if (kind === 'read' && next < stream.records.length) {
+            const outcome = reader.apply(stream.records[next++]);
+            for (const verdict of verdictsOf(outcome)) {
+              expect(verdict).toEqual(stream.outcomes[verdict.entry.offset]);
+            }
+          } else if (kind === 'skip') {
+            next += amount % 3;
+          } else if (kind === 'peer') {
+            const outcome = reader.takeSnapshot(stream.snapshots[peer]);
+            for (const verdict of verdictsOf(outcome)) {
+              expect(verdict).toEqual(stream.outcomes[verdict.entry.offset]);
+            }
+          } else if (kind === 'passed') {
+            const offset = amount % stream.records.length;
+            if (stream.outcomes[offset].kind === 'accepted') {
+              reader.takePassed(stream.records[offset].data);
+            }
+          }
+          const current = reader.configuration;
+          expect(current).toEqual(stream.configurations.get(current.number));
+          expectAgreement(stream, reader);
+        }
+      }),
+      {seed: SEED + 2, numRuns: RUNS},
+    );
+  });
+});
--- a/src/common/tickets/types.ts
+++ b/src/common/tickets/types.ts
@@ -107,26 +107,116 @@
       readonly sequence: number;
       readonly ticket: Ticket;
     }
-  | {
+  | ({
       readonly kind: 'checkpoint';
       readonly writer: string;
       readonly sequence: number;
-      readonly configuration: Configuration;
-      /** The last audit entries, oldest first. */
-      readonly audit: readonly AuditEntry[];
-    };
+    } & TicketSnapshot);
+
+/** The whole state after one offset of the stream. */
+export interface TicketSnapshot {
+  readonly configuration: Configuration;
+  /** The last audit entries, oldest first. */
+  readonly audit: readonly AuditEntry[];
+  /**
+   * Offset of the last record that is covered; -1 before the first. A
+   * checkpoint is appended some records after the state that it describes, so
+   * its own offset does not say what it covers.
+   */
+  readonly through: Offset;
+}
+
+/** Why a well-formed ticket was refused. */
+export const TicketRefusalReason = {
+  /** Another ticket with the same or a later base was accepted first. */
+  BASE_PASSED: 'base-passed',
+  /** No ticket with the number `base` has been accepted. */
+  BASE_UNKNOWN: 'base-unknown',
+  NUMBER_NOT_ABOVE_BASE: 'number-not-above-base',
+} as const;
+export type TicketRefusalReason =
+  (typeof TicketRefusalReason)[keyof typeof TicketRefusalReason];
 
 /** One line of the audit trail. */
 export interface AuditEntry {
   readonly offset: Offset;
   readonly timeMs: Millis;
+  /** Identity of the record; repeats of it are ignored. */
+  readonly writer: string;
+  readonly sequence: number;
   readonly author: string;
   readonly number: number;
   readonly base: number;
   readonly outcome: 'accepted' | 'refused';
   /** Names of the touched objects, `section/name`. */
   readonly touched: readonly string[];
-  /** Why it was refused, with the number that won. */
-  readonly reason?: string;
+  /** Why it was refused. */
+  readonly reason?: TicketRefusalReason;
+  /** Number of the accepted ticket that a refused one lost against. */
+  readonly winner?: number;
   readonly comment?: string;
 }
+
+/** Why a record has no effect. */
+export const IgnoredReason = {
+  /** A record with the same identity was judged before. */
+  REPEAT: 'repeat',
+  /** The state covers this offset already. */
+  COVERED: 'covered',
+  /** The number is not higher than the current one. */
+  NOT_NEWER: 'not-newer',
+  /** Records between the snapshot and the reader's position are missing. */
+  RECORDS_MISSING: 'records-missing',
+} as const;
+export type IgnoredReason = (typeof IgnoredReason)[keyof typeof IgnoredReason];
+
+/** The verdict on one ticket; the same for every reader of the stream. */
+export type TicketVerdict =
+  | {
+      readonly kind: 'accepted';
+      readonly entry: AuditEntry;
+      /** The state that the ticket made. */
+      readonly configuration: Configuration;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly entry: AuditEntry;
+      readonly reason: TicketRefusalReason;
+      /** Number of the accepted ticket that this one lost against. */
+      readonly winner: number;
+    };
+
+/** What became of a record of the stream `tickets`. */
+export type TicketOutcome =
+  | TicketVerdict
+  | {
+      readonly kind: 'checkpoint-taken';
+      readonly number: number;
+      /** Verdicts on records that had been kept until a checkpoint came. */
+      readonly verdicts: readonly TicketVerdict[];
+    }
+  | {readonly kind: 'ignored'; readonly reason: IgnoredReason}
+  /** Earlier records are missing: kept until a checkpoint or snapshot comes. */
+  | {readonly kind: 'waiting'}
+  | {readonly kind: 'malformed'; readonly message: string};
+
+/** What became of a ticket that a peer passed on. */
+export type PassedTicketOutcome =
+  | {readonly kind: 'accepted'; readonly configuration: Configuration}
+  | {readonly kind: 'ignored'; readonly reason: IgnoredReason}
+  /** A ticket in between is missing: ask the peer for a snapshot. */
+  | {readonly kind: 'gap'}
+  | {readonly kind: 'malformed'; readonly message: string};
+
+/** One fault of a file or body that a person wrote. */
+export interface Fault {
+  readonly file: string;
+  /** From 1; absent when the text has no such place. */
+  readonly line?: number;
+  readonly column?: number;
+  /** Path of the field, parts joined by dots; empty for the whole file. */
+  readonly field: string;
+  readonly message: string;
+  /** The values that are accepted. */
+  readonly accepted?: string;
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,326 @@
+import {readFileSync} from 'node:fs';
+import {isIP} from 'node:net';
+import {Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import {SECOND} from '../common/base/clock.js';
+import {DEFAULT_SCHEDULER_TIMING} from '../common/jobs/types.js';
+import {DEFAULT_LEADERSHIP_TIMING} from '../common/leadership/types.js';
+import {
+  check,
+  formatFaults,
+  readYaml,
+  sortFaults,
+} from '../common/tickets/checked_yaml.js';
+import {
+  choiceField,
+  delayField,
+  durationField,
+  namedFields,
+  nameField,
+  numberField,
+  strictFields,
+  wholeField,
+} from '../common/tickets/fields.js';
+import {Fault} from '../common/tickets/types.js';
+import {LogLevel, Settings, SettingsError} from './types.js';
+
+/** Values of the settings that a file may leave out. */
+export const SETTINGS_DEFAULTS = {
+  limits: {
+    /** The limit of section 6 of the design page: 1 MiB. */
+    maxBodyBytes: 1024 * 1024,
+    /** A day's jobs of all data centres at the two-year size, rounded up. */
+    maxQueuedJobs: 65_536,
+    /** An instance of the planned size has far fewer clients. */
+    maxCallerConnections: 8192,
+    /** Section 3.8 of the design page. */
+    maxPeerQueueMessages: 1000,
+    maxPeerQueueBytes: 4 * 1024 * 1024,
+  },
+  timeouts: {
+    /** Section 3.7 of the design page. */
+    drainMs: 30 * SECOND,
+    requestMs: 30 * SECOND,
+    claimMs: 2 * SECOND,
+    logAppendMs: 5 * SECOND,
+    logWaitMs: 2 * SECOND,
+    instanceListMs: SECOND,
+    workerMs: SECOND,
+    /** Section 3.8 of the design page. */
+    peerSilenceMs: 2 * SECOND,
+    /** Section 3.4 of the design page. */
+    ticketStaleMs: 7 * SECOND,
+  },
+  leadership: DEFAULT_LEADERSHIP_TIMING,
+  scheduler: DEFAULT_SCHEDULER_TIMING,
+  log: {level: LogLevel.INFO},
+} as const;
+
+/** Path of the setting that an environment variable replaces. */
+export const ENVIRONMENT_OVERRIDES: Readonly<
+  Record<string, readonly [string, ...string[]]>
+> = {
+  JASMINEGAUGE_INSTANCE: ['instance'],
+  JASMINEGAUGE_DATA_CENTRE: ['dataCentre'],
+  JASMINEGAUGE_LOG_LEVEL: ['log', 'level'],
+};
+
+const MAX_PORT = 65_535;
+
+/** Clocks of real machines differ by far less than this. */
+const MAX_DRIFT_FRACTION = 0.25;
+
+const ACCEPTED_IP =
+  'an IP number such as 10.0.0.7 or fd00::7; host names are not resolved';
+
+const ACCEPTED_URL =
+  'an http URL by IP number such as http://10.0.0.7:7200; host names are not resolved';
+
+function hostField() {
+  return z
+    .string({error: ACCEPTED_IP})
+    .refine(host => isIP(host) !== 0, {error: ACCEPTED_IP});
+}
+
+function isUrlByIp(text: string): boolean {
+  if (!URL.canParse(text)) return false;
+  const url = new URL(text);
+  return (
+    url.protocol === 'http:' &&
+    isIP(url.hostname.replace(/^\[(.*)\]$/, '$1')) !== 0 &&
+    url.username === '' &&
+    url.search === '' &&
+    url.hash === ''
+  );
+}
+
+function urlField() {
+  return z
+    .string({error: ACCEPTED_URL})
+    .refine(isUrlByIp, {error: ACCEPTED_URL})
+    .transform(text => text.replace(/\/+$/, ''));
+}
+
+function addressField() {
+  return strictFields({host: hostField(), port: wholeField(1, MAX_PORT)});
+}
+
+const {limits, timeouts, leadership, scheduler, log} = SETTINGS_DEFAULTS;
+
+const LIMITS_SCHEMA = strictFields({
+  maxBodyBytes: wholeField(1).default(limits.maxBodyBytes),
+  maxQueuedJobs: wholeField(1).default(limits.maxQueuedJobs),
+  maxCallerConnections: wholeField(1).default(limits.maxCallerConnections),
+  maxPeerQueueMessages: wholeField(1).default(limits.maxPeerQueueMessages),
+  maxPeerQueueBytes: wholeField(1).default(limits.maxPeerQueueBytes),
+});
+
+const TIMEOUTS_SCHEMA = strictFields({
+  drainMs: delayField().default(timeouts.drainMs),
+  requestMs: durationField().default(timeouts.requestMs),
+  claimMs: durationField().default(timeouts.claimMs),
+  logAppendMs: durationField().default(timeouts.logAppendMs),
+  logWaitMs: durationField().default(timeouts.logWaitMs),
+  instanceListMs: durationField().default(timeouts.instanceListMs),
+  workerMs: durationField().default(timeouts.workerMs),
+  peerSilenceMs: durationField().default(timeouts.peerSilenceMs),
+  ticketStaleMs: durationField().default(timeouts.ticketStaleMs),
+});
+
+const LEADERSHIP_SCHEMA = strictFields({
+  leaseMs: durationField().default(leadership.leaseMs),
+  renewMs: durationField().default(leadership.renewMs),
+  suspectMs: durationField().default(leadership.suspectMs),
+  driftFraction: numberField(0, MAX_DRIFT_FRACTION).default(
+    leadership.driftFraction,
+  ),
+});
+
+const SCHEDULER_SCHEMA = strictFields({
+  taskLeaseMs: durationField().default(scheduler.taskLeaseMs),
+  pollMs: durationField().default(scheduler.pollMs),
+  driftFraction: numberField(0, MAX_DRIFT_FRACTION).default(
+    scheduler.driftFraction,
+  ),
+  claimKeptMs: durationField().default(scheduler.claimKeptMs),
+});
+
+const LOG_SCHEMA = strictFields({
+  level: choiceField(Object.values(LogLevel)).default(log.level),
+});
+
+const SETTINGS_SCHEMA = strictFields({
+  instance: nameField(),
+  dataCentre: nameField(),
+  dataCentres: namedFields(strictFields({delayMs: delayField()})),
+  caller: addressField(),
+  operator: addressField(),
+  peer: addressField(),
+  platform: strictFields({log: urlField(), instances: urlField()}),
+  peers: z.array(addressField(), {error: 'a list of addresses'}).default([]),
+  limits: LIMITS_SCHEMA.prefault({}),
+  timeouts: TIMEOUTS_SCHEMA.prefault({}),
+  leadership: LEADERSHIP_SCHEMA.prefault({}),
+  scheduler: SCHEDULER_SCHEMA.prefault({}),
+  log: LOG_SCHEMA.prefault({}),
+});
+
+/** A rule about several settings together. */
+interface Rule {
+  readonly path: readonly [string, ...string[]];
+  readonly accepted: string;
+  readonly holds: (settings: Settings) => boolean;
+}
+
+function sameAddress(a: Settings['caller'], b: Settings['caller']): boolean {
+  return a.port === b.port && a.host === b.host;
+}
+
+const RULES: readonly Rule[] = [
+  {
+    path: ['dataCentre'],
+    accepted: 'one of the names in dataCentres',
+    holds: settings => Object.hasOwn(settings.dataCentres, settings.dataCentre),
+  },
+  {
+    path: ['operator', 'port'],
+    accepted: 'an address other than that of caller',
+    holds: settings => !sameAddress(settings.operator, settings.caller),
+  },
+  {
+    path: ['peer', 'port'],
+    accepted: 'an address other than those of caller and operator',
+    holds: settings =>
+      !sameAddress(settings.peer, settings.caller) &&
+      !sameAddress(settings.peer, settings.operator),
+  },
+  {
+    path: ['leadership', 'renewMs'],
+    accepted: 'at most half of leadership.suspectMs',
+    holds: ({leadership: timing}) => 2 * timing.renewMs <= timing.suspectMs,
+  },
+  {
+    path: ['leadership', 'suspectMs'],
+    accepted: 'less than leadership.leaseMs',
+    holds: ({leadership: timing}) => timing.suspectMs < timing.leaseMs,
+  },
+  {
+    path: ['scheduler', 'pollMs'],
+    accepted: 'at most a third of scheduler.taskLeaseMs',
+    holds: ({scheduler: timing}) => 3 * timing.pollMs <= timing.taskLeaseMs,
+  },
+  {
+    path: ['scheduler', 'claimKeptMs'],
+    accepted: 'at least 24h, because requests up to 23h old are accepted',
+    holds: ({scheduler: timing}) =>
+      timing.claimKeptMs >= DEFAULT_SCHEDULER_TIMING.claimKeptMs,
+  },
+];
+
+type Environment = Readonly<Record<string, string | undefined>>;
+
+/** Sets `path` in a copy of `value`; leaves a value that has no fields. */
+function override(
+  value: unknown,
+  [name, ...rest]: readonly string[],
+  text: string,
+): unknown {
+  const fields = value ?? {};
+  if (typeof fields !== 'object' || Array.isArray(fields)) return value;
+  const inner = (fields as Record<string, unknown>)[name];
+  return {
+    ...fields,
+    [name]: rest.length === 0 ? text : override(inner, rest, text),
+  };
+}
+
+function invalid(faults: readonly Fault[]): SettingsError {
+  const count = faults.length === 1 ? '1 fault' : `${faults.length} faults`;
+  return {
+    kind: 'invalid',
+    faults,
+    message:
+      `The settings have ${count}:\n${formatFaults(faults)}\n` +
+      'Correct them; every setting is described in docs/SETTINGS.md.',
+  };
+}
+
+/** Checks the rules about several settings together. */
+function checkRules(
+  settings: Settings,
+  faultAt: (path: readonly string[]) => Pick<Fault, 'file' | 'line' | 'column'>,
+): Either<readonly Fault[], Settings> {
+  const broken = RULES.filter(rule => !rule.holds(settings)).map(rule => ({
+    ...faultAt(rule.path),
+    field: rule.path.join('.'),
+    message: 'does not fit the other settings',
+    accepted: rule.accepted,
+  }));
+  return broken.length === 0 ? Right(settings) : Left(broken);
+}
+
+/**
+ * Parses settings.
+ *
+ * @param text YAML.
+ * @param file name that faults carry.
+ * @param env environment; only the variables of `ENVIRONMENT_OVERRIDES` count.
+ * @returns the settings with defaults filled in, or all faults together.
+ */
+export function parseSettings(
+  text: string,
+  file: string,
+  env: Environment,
+): Either<SettingsError, Settings> {
+  const yaml = readYaml(text, file);
+  if (!yaml.usable) return Left(invalid(yaml.faults));
+  const variables = Object.entries(ENVIRONMENT_OVERRIDES).filter(
+    ([variable]) => env[variable] !== undefined,
+  );
+  const value = variables.reduce<unknown>(
+    (before, [variable, path]) => override(before, path, env[variable]!),
+    yaml.value,
+  );
+  /** A fault of a value from the environment names the variable. */
+  const attribute = (fault: Fault): Fault => {
+    const variable = variables.find(
+      ([, path]) => path.join('.') === fault.field,
+    );
+    if (variable === undefined) return fault;
+    const {message, accepted} = fault;
+    return {file: 'environment', field: variable[0], message, accepted};
+  };
+  const checked: Either<readonly Fault[], Settings> = check(
+    SETTINGS_SCHEMA,
+    value,
+    file,
+    yaml.locate,
+  ).chain(settings =>
+    checkRules(settings, path => ({file, ...yaml.locate(path)})),
+  );
+  const faults = sortFaults([
+    ...yaml.faults,
+    ...checked.swap().orDefault([]).map(attribute),
+  ]);
+  return faults.length > 0 ? Left(invalid(faults)) : checked.mapLeft(invalid);
+}
+
+/**
+ * Reads and parses a settings file.
+ *
+ * @returns the settings, or why the file cannot be read or used.
+ */
+export function loadSettings(
+  file: string,
+  env: Environment,
+): Either<SettingsError, Settings> {
+  return Either.encase(() => readFileSync(file, 'utf8'))
+    .mapLeft<SettingsError>(error => ({
+      kind: 'unreadable',
+      faults: [],
+      message:
+        `The settings file ${file} cannot be read: ${error.message}. ` +
+        'Name a readable file; its format is described in docs/SETTINGS.md.',
+    }))
+    .chain(text => parseSettings(text, file, env));
+}
--- /dev/null
+++ b/src/node/api_answers.ts
@@ -0,0 +1,106 @@
+import {ServerResponse} from 'node:http';
+import {Either} from 'purify-ts';
+import {Refusal, refuse, RefusalKind} from '../common/base/refusal.js';
+import {formatFaults} from '../common/tickets/checked_yaml.js';
+import {Fault} from '../common/tickets/types.js';
+import {
+  Exchange,
+  RefusedRequest,
+  sendJson,
+  sendRefusal,
+} from './json_server.js';
+
+/** A refusal of a body or query with faults, all of them listed. */
+export interface FaultyRequest extends Refusal {
+  readonly faults: readonly Fault[];
+}
+
+/** Builds the answer to a request with faults. */
+export function refuseFaults(
+  what: string,
+  faults: readonly Fault[],
+  reference: string,
+): FaultyRequest {
+  const message = `The ${what} is not valid:\n${formatFaults(faults)}`;
+  const remedy = `Correct the named fields; see ${reference}.`;
+  return {...refuse(RefusalKind.BAD_REQUEST, message, remedy), faults};
+}
+
+/** Answers with the value or with the refusal. */
+export function sendEither<T>(
+  response: ServerResponse,
+  result: Either<Refusal, T>,
+  status: number | ((value: T) => number) = 200,
+  body: (value: T) => unknown = value => value,
+): void {
+  result.caseOf({
+    Left: refusal => sendRefusal(response, refusal),
+    Right: value =>
+      sendJson(
+        response,
+        typeof status === 'number' ? status : status(value),
+        body(value),
+      ),
+  });
+}
+
+/**
+ * Reads the query of a request.
+ *
+ * @throws RefusedRequest when a parameter is unknown or given twice.
+ */
+export function readQuery<N extends string>(
+  exchange: Exchange,
+  names: readonly N[],
+): Readonly<Partial<Record<N, string>>> {
+  const query: Partial<Record<N, string>> = {};
+  for (const [name, value] of exchange.url.searchParams) {
+    const known = names.find(candidate => candidate === name);
+    if (known === undefined || query[known] !== undefined) {
+      throw badParameter(
+        name,
+        known === undefined ? 'is not known' : 'is given twice',
+        names.length === 0
+          ? 'no parameters'
+          : `one each of ${names.join(', ')}`,
+      );
+    }
+    query[known] = value;
+  }
+  return query;
+}
+
+/** Builds the refusal of a query parameter or path part. */
+export function badParameter(
+  name: string,
+  message: string,
+  accepted: string,
+): RefusedRequest {
+  return new RefusedRequest(
+    refuse(
+      RefusalKind.BAD_REQUEST,
+      `The parameter ${name} ${message}; accepted: ${accepted}.`,
+      'Correct the address of the request.',
+    ),
+  );
+}
+
+/**
+ * Parses a whole number of a query or path.
+ *
+ * @throws RefusedRequest when it is not one from `min` to `max`.
+ */
+export function parseWhole(
+  name: string,
+  text: string,
+  min: number,
+  max: number,
+): number {
+  const value = /^\d{1,16}$/.test(text) ? Number(text) : NaN;
+  if (value >= min && value <= max) return value;
+  throw badParameter(
+    name,
+    `cannot be ${JSON.stringify(text)}`,
+    `a whole number from ${min} to ${max}`,
+  );
+}
--- /dev/null
+++ b/src/node/job_api.test.ts
@@ -0,0 +1,257 @@
+import {JobState, JobView} from '../common/jobs/types.js';
+import {refuse, refuseUnknown, RefusalKind} from '../common/base/refusal.js';
+import {EMPTY_CONFIGURATION} from '../common/tickets/types.js';
+import {FaultyRequest} from './api_answers.js';
+import {FakeOperatorBackend} from './fake_operator_backend.js';
+import {addJobRoutes, parseSubmission, ranOf} from './job_api.js';
+import {JsonServer} from './json_server.js';
+
+const CUT = {
+  size: {processors: 2, memoryMb: 4000, accelerators: 0},
+  runMs: 300_000,
+  urgency: 'urgent',
+  idempotent: false,
+  maxEvictions: 1,
+} as const;
+
+const CONFIGURATION = {...EMPTY_CONFIGURATION, jobClasses: {cut: CUT}};
+
+const FULL = {
+  key: 'order-17',
+  class: 'nest',
+  team: 'floor',
+  urgency: 'low',
+  size: {processors: 1, memoryMb: '2GB', accelerators: 1},
+  runMs: '5m',
+  idempotent: true,
+  payload: {file: 'a'},
+};
+
+function parse(body: unknown) {
+  return parseSubmission(body, CONFIGURATION, ['akl', 'wlg']);
+}
+
+/** Fields with faults, sorted. */
+function faultyFields(body: unknown): string[] {
+  return parse(body)
+    .swap()
+    .orDefault([])
+    .map(fault => fault.field)
+    .sort();
+}
+
+describe('parseSubmission', () => {
+  it('fills in what the body leaves out from the class', () => {
+    const job = parse({key: 'k', class: 'cut', team: 't'}).unsafeCoerce();
+    expect(job).toEqual({
+      submission: {
+        key: 'k',
+        jobClass: 'cut',
+        team: 't',
+        urgency: 'urgent',
+        size: CUT.size,
+        runMs: 300_000,
+        idempotent: false,
+      },
+      dataCentre: undefined,
+    });
+  });
+
+  it('prefers the values of the body', () => {
+    const body = {...FULL, class: 'cut', dataCentre: 'wlg'};
+    const job = parse(body).unsafeCoerce();
+    expect(job.submission).toMatchObject({
+      urgency: 'low',
+      size: {processors: 1, memoryMb: 2000, accelerators: 1},
+      runMs: 300_000,
+      idempotent: true,
+      payload: {file: 'a'},
+    });
+    expect(job.dataCentre).toBe('wlg');
+  });
+
+  it('takes an unknown class only with a size and a run time', () => {
+    expect(parse(FULL).isRight()).toBe(true);
+    expect(faultyFields({key: 'k', class: 'nest', team: 't'})).toEqual([
+      'runMs',
+      'size',
+    ]);
+    // A name of Object.prototype is no configured class.
+    expect(faultyFields({key: 'k', class: 'constructor', team: 't'})).toEqual([
+      'runMs',
+      'size',
+    ]);
+  });
+
+  it('is non-idempotent unless the submission says otherwise', () => {
+    const {idempotent: unusedField, ...body} = FULL;
+    expect(parse(body).unsafeCoerce().submission.idempotent).toBe(false);
+  });
+
+  it.each<[string, object]>([
+    ['urgency', {urgency: 'soon'}],
+    ['size.processors', {size: {processors: -1, memoryMb: 1}}],
+    ['size.processors', {size: {processors: NaN, memoryMb: 1}}],
+    ['size.processors', {size: {processors: Infinity, memoryMb: 1}}],
+    ['size.memoryMb', {size: {processors: 1, memoryMb: '2 parsecs'}}],
+    [
+      'size.accelerators',
+      {size: {processors: 1, memoryMb: 1, accelerators: 0.5}},
+    ],
+    ['runMs', {runMs: 0}],
+    ['runMs', {runMs: '5'}],
+    ['idempotent', {idempotent: 'yes'}],
+    ['key', {key: ''}],
+    ['key', {key: 'x'.repeat(201)}],
+    ['team', {team: 'a/b'}],
+    ['dataCentre', {dataCentre: 'moon'}],
+    ['priority', {priority: 1}],
+  ])('names the field %s of %j', (field, change) => {
+    const faults = parse({...FULL, ...change})
+      .swap()
+      .orDefault([]);
+    expect(faults.map(fault => fault.field)).toEqual([field]);
+    expect(faults[0].accepted).toMatch(/./);
+  });
+
+  it('names all faults together', () => {
+    expect(faultyFields({urgency: 'soon', extra: 1})).toEqual([
+      'class',
+      'extra',
+      'key',
+      'team',
+      'urgency',
+    ]);
+  });
+});
+
+describe('ranOf', () => {
+  const job = (state: JobState, attempts: number, checkpoint = 0) =>
+    ranOf({state, attempts, checkpoint} as JobView);
+
+  it('says no only when no start was sent', () => {
+    expect(job(JobState.CANCELLED, 0)).toBe('no');
+    expect(job(JobState.CANCELLED, 1)).toBe('unknown');
+    expect(job(JobState.STARTING, 0)).toBe('unknown');
+    expect(job(JobState.INTERRUPTED, 1)).toBe('unknown');
+    expect(job(JobState.CANCELLED, 2, 0.4)).toBe('yes');
+    expect(job(JobState.FINISHED, 1)).toBe('yes');
+  });
+});
+
+describe('job routes', () => {
+  let server: JsonServer;
+  let backend: FakeOperatorBackend;
+  let origin: string;
+
+  beforeEach(async () => {
+    server = new JsonServer({maxBodyBytes: 2000, requestTimeoutMs: 5000});
+    backend = new FakeOperatorBackend();
+    addJobRoutes(server, backend);
+    origin = `http://127.0.0.1:${await server.listen(0, '127.0.0.1')}`;
+  });
+
+  afterEach(async () => {
+    server.closeAllConnections();
+    await server.close();
+  });
+
+  async function call(method: string, path: string, body?: unknown) {
+    const text = typeof body === 'string' ? body : JSON.stringify(body);
+    const response = await fetch(origin + path, {method, body: text});
+    return {status: response.status, body: (await response.json()) as unknown};
+  }
+
+  it('submits a job and answers with it under an id with a slash', async () => {
+    const made = await call('POST', '/v1/jobs', FULL);
+    expect(made.status).toBe(201);
+    expect(made.body).toMatchObject({id: 'akl/order-17', state: 'queued'});
+    for (const path of ['akl/order-17', 'akl%2Forder-17']) {
+      const shown = await call('GET', `/v1/jobs/${path}`);
+      expect(shown).toEqual({status: 200, body: made.body});
+    }
+  });
+
+  it('answers 202 while a job has no final state, and 200 then', async () => {
+    await call('POST', '/v1/jobs', FULL);
+    const path = '/v1/jobs/akl/order-17/result';
+    expect((await call('GET', `${path}?waitMs=50`)).status).toBe(202);
+    const job = backend.jobTable.get('akl/order-17')!;
+    backend.jobTable.set(job.id, {...job, state: JobState.FINISHED});
+    expect((await call('GET', path)).status).toBe(200);
+    expect(backend.waits).toEqual([50, 0]);
+  });
+
+  it.each([
+    'waitMs=soon',
+    'waitMs=-1',
+    'waitMs=60001',
+    'wait=1',
+    'waitMs=1&waitMs=2',
+  ])('refuses the query %s', async query => {
+    const answer = await call('GET', `/v1/jobs/akl/x/result?${query}`);
+    expect(answer).toMatchObject({
+      status: 400,
+      body: {error: 'bad_request', ran: 'no'},
+    });
+  });
+
+  it('cancels a queued job and says that it was not run', async () => {
+    await call('POST', '/v1/jobs', FULL);
+    expect(await call('DELETE', '/v1/jobs/akl/order-17')).toMatchObject({
+      status: 200,
+      body: {ran: 'no', job: {state: 'cancelled'}},
+    });
+  });
+
+  it('refuses a bad body with every fault and without submitting', async () => {
+    const answer = await call('POST', '/v1/jobs', {
+      ...FULL,
+      urgency: 'x',
+      a: 1,
+    });
+    expect(answer.status).toBe(400);
+    const body = answer.body as FaultyRequest;
+    expect(body).toMatchObject({error: 'bad_request', ran: 'no'});
+    expect(body.message).toContain('urgent, normal, low');
+    expect(body.faults.map(fault => fault.field)).toEqual(['urgency', 'a']);
+    expect(backend.jobTable.size).toBe(0);
+  });
+
+  it.each([
+    ['no JSON', '{"key": NaN}', 400, 'bad_request'],
+    ['a list', '[]', 400, 'bad_request'],
+    ['too large', JSON.stringify('x'.repeat(3000)), 413, 'body_too_large'],
+  ])('refuses a body that is %s', async (unusedName, body, status, error) => {
+    expect(await call('POST', '/v1/jobs', body)).toMatchObject({
+      status,
+      body: {error, ran: 'no'},
+    });
+  });
+
+  it('passes refusals of the backend on with their status', async () => {
+    backend.refusal = refuse(RefusalKind.LOG_UNAVAILABLE, 'm', 'r', 1500);
+    const response = await fetch(`${origin}/v1/jobs`, {
+      method: 'POST',
+      body: JSON.stringify(FULL),
+    });
+    expect(response.status).toBe(503);
+    expect(response.headers.get('retry-after')).toBe('2');
+    await response.arrayBuffer();
+    backend.refusal = refuseUnknown(RefusalKind.UNKNOWN_OUTCOME, 'm', 'r');
+    expect(await call('POST', '/v1/jobs', FULL)).toMatchObject({
+      status: 504,
+      body: {ran: 'unknown'},
+    });
+  });
+
+  it.each(['akl', 'akl/x/y', 'akl/unknown', ''])(
+    'does not find the job %j',
+    async id => {
+      expect(await call('GET', `/v1/jobs/${id}`)).toMatchObject({
+        status: 404,
+        body: {error: 'not_found'},
+      });
+    },
+  );
+});
--- /dev/null
+++ b/src/node/operator_api.ts
@@ -0,0 +1,169 @@
+import {Either} from 'purify-ts';
+import {refuse, RefusalKind} from '../common/base/refusal.js';
+import {JobState} from '../common/jobs/types.js';
+import {parseTicket} from '../common/tickets/ticket_file.js';
+import {checkTicket} from '../common/tickets/ticket_schema.js';
+import {Fault, Ticket} from '../common/tickets/types.js';
+import {
+  badParameter,
+  parseWhole,
+  readQuery,
+  refuseFaults,
+  sendEither,
+} from './api_answers.js';
+import {OperatorBackend} from './api_types.js';
+import {addJobRoutes} from './job_api.js';
+import {
+  Exchange,
+  JsonServer,
+  readBody,
+  readJson,
+  RefusedRequest,
+  sendJson,
+} from './json_server.js';
+
+/** Jobs that a list returns unless the request names a limit. */
+export const DEFAULT_JOB_LIMIT = 1000;
+
+/** An answer of this many jobs is a few MB. */
+export const MAX_JOB_LIMIT = 10_000;
+
+const YAML_TYPES: ReadonlySet<string> = new Set([
+  'application/yaml',
+  'application/x-yaml',
+  'text/yaml',
+]);
+
+const TICKET_REFERENCE = 'docs/TICKETS.md';
+
+/** Source that faults of a body name in place of a file. */
+const BODY = 'body';
+
+async function readTicket(
+  {request}: Exchange,
+  limit: number,
+): Promise<Either<readonly Fault[], Ticket>> {
+  const type = (request.headers['content-type'] ?? '').split(';')[0].trim();
+  if (YAML_TYPES.has(type.toLowerCase())) {
+    const text = (await readBody(request, limit)).toString('utf8');
+    return parseTicket(text, BODY);
+  }
+  return checkTicket(await readJson(request, limit), BODY);
+}
+
+function addTicketRoutes(server: JsonServer, backend: OperatorBackend): void {
+  const limit = server.limits.maxBodyBytes;
+  const withTicket = async (
+    exchange: Exchange,
+    use: (ticket: Ticket) => Promise<void>,
+  ) => {
+    const ticket = await readTicket(exchange, limit);
+    await ticket.caseOf({
+      Left: async faults => {
+        const answer = refuseFaults('ticket', faults, TICKET_REFERENCE);
+        sendJson(exchange.response, 400, answer);
+      },
+      Right: use,
+    });
+  };
+  server
+    .route('POST', '/v1/tickets', exchange =>
+      withTicket(exchange, async ticket => {
+        const result = await backend.submitTicket(ticket);
+        sendEither(exchange.response, result, 201);
+      }),
+    )
+    .route('POST', '/v1/tickets/validate', exchange =>
+      withTicket(exchange, async ticket => {
+        const current = backend.ticketState().configuration.number;
+        sendJson(exchange.response, 200, {
+          valid: true,
+          ticket,
+          current,
+          baseIsCurrent: ticket.base === current,
+        });
+      }),
+    )
+    .route('GET', '/v1/tickets', exchange => {
+      readQuery(exchange, []);
+      sendJson(exchange.response, 200, {
+        ...backend.ticketState(),
+        tickets: backend.audit().filter(entry => entry.outcome === 'accepted'),
+      });
+    })
+    .route('GET', '/v1/tickets/{number}', exchange =>
+      showTicket(exchange, backend),
+    );
+}
+
+function showTicket(exchange: Exchange, backend: OperatorBackend): void {
+  readQuery(exchange, []);
+  const number = parseWhole(
+    'number',
+    exchange.parameters.number,
+    0,
+    Number.MAX_SAFE_INTEGER,
+  );
+  const entries = backend.audit().filter(entry => entry.number === number);
+  if (entries.length === 0) {
+    throw new RefusedRequest(
+      refuse(
+        RefusalKind.NOT_FOUND,
+        `No ticket ${number} is among the last tickets read.`,
+        'List the known tickets at /v1/audit.',
+      ),
+    );
+  }
+  const accepted = entries.some(entry => entry.outcome === 'accepted');
+  sendJson(exchange.response, 200, {number, accepted, entries});
+}
+
+async function listJobs(exchange: Exchange, backend: OperatorBackend) {
+  const query = readQuery(exchange, ['state', 'team', 'limit']);
+  const states = Object.values(JobState);
+  const state = states.find(known => known === query.state);
+  if (query.state !== undefined && state === undefined) {
+    throw badParameter(
+      'state',
+      `cannot be ${JSON.stringify(query.state)}`,
+      `one of ${states.join(', ')}`,
+    );
+  }
+  const limit =
+    query.limit === undefined
+      ? DEFAULT_JOB_LIMIT
+      : parseWhole('limit', query.limit, 1, MAX_JOB_LIMIT);
+  // One more than the limit shows whether the list is complete.
+  const result = await backend.jobs({
+    ...(state === undefined ? {} : {state}),
+    ...(query.team === undefined ? {} : {team: query.team}),
+    limit: limit + 1,
+  });
+  sendEither(exchange.response, result, 200, jobs => ({
+    jobs: jobs.slice(0, limit),
+    complete: jobs.length <= limit,
+  }));
+}
+
+/**
+ * Adds the operator routes: tickets, status, jobs, instances and the audit
+ * trail. The paths and answers are described in docs/CLI.md.
+ */
+export function addOperatorRoutes(
+  server: JsonServer,
+  backend: OperatorBackend,
+): void {
+  addTicketRoutes(server, backend);
+  server
+    .route('GET', '/v1/status', async exchange => {
+      sendJson(exchange.response, 200, await backend.status());
+    })
+    .route('GET', '/v1/instances', exchange => {
+      sendJson(exchange.response, 200, {instances: backend.instances()});
+    })
+    .route('GET', '/v1/audit', exchange => {
+      sendJson(exchange.response, 200, {entries: backend.audit()});
+    })
+    .route('GET', '/v1/jobs', exchange => listJobs(exchange, backend));
+  addJobRoutes(server, backend);
+}
