--- a/src/common/leadership/candidate_role.ts
+++ b/src/common/leadership/candidate_role.ts
@@ -63,8 +63,10 @@
       this.formAt = undefined;
       return;
     }
-    // Of several new instances one usually appends before the others.
-    this.formAt ??= now + state.random() * state.timing.renewMs;
+    // A start of the last leader may be on its way with a lease of almost
+    // this length. The jitter lets one of several new instances append first.
+    this.formAt ??=
+      now + state.timing.leaseMs + state.random() * state.timing.renewMs;
     if (now >= this.formAt) yield* state.propose([state.self]);
   }
 
--- a/src/common/leadership/leader_role.ts
+++ b/src/common/leadership/leader_role.ts
@@ -22,7 +22,7 @@
   leaseUntil(now: Millis): Millis {
     const state = this.state;
     if (!state.isLeader) return 0;
-    const needed = [...this.neededGrants(now)];
+    const needed = [...this.neededGrants()];
     if (needed.length === 0 && state.wokeAt !== undefined) return 0;
     let until = (state.aliveAt ?? now) + state.heldLeaseMs;
     for (const member of needed) {
@@ -58,10 +58,7 @@
     this.forgetJoining(now);
     if (now >= this.nextRoundAt) {
       this.nextRoundAt = now + this.state.timing.renewMs;
-      const asked = new Set([
-        ...this.neededGrants(now),
-        ...this.joining.keys(),
-      ]);
+      const asked = new Set([...this.neededGrants(), ...this.joining.keys()]);
       yield* this.request([...asked], now);
     }
     yield* this.changeView(now);
@@ -70,7 +67,7 @@
   /** Member to hand over to: the one whose grant lasts longest. */
   successor(now: Millis): MemberId | undefined {
     let best: MemberId | undefined;
-    for (const member of this.neededGrants(now)) {
+    for (const member of this.neededGrants()) {
       const later =
         best === undefined ||
         this.grants.until(member) > this.grants.until(best);
@@ -82,19 +79,16 @@
   /**
    * Members whose grants are needed: those of the current view and, from the
    * time its append is sent, of the pending one. A consent gives up the part
-   * in the current view only.
+   * in the current view only. That a member is gone does not help: it may have
+   * won a takeover before it ended.
    */
-  private neededGrants(now: Millis): Set<MemberId> {
+  private neededGrants(): Set<MemberId> {
     const {state} = this;
-    const pending = state.pending?.members ?? [];
-    const needed = new Set([...(state.view?.members ?? []), ...pending]);
+    const current = (state.view?.members ?? []).filter(
+      member => !state.hasConsented(member),
+    );
+    const needed = new Set([...current, ...(state.pending?.members ?? [])]);
     needed.delete(state.self);
-    for (const member of needed) {
-      const out = pending.includes(member)
-        ? state.gone.isGone(member, now)
-        : state.isOut(member, now);
-      if (out) needed.delete(member);
-    }
     return needed;
   }
 
--- a/src/common/leadership/leadership.ts
+++ b/src/common/leadership/leadership.ts
@@ -136,8 +136,9 @@
     const {state} = this;
     if (state.view && view.epoch <= state.view.epoch) return;
     const led = state.isLeader;
+    const wasMember = state.view?.members.includes(state.self) ?? false;
     state.setView(view, now);
-    this.member.viewRead(now);
+    this.member.viewRead(now, wasMember);
     if (state.isLeader) {
       this.leader.viewRead(view, led);
       yield {kind: 'lead', view, continued: led};
@@ -196,10 +197,12 @@
 
   /** Tells the leader, or a successor, that this instance leaves the view. */
   private *handOver(successor?: MemberId): Generator<LeadershipAction> {
-    const {view, self} = this.state;
+    const {view, self, pending} = this.state;
     if (!view?.members.includes(self)) return;
     const epoch = view.epoch;
     if (view.leader !== self) {
+      // A takeover that was appended may still come into force.
+      if (pending !== undefined) return;
       yield send(view.leader, {kind: 'consent', epoch});
       return;
     }
@@ -230,6 +233,8 @@
       yield send(from, {kind: 'view-held', view});
       return;
     }
+    // A view that was appended may come into force at any time.
+    if (state.pending) return;
     if (epoch !== null) yield* state.relinquish(epoch);
     yield send(from, {kind: 'consent', epoch});
   }
--- a/src/common/leadership/leadership_state.ts
+++ b/src/common/leadership/leadership_state.ts
@@ -107,7 +107,11 @@
 
   /** Whether the member needs no longer be asked in the current view. */
   isOut(member: MemberId, now: Millis): boolean {
-    if (this.gone.isGone(member, now)) return true;
+    return this.gone.isGone(member, now) || this.hasConsented(member);
+  }
+
+  /** Whether the member has given up its part in the current view. */
+  hasConsented(member: MemberId): boolean {
     const consent = this.consents.get(member);
     return consent !== undefined && consent === this.epoch;
   }
--- a/src/common/leadership/member_role.ts
+++ b/src/common/leadership/member_role.ts
@@ -16,8 +16,16 @@
 
   constructor(private readonly state: LeadershipState) {}
 
-  /** A new view came into force. */
-  viewRead(now: Millis): void {
+  /**
+   * A new view came into force. A member that was in no view before has made no
+   * promise yet; it waits as if it had granted now, since a start of the leader
+   * may be on its way with a lease of almost that length.
+   */
+  viewRead(now: Millis, wasMember: boolean): void {
+    const {view, self, timing} = this.state;
+    if (!wasMember && view !== undefined && view.leader !== self) {
+      this.grantedUntil = Math.max(this.grantedUntil, now + timing.leaseMs);
+    }
     this.requestedAt = now;
     this.released = false;
     // Members that suspect at the same time do not all append a view.
@@ -40,12 +48,12 @@
     if (from !== view.leader) return;
     this.requestedAt = now;
     if (epoch > view.epoch) return;
+    // A view that was appended may come into force at any time.
+    if (state.pending || this.released) return;
     if (state.leaving || epoch <= state.relinquished) {
       yield {kind: 'send', to: from, message: {kind: 'consent', epoch}};
       return;
     }
-    // A view that was appended may come into force at any time.
-    if (state.pending || this.released) return;
     this.grantedUntil = now + state.timing.leaseMs;
     yield {kind: 'send', to: from, message: {kind: 'grant', epoch, nonce}};
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -97,7 +97,8 @@
     dataCentre.drain();
     await this.waitUntil(() => false, Date.now() + UNREADY_MS);
     await this.waitUntil(() => dataCentre.settled, end);
-    dataCentre.handOver();
+    // A start that may still take effect would meet the next leader's survey.
+    if (dataCentre.settled) dataCentre.handOver();
     const closed = this.callers.close();
     const proxy = this.kernel.get('routing').proxy;
     await this.waitUntil(() => proxy.inFlight === 0, end);
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -36,6 +36,7 @@
 import {PeerMesh} from '../node/peer_mesh.js';
 import {StreamChannel} from '../node/stream_channel.js';
 import {WorkerAction, WorkerClient} from '../node/worker_client.js';
+import {ProcessStarts} from './process_starts.js';
 import {Settings} from './types.js';
 
 declare module '../common/kernel/kernel.js' {
@@ -105,6 +106,8 @@
   private readonly waiting = new Map<string, Waiting>();
   private readonly workerById = new Map<string, Instance>();
   private readonly jobEnds = this.store.add(new Emitter<JobView>());
+  private readonly processes = new ProcessStarts();
+  private lastList: ListRead | undefined;
   private leading: View | undefined;
   private lastRequest = 0;
 
@@ -113,6 +116,7 @@
 
   constructor(private readonly dependencies: DataCentreDependencies) {
     const {log, mesh, workers, clock, self, settings, logger} = dependencies;
+    this.processes.note(self);
     this.leadership = new Leadership({
       self,
       dataCentre: settings.dataCentre,
@@ -214,7 +218,8 @@
       if (instance.dataCentre !== dataCentre) continue;
       this.workerById.set(instance.id, instance);
     }
-    this.lead({kind: 'instances', instances, sentAt});
+    this.lastList = {instances, sentAt};
+    this.leadList(this.lastList);
     this.schedule({kind: 'instances', instances});
   }
 
@@ -282,6 +287,7 @@
     this.store.add(
       mesh.onPeerUp(peer => {
         if (peer.dataCentre !== dataCentre) return;
+        this.noteProcess(peer.member);
         this.lead({kind: 'peer-up', member: peer.member});
       }),
     );
@@ -293,10 +299,26 @@
     );
   }
 
+  private leadList({instances, sentAt}: ListRead): void {
+    const members = this.processes.apply(instances);
+    this.lead({kind: 'instances', instances: members, sentAt});
+  }
+
+  /**
+   * Notes a process. The core has to see it in the list before it hears that
+   * the process is up; else the earlier process of the same instance counts as
+   * ended while the later one is not asked for its consent.
+   */
+  private noteProcess(member: MemberId): void {
+    if (!this.processes.note(member)) return;
+    if (this.lastList !== undefined) this.leadList(this.lastList);
+  }
+
   private read(stored: StoredRecord<DataCentreRecord>): void {
     const {self, logger} = this.dependencies;
     for (const event of this.reader.read(stored)) {
       if (event.kind === 'view-in-force') {
+        event.view.members.forEach(member => this.noteProcess(member));
         this.lead({kind: 'view-read', view: event.view});
       } else if (event.kind === 'view-void') {
         if (event.record.writer !== self) continue;
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -134,6 +134,7 @@
   driftFraction: numberField(0, MAX_DRIFT_FRACTION).default(
     leadership.driftFraction,
   ),
+  viewCheckpointMs: durationField().default(leadership.viewCheckpointMs),
 });
 
 const SCHEDULER_SCHEMA = strictFields({
--- a/src/node/json_server.ts
+++ b/src/node/json_server.ts
@@ -49,15 +49,13 @@
 
 function compile(method: string, path: string, handler: RouteHandler): Route {
   const names: string[] = [];
-  const source = path
-    .replace(/\/\{(\w+)\.\.\.\}/g, (unusedMatch: string, name: string) => {
-      names.push(name);
-      return '(?:/(.*))?';
-    })
-    .replace(/\{(\w+)\}/g, (unusedMatch: string, name: string) => {
-      names.push(name);
-      return '([^/]+)';
-    });
+  const source = path.replace(
+    /\/\{(\w+)\.\.\.\}|\{(\w+)\}/g,
+    (unusedMatch, rest?: string, part?: string) => {
+      names.push(rest ?? part ?? '');
+      return rest === undefined ? '([^/]+)' : '(?:/(.*))?';
+    },
+  );
   return {method, pattern: new RegExp(`^${source}$`), names, handler};
 }
 
--- a/src/node/stream_channel.ts
+++ b/src/node/stream_channel.ts
@@ -25,8 +25,8 @@
   private readonly confirmed = this.store.add(new Emitter<T>());
   private readonly caughtUp = this.store.add(new Emitter<Millis>());
   private readonly availability = this.store.add(new Emitter<boolean>());
-  private readable = true;
-  private reported = true;
+  private readable = false;
+  private reported = false;
   private confirmedEndAt = -Infinity;
 
   /** Fires for each record read, in order; the data is not checked. */
@@ -127,7 +127,7 @@
     if (available === this.reported) return;
     this.reported = available;
     const state = available ? 'available' : 'unavailable';
-    this.logger.warn(`The stream is ${state}.`, {stream: this.stream});
+    this.logger.info(`The stream is ${state}.`, {stream: this.stream});
     this.availability.fire(available);
   }
 }
