Add jasminegaugectl

Cause: operators need a tool for tickets, jobs and reports with exit codes that scripts can rely on.

What changed: - src/cli: one file per command, a lookup table, help for each command with an example, and documented exit codes 0 to 5. - A request that provably was not sent ends with 3; a change whose answer was lost ends with 4 and the command that asks for the outcome. - `ticket apply` polls the status until every listed entry instance reports the number, and otherwise ends with 5 and names those that lag. - The schema of submissions moved to job_submission.ts, so that `job submit` reports faults with line and column before it calls a daemon. - Text of operators that is shown on terminals may hold no control characters.

--- /dev/null
+++ b/src/cli/audit_table.ts
@@ -0,0 +1,32 @@
+import {AuditEntry} from '../common/tickets/types.js';
+import {textTable, timeText} from './text_table.js';
+
+/** Lists audit entries, with why a ticket was refused. */
+export function auditTable(entries: readonly AuditEntry[]): string {
+  return textTable(
+    [
+      'OFFSET',
+      'TIME',
+      'NUMBER',
+      'BASE',
+      'AUTHOR',
+      'OUTCOME',
+      'REASON',
+      'CHANGED',
+      'COMMENT',
+    ],
+    entries.map(entry => [
+      entry.offset,
+      timeText(entry.timeMs),
+      entry.number,
+      entry.base,
+      entry.author,
+      entry.outcome,
+      entry.reason === undefined
+        ? undefined
+        : `${entry.reason}, ticket ${entry.winner} won`,
+      entry.touched.join(' '),
+      entry.comment,
+    ]),
+  );
+}
--- /dev/null
+++ b/src/cli/commands/job_cancel_command.ts
@@ -0,0 +1,43 @@
+import {Ran} from '../../common/base/refusal.js';
+import {JobState} from '../../common/jobs/types.js';
+import {CancelAnswer} from '../../node/api_types.js';
+import {bodyOf} from '../answers.js';
+import {ExitCode} from '../exit_code.js';
+import {jobPath} from '../job_path.js';
+import {Command, CommandResult, MessageLevel} from '../types.js';
+
+const RAN_TEXT: Readonly<Record<Ran, string>> = {
+  [Ran.NO]: 'It was not run.',
+  [Ran.YES]: 'It was run, at least in part.',
+  [Ran.UNKNOWN]: 'It may have been run in part.',
+};
+
+function cancelResult({job, ran}: CancelAnswer): CommandResult {
+  const cancelled = job.state === JobState.CANCELLED;
+  const level: MessageLevel = cancelled ? 'success' : 'warn';
+  const text = `Job ${job.id} is ${job.state}. ${RAN_TEXT[ran]}`;
+  return {
+    exit: ExitCode.DONE,
+    data: {job, ran},
+    text: job.state,
+    messages: [{level, text}],
+  };
+}
+
+/** `job cancel ID`. */
+export const JOB_CANCEL: Command = {
+  summary: 'Cancel a job; the answer says whether its end came first.',
+  parameters: ['ID'],
+  options: {},
+  example: 'jasminegaugectl job cancel akl/5f1d0c9a',
+  async run({parameters: [id]}, {client}) {
+    const askAgain = `Ask for the state with: jasminegaugectl job show ${id}`;
+    return jobPath(id).caseOf({
+      Left: async result => result,
+      Right: async path =>
+        bodyOf<CancelAnswer>(await client.delete(path), askAgain)
+          .map(cancelResult)
+          .extract(),
+    });
+  },
+};
--- /dev/null
+++ b/src/cli/commands/job_show_command.ts
@@ -0,0 +1,56 @@
+import {JobView} from '../../common/jobs/types.js';
+import {bodyOf} from '../answers.js';
+import {ExitCode} from '../exit_code.js';
+import {jobPath} from '../job_path.js';
+import {textTable, timeText} from '../text_table.js';
+import {Command, CommandResult} from '../types.js';
+
+function jobText(job: JobView): string {
+  const {submission} = job;
+  const {size} = submission;
+  return textTable(
+    ['JOB', job.id],
+    [
+      ['state', job.state],
+      ['key', submission.key],
+      ['class', submission.jobClass],
+      ['team', submission.team],
+      ['urgency', submission.urgency],
+      ['idempotent', submission.idempotent],
+      [
+        'size',
+        `${size.processors} processors, ${size.memoryMb} MB, ` +
+          `${size.accelerators} accelerators`,
+      ],
+      ['run time', `${submission.runMs} ms`],
+      ['submitted', timeText(job.submittedMs)],
+      ['worker', job.worker ?? 'none'],
+      ['attempts', job.attempts],
+      ['evictions', job.evictions],
+      ['checkpoint', job.checkpoint],
+      ['result', job.result],
+      ['reason', job.reason],
+    ],
+  );
+}
+
+/** `job show ID`. */
+export const JOB_SHOW: Command = {
+  summary: 'Show a job.',
+  parameters: ['ID'],
+  options: {},
+  example: 'jasminegaugectl job show akl/5f1d0c9a',
+  async run({parameters: [id]}, {client}) {
+    return jobPath(id).caseOf({
+      Left: async result => result,
+      Right: async path =>
+        bodyOf<JobView>(await client.get(path))
+          .map<CommandResult>(job => ({
+            exit: ExitCode.DONE,
+            data: job,
+            text: jobText(job),
+          }))
+          .extract(),
+    });
+  },
+};
--- /dev/null
+++ b/src/cli/commands/jobs_command.ts
@@ -0,0 +1,67 @@
+import {JobState, JobView} from '../../common/jobs/types.js';
+import {bodyOf} from '../answers.js';
+import {ExitCode} from '../exit_code.js';
+import {textTable, timeText} from '../text_table.js';
+import {Command, CommandResult} from '../types.js';
+
+function jobTable(jobs: readonly JobView[]): string {
+  return textTable(
+    [
+      'JOB',
+      'STATE',
+      'CLASS',
+      'TEAM',
+      'URGENCY',
+      'SUBMITTED',
+      'WORKER',
+      'REASON',
+    ],
+    jobs.map(job => [
+      job.id,
+      job.state,
+      job.submission.jobClass,
+      job.submission.team,
+      job.submission.urgency,
+      timeText(job.submittedMs),
+      job.worker,
+      job.reason,
+    ]),
+  );
+}
+
+/** `jobs`. */
+export const JOBS: Command = {
+  summary: 'List the jobs of the data centre, oldest first.',
+  parameters: [],
+  options: {
+    state: {
+      value: 'STATE',
+      summary: `only jobs in this state: ${Object.values(JobState).join(', ')}`,
+    },
+    team: {value: 'TEAM', summary: 'only jobs of this team'},
+    limit: {value: 'N', summary: 'at most N jobs (default 1000)'},
+  },
+  example: 'jasminegaugectl jobs --state queued --team floor',
+  async run({options}, {client}) {
+    type Answer = {readonly jobs: readonly JobView[]; complete: boolean};
+    const query = new URLSearchParams(options).toString();
+    const path = query === '' ? '/v1/jobs' : `/v1/jobs?${query}`;
+    return bodyOf<Answer>(await client.get(path))
+      .map<CommandResult>(answer => ({
+        exit: ExitCode.DONE,
+        data: answer,
+        text: jobTable(answer.jobs),
+        messages: answer.complete
+          ? []
+          : [
+              {
+                level: 'warn',
+                text:
+                  `Only the first ${answer.jobs.length} jobs are listed. ` +
+                  'Narrow the list with --state or --team, or raise --limit.',
+              },
+            ],
+      }))
+      .extract();
+  },
+};
--- /dev/null
+++ b/src/cli/commands/ticket_apply_command.ts
@@ -0,0 +1,28 @@
+import {parseTicket} from '../../common/tickets/ticket_file.js';
+import {badInput, faultyFile} from '../answers.js';
+import {parseWait, WAIT_OPTION} from '../options.js';
+import {applyTicket, DEFAULT_WAIT_MS} from '../ticket_apply.js';
+import {Command} from '../types.js';
+
+/** `ticket apply FILE`. */
+export const TICKET_APPLY: Command = {
+  summary: 'Apply a ticket and wait until it is in force everywhere.',
+  parameters: ['FILE'],
+  options: {waitMs: WAIT_OPTION},
+  example: 'jasminegaugectl ticket apply quota.yaml --wait-ms 20000',
+  async run({parameters: [file], options}, context) {
+    const ticket = context
+      .readFile(file)
+      .mapLeft(badInput)
+      .chain(text =>
+        parseTicket(text, file).mapLeft(faults => faultyFile('ticket', faults)),
+      );
+    const wait = parseWait(options.waitMs, DEFAULT_WAIT_MS);
+    return ticket
+      .chain(parsed => wait.map(waitMs => ({parsed, waitMs})))
+      .caseOf({
+        Left: async result => result,
+        Right: ({parsed, waitMs}) => applyTicket(parsed, waitMs, context),
+      });
+  },
+};
--- /dev/null
+++ b/src/cli/help.ts
@@ -0,0 +1,91 @@
+import {COMMANDS} from './command_table.js';
+import {ExitCode} from './exit_code.js';
+import {Command} from './types.js';
+
+const PROGRAM = 'jasminegaugectl';
+
+const GLOBAL_OPTIONS: readonly (readonly [string, string])[] = [
+  [
+    '--daemon http://IP:PORT',
+    'operator address of a daemon (default JASMINEGAUGE_DAEMON, ' +
+      'then http://127.0.0.1:7102)',
+  ],
+  ['--json', 'print the answer as JSON'],
+  ['--help', 'show this help'],
+  ['--version', 'show the version'],
+];
+
+const EXIT_TEXT: Readonly<Record<ExitCode, string>> = {
+  [ExitCode.DONE]: 'done',
+  [ExitCode.REFUSED]: 'refused by the system',
+  [ExitCode.BAD_INPUT]: 'faults in the arguments or the file',
+  [ExitCode.NO_DAEMON]: 'no daemon answers',
+  [ExitCode.UNKNOWN]: 'outcome unknown',
+  [ExitCode.NOT_EVERYWHERE]: 'accepted, but not yet in force everywhere',
+};
+
+/** Name of an option on the command line. */
+export function flagName(name: string): string {
+  return `--${name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`;
+}
+
+function columns(rows: readonly (readonly [string, string])[]): string {
+  const width = Math.max(...rows.map(([name]) => name.length));
+  return rows
+    .map(([name, text]) => `  ${name.padEnd(width)}  ${text}`)
+    .join('\n');
+}
+
+function usage(name: string, command: Command): string {
+  const options = Object.entries(command.options).map(
+    ([option, {value, required}]) => {
+      const text = `${flagName(option)} ${value}`;
+      return required === true ? text : `[${text}]`;
+    },
+  );
+  return [name, ...command.parameters, ...options].join(' ');
+}
+
+/** Help of the program. */
+export function programHelp(): string {
+  return [
+    `Usage: ${PROGRAM} COMMAND [options]`,
+    '',
+    'Commands:',
+    columns(
+      Object.entries(COMMANDS).map(([name, command]) => [
+        [name, ...command.parameters].join(' '),
+        command.summary,
+      ]),
+    ),
+    '',
+    'Options of every command:',
+    columns(GLOBAL_OPTIONS),
+    '',
+    'Exit codes:',
+    columns(
+      Object.entries(EXIT_TEXT).map(([code, text]) => [code, text] as const),
+    ),
+    '',
+    `Example: ${COMMANDS.status.example}`,
+    'The reference is docs/CLI.md.',
+  ].join('\n');
+}
+
+/** Help of one command. */
+export function commandHelp(name: string, command: Command): string {
+  const options = Object.entries(command.options).map(
+    ([option, {value, summary}]) =>
+      [`${flagName(option)} ${value}`, summary] as const,
+  );
+  return [
+    `Usage: ${PROGRAM} ${usage(name, command)}`,
+    '',
+    command.summary,
+    '',
+    'Options:',
+    columns([...options, ...GLOBAL_OPTIONS]),
+    '',
+    `Example: ${command.example}`,
+  ].join('\n');
+}
--- /dev/null
+++ b/src/cli/job_path.ts
@@ -0,0 +1,17 @@
+import {Either, Left, Right} from 'purify-ts';
+import {badInput} from './answers.js';
+import {CommandResult} from './types.js';
+
+/** Path of a job at the operator interface. */
+export function jobPath(id: string): Either<CommandResult, string> {
+  const parts = id.split('/');
+  if (parts.length === 2 && parts.every(part => part !== '')) {
+    return Right(`/v1/jobs/${parts.map(encodeURIComponent).join('/')}`);
+  }
+  return Left(
+    badInput(
+      `ID cannot be ${JSON.stringify(id)}; ` +
+        'accepted: DATA-CENTRE/DIGEST, as job submit prints it.',
+    ),
+  );
+}
--- /dev/null
+++ b/src/cli/options.ts
@@ -0,0 +1,39 @@
+import {Either, Left, Right} from 'purify-ts';
+import {badInput} from './answers.js';
+import {CommandOption, CommandResult} from './types.js';
+
+/** Longest wait that `--wait-ms` accepts: 10 minutes. */
+const MAX_WAIT_MS = 600_000;
+
+/** The option `--wait-ms`. */
+export const WAIT_OPTION: CommandOption = {
+  value: 'N',
+  summary:
+    'wait up to N ms until every instance reports the ticket (default 10000)',
+};
+
+/** Parses a whole number from `min` to `max`. */
+export function parseNumber(
+  name: string,
+  text: string,
+  min: number,
+  max: number,
+): Either<CommandResult, number> {
+  const value = /^\d{1,16}$/.test(text) ? Number(text) : NaN;
+  if (value >= min && value <= max) return Right(value);
+  return Left(
+    badInput(
+      `${name} cannot be ${JSON.stringify(text)}; ` +
+        `accepted: a whole number from ${min} to ${max}.`,
+    ),
+  );
+}
+
+/** Parses `--wait-ms`. */
+export function parseWait(
+  text: string | undefined,
+  otherwise: number,
+): Either<CommandResult, number> {
+  if (text === undefined) return Right(otherwise);
+  return parseNumber('--wait-ms', text, 0, MAX_WAIT_MS);
+}
--- a/src/common/tickets/fields.ts
+++ b/src/common/tickets/fields.ts
@@ -1,3 +1,4 @@
+import {isIP} from 'node:net';
 import {z} from 'zod';
 import {
   ACCEPTED_DURATION,
@@ -25,10 +26,27 @@
     .regex(NAME_PATTERN, {error: ACCEPTED_NAME});
 }
 
-/** Text of 1 to `max` characters. */
-export function textField(max: number) {
-  const error = `text of 1 to ${max} characters`;
-  return z.string({error}).min(1, {error}).max(max, {error});
+/**
+ * One line of 1 to `max` characters. Control characters are refused because
+ * the text is shown on terminals and in logs.
+ */
+export function lineField(max: number) {
+  const error = `one line of 1 to ${max} characters without control characters`;
+  return z
+    .string({error})
+    .min(1, {error})
+    .max(max, {error})
+    .regex(/^\P{Cc}*$/u, {error});
+}
+
+/** Like `lineField`, but line breaks and tabs are accepted too. */
+export function linesField(max: number) {
+  const error = `text of 1 to ${max} characters without control characters`;
+  return z
+    .string({error})
+    .min(1, {error})
+    .max(max, {error})
+    .regex(/^(?:\P{Cc}|[\t\r\n])*$/u, {error});
 }
 
 /** One of a list of values. */
@@ -113,6 +131,39 @@
   );
 }
 
+const ACCEPTED_IP =
+  'an IP number such as 10.0.0.7 or fd00::7; host names are not resolved';
+
+const ACCEPTED_URL =
+  'an http URL by IP number such as http://10.0.0.7:7200; host names are not resolved';
+
+/** An IP number. */
+export function hostField() {
+  return z
+    .string({error: ACCEPTED_IP})
+    .refine(host => isIP(host) !== 0, {error: ACCEPTED_IP});
+}
+
+function isUrlByIp(text: string): boolean {
+  if (!URL.canParse(text)) return false;
+  const url = new URL(text);
+  return (
+    url.protocol === 'http:' &&
+    isIP(url.hostname.replace(/^\[(.*)\]$/, '$1')) !== 0 &&
+    url.username === '' &&
+    url.search === '' &&
+    url.hash === ''
+  );
+}
+
+/** An http URL by IP number; slashes at the end are dropped. */
+export function urlField() {
+  return z
+    .string({error: ACCEPTED_URL})
+    .refine(isUrlByIp, {error: ACCEPTED_URL})
+    .transform(text => text.replace(/\/+$/, ''));
+}
+
 /** A mapping with exactly the fields of `shape`; others are errors. */
 export function strictFields<T extends z.ZodRawShape>(shape: T) {
   const names = Object.keys(shape).join(', ');
--- a/src/common/tickets/ticket_file.test.ts
+++ b/src/common/tickets/ticket_file.test.ts
@@ -127,6 +127,7 @@
     ['a fraction as number', 'number: 5.5\nbase: 4', 'number'],
     ['text as base', 'number: 5\nbase: "4"', 'base'],
     ['a negative base', 'number: 5\nbase: -1', 'base'],
+    ['an escape sequence', 'number: 5\nbase: 4\ncomment: "\\e[2J"', 'comment'],
   ])('refuses %s', (unusedName, head, field) => {
     const text = `${head}\nauthor: a\nchanges: {workers: {w: null}}`;
     expect(
--- a/src/common/tickets/ticket_schema.ts
+++ b/src/common/tickets/ticket_schema.ts
@@ -6,12 +6,13 @@
   booleanField,
   choiceField,
   durationField,
+  lineField,
+  linesField,
   memoryField,
   namedFields,
   numberField,
   positiveField,
   strictFields,
-  textField,
   wholeField,
 } from './fields.js';
 import {Fault, RoutingPolicy, Ticket, Urgency} from './types.js';
@@ -105,8 +106,8 @@
 export const TICKET_SCHEMA: z.ZodType<Ticket> = strictFields({
   number: wholeField(1),
   base: wholeField(0),
-  author: textField(MAX_AUTHOR_CHARACTERS),
-  comment: textField(MAX_COMMENT_CHARACTERS).optional(),
+  author: lineField(MAX_AUTHOR_CHARACTERS),
+  comment: linesField(MAX_COMMENT_CHARACTERS).optional(),
   changes: CHANGES_SCHEMA,
 }).refine(ticket => ticket.number > ticket.base, {
   path: ['number'],
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -1,5 +1,4 @@
 import {readFileSync} from 'node:fs';
-import {isIP} from 'node:net';
 import {Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
 import {SECOND} from '../common/base/clock.js';
@@ -15,10 +14,12 @@
   choiceField,
   delayField,
   durationField,
+  hostField,
   namedFields,
   nameField,
   numberField,
   strictFields,
+  urlField,
   wholeField,
 } from '../common/tickets/fields.js';
 import {Fault} from '../common/tickets/types.js';
@@ -70,37 +71,6 @@
 /** Clocks of real machines differ by far less than this. */
 const MAX_DRIFT_FRACTION = 0.25;
 
-const ACCEPTED_IP =
-  'an IP number such as 10.0.0.7 or fd00::7; host names are not resolved';
-
-const ACCEPTED_URL =
-  'an http URL by IP number such as http://10.0.0.7:7200; host names are not resolved';
-
-function hostField() {
-  return z
-    .string({error: ACCEPTED_IP})
-    .refine(host => isIP(host) !== 0, {error: ACCEPTED_IP});
-}
-
-function isUrlByIp(text: string): boolean {
-  if (!URL.canParse(text)) return false;
-  const url = new URL(text);
-  return (
-    url.protocol === 'http:' &&
-    isIP(url.hostname.replace(/^\[(.*)\]$/, '$1')) !== 0 &&
-    url.username === '' &&
-    url.search === '' &&
-    url.hash === ''
-  );
-}
-
-function urlField() {
-  return z
-    .string({error: ACCEPTED_URL})
-    .refine(isUrlByIp, {error: ACCEPTED_URL})
-    .transform(text => text.replace(/\/+$/, ''));
-}
-
 function addressField() {
   return strictFields({host: hostField(), port: wholeField(1, MAX_PORT)});
 }
--- a/src/node/job_api.test.ts
+++ b/src/node/job_api.test.ts
@@ -3,7 +3,8 @@
 import {EMPTY_CONFIGURATION} from '../common/tickets/types.js';
 import {FaultyRequest} from './api_answers.js';
 import {FakeOperatorBackend} from './fake_operator_backend.js';
-import {addJobRoutes, parseSubmission, ranOf} from './job_api.js';
+import {addJobRoutes, ranOf} from './job_api.js';
+import {parseSubmission} from './job_submission.js';
 import {JsonServer} from './json_server.js';
 
 const CUT = {
@@ -102,6 +103,7 @@
     ['runMs', {runMs: '5'}],
     ['idempotent', {idempotent: 'yes'}],
     ['key', {key: ''}],
+    ['key', {key: 'a\u001b[2J'}],
     ['key', {key: 'x'.repeat(201)}],
     ['team', {team: 'a/b'}],
     ['dataCentre', {dataCentre: 'moon'}],
--- /dev/null
+++ b/src/node/job_submission.ts
@@ -0,0 +1,121 @@
+import {Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import {Submission} from '../common/jobs/types.js';
+import {check} from '../common/tickets/checked_yaml.js';
+import {
+  booleanField,
+  choiceField,
+  durationField,
+  lineField,
+  nameField,
+  strictFields,
+} from '../common/tickets/fields.js';
+import {SIZE_SCHEMA, TICKET_DEFAULTS} from '../common/tickets/ticket_schema.js';
+import {
+  Configuration,
+  Fault,
+  JobClassConfiguration,
+  Urgency,
+} from '../common/tickets/types.js';
+
+const MAX_KEY_CHARACTERS = 200;
+
+/** Source that faults of a body name in place of a file. */
+const BODY = 'body';
+
+/** The body of a submission, and the file of `job submit`. */
+export const SUBMISSION_SCHEMA = strictFields({
+  key: lineField(MAX_KEY_CHARACTERS),
+  class: nameField(),
+  team: nameField(),
+  urgency: choiceField(Object.values(Urgency)).optional(),
+  size: SIZE_SCHEMA.optional(),
+  runMs: durationField().optional(),
+  idempotent: booleanField().optional(),
+  payload: z.unknown().optional(),
+  dataCentre: nameField().optional(),
+});
+
+/** A job with its home, as a caller asked for it. */
+export interface JobRequest {
+  readonly submission: Submission;
+  /** Undefined when the key chooses the home. */
+  readonly dataCentre: string | undefined;
+}
+
+function fault(field: string, message: string, accepted: string): Fault {
+  return {file: BODY, field, message, accepted};
+}
+
+function listNames(names: readonly string[]): string {
+  return names.length === 0 ? 'none is configured' : names.join(', ');
+}
+
+/** Faults of fields that only a configured class makes optional. */
+function missingFields(
+  given: {class: string; size?: unknown; runMs?: unknown},
+  configuration: Configuration,
+): Fault[] {
+  const classes = listNames(Object.keys(configuration.jobClasses));
+  const accepted = `a value, or a class with defaults: ${classes}`;
+  return (['size', 'runMs'] as const)
+    .filter(name => given[name] === undefined)
+    .map(name =>
+      fault(
+        name,
+        `is missing, and class ${given.class} is not configured`,
+        accepted,
+      ),
+    );
+}
+
+/**
+ * Checks the body of a submission and fills in the defaults of its class. A
+ * class that is not configured is accepted when the body leaves out neither
+ * the size nor the run time.
+ *
+ * @returns the job, or all faults.
+ */
+export function parseSubmission(
+  body: unknown,
+  configuration: Configuration,
+  dataCentres: readonly string[],
+): Either<readonly Fault[], JobRequest> {
+  return check(SUBMISSION_SCHEMA, body, BODY).chain(given => {
+    const {dataCentre} = given;
+    const jobClass: JobClassConfiguration | undefined = Object.hasOwn(
+      configuration.jobClasses,
+      given.class,
+    )
+      ? configuration.jobClasses[given.class]
+      : undefined;
+    const size = given.size ?? jobClass?.size;
+    const runMs = given.runMs ?? jobClass?.runMs;
+    const faults = missingFields({...given, size, runMs}, configuration);
+    if (dataCentre !== undefined && !dataCentres.includes(dataCentre)) {
+      const accepted = `one of ${listNames(dataCentres)}`;
+      faults.push(
+        fault(
+          'dataCentre',
+          `cannot be ${JSON.stringify(dataCentre)}`,
+          accepted,
+        ),
+      );
+    }
+    if (faults.length > 0 || size === undefined || runMs === undefined) {
+      return Left(faults);
+    }
+    const defaults = jobClass ?? TICKET_DEFAULTS.jobClass;
+    const submission: Submission = {
+      key: given.key,
+      jobClass: given.class,
+      team: given.team,
+      urgency: given.urgency ?? defaults.urgency,
+      size,
+      runMs,
+      idempotent: given.idempotent ?? defaults.idempotent,
+      ...(given.payload === undefined ? {} : {payload: given.payload}),
+    };
+    return Right({submission, dataCentre});
+  });
+}
