--- a/src/common/leadership/leader_role.ts
+++ b/src/common/leadership/leader_role.ts
@@ -65,7 +65,7 @@
   }
 
   /** Member to hand over to: the one whose grant lasts longest. */
-  successor(now: Millis): MemberId | undefined {
+  successor(): MemberId | undefined {
     let best: MemberId | undefined;
     for (const member of this.neededGrants()) {
       const later =
--- a/src/common/leadership/leadership.ts
+++ b/src/common/leadership/leadership.ts
@@ -103,7 +103,7 @@
     'peer-down': message => this.candidate.peerDown(message.member),
     instances: (message, now) => this.instances(message, now),
     'declared-gone': (message, now) => this.declaredGone(message.ids, now),
-    resign: (unusedMessage, now) => this.resign(now),
+    resign: () => this.resign(),
   };
 
   private readonly peerHandlers: Handlers<LeadershipPeerMessage> = {
@@ -185,11 +185,11 @@
     yield* this.checkDropped(now);
   }
 
-  private *resign(now: Millis): Generator<LeadershipAction> {
+  private *resign(): Generator<LeadershipAction> {
     const {state} = this;
     if (state.leaving) return;
     const led = state.isLeader;
-    const successor = led ? this.leader.successor(now) : undefined;
+    const successor = led ? this.leader.successor() : undefined;
     state.leaving = true;
     if (led) yield {kind: 'follow', view: undefined};
     yield* this.handOver(successor);
--- /dev/null
+++ b/tests/support.ts
@@ -0,0 +1,173 @@
+import {readFileSync} from 'node:fs';
+import {Deployment, DeploymentPlan, Entry} from '../test_support/deployment.js';
+import {Answer, call, eventually} from '../test_support/http.js';
+import {JobView} from '../src/common/jobs/types.js';
+import {StatusReport} from '../src/node/api_types.js';
+import {LedgerEntry} from '../test_support/worker.js';
+
+export const FIRST_TICKET = readFileSync('examples/first-ticket.yaml', 'utf8');
+
+const SMALL_PLAN: DeploymentPlan = {
+  dataCentres: ['hamilton'],
+  entriesPerDataCentre: 2,
+  workersPerDataCentre: 3,
+  workerCapacity: {processors: 16, memoryMb: 64_000, accelerators: 0},
+  services: ['order-desk'],
+  basePort: 0,
+};
+
+/** Starts a deployment with the first ticket in force at every entry. */
+export async function startDeployment(
+  plan: Partial<DeploymentPlan> = {},
+): Promise<Deployment> {
+  const deployment = new Deployment({...SMALL_PLAN, ...plan});
+  await deployment.start();
+  for (const entry of deployment.entries) await ready(entry);
+  const [first] = deployment.entries;
+  const answer = await call(`${first.operatorUrl}/v1/tickets`, {
+    method: 'POST',
+    body: FIRST_TICKET,
+  });
+  if (answer.status !== 201) throw new Error(answer.text);
+  await inForce(deployment.entries, 1);
+  return deployment;
+}
+
+export function ready(entry: Entry): Promise<true> {
+  return eventually(`${entry.id} is ready`, async () => {
+    const answer = await call(`${entry.callerUrl}/ready`);
+    return answer.status === 200 ? true : undefined;
+  });
+}
+
+export async function status(entry: Entry): Promise<StatusReport> {
+  const answer = await call(`${entry.operatorUrl}/v1/status`);
+  return answer.json as StatusReport;
+}
+
+/** Waits until every entry reports the ticket `number` or a later one. */
+export async function inForce(
+  entries: readonly Entry[],
+  number: number,
+): Promise<void> {
+  for (const entry of entries) {
+    await eventually(`ticket ${number} at ${entry.id}`, async () =>
+      (await status(entry)).ticketNumber >= number ? true : undefined,
+    );
+  }
+}
+
+/** Waits until the entries agree on a leader among them that can act. */
+export function leaderAmong(entries: readonly Entry[]): Promise<Entry> {
+  return eventually('a leader', async () => {
+    for (const entry of entries) {
+      const report = await status(entry);
+      const leads = report.leader?.startsWith(`${entry.id}#`) ?? false;
+      if (!leads) continue;
+      const members = await accepts(entry);
+      if (members) return entry;
+    }
+    return undefined;
+  });
+}
+
+/** Whether the entry answers a question that only a leader answers. */
+async function accepts(entry: Entry): Promise<boolean> {
+  const answer = await submit(entry, `probe-${Math.random()}`, {
+    size: {processors: 1000, memoryMb: 1, accelerators: 0},
+  });
+  return answer.status === 422;
+}
+
+/** Submits a job of class `cutting`, or with other fields. */
+export function submit(
+  entry: Entry,
+  key: string,
+  fields: Readonly<Record<string, unknown>> = {},
+): Promise<Answer> {
+  return call(`${entry.callerUrl}/v1/jobs`, {
+    method: 'POST',
+    body: {key, class: 'cutting', team: 'workshop', ...fields},
+  });
+}
+
+/** Submits until the job is accepted; the same key never makes a second. */
+export function submitted(
+  entry: Entry,
+  key: string,
+  fields: Readonly<Record<string, unknown>> = {},
+): Promise<JobView> {
+  return eventually(`job ${key} is accepted`, async () => {
+    const answer = await submit(entry, key, fields);
+    return answer.status < 300 ? (answer.json as JobView) : undefined;
+  });
+}
+
+/** Waits for a final state. */
+export function finished(entry: Entry, id: string): Promise<JobView> {
+  return eventually(
+    `job ${id} ends`,
+    async () => {
+      const answer = await call(
+        `${entry.callerUrl}/v1/jobs/${id}/result?waitMs=1000`,
+      );
+      return answer.status === 200 ? (answer.json as JobView) : undefined;
+    },
+    60_000,
+  );
+}
+
+const TASK_ENDS: readonly string[] = [
+  'finished',
+  'failed',
+  'stopped',
+  'expired',
+];
+
+/** Judges a ledger from the outside; returns what must not happen. */
+export function violations(
+  ledger: readonly LedgerEntry[],
+  capacity: {processors: number; memoryMb: number},
+): string[] {
+  const found: string[] = [];
+  const running = new Map<string, string>();
+  for (const entry of ledger) {
+    const {job = '', task = ''} = entry;
+    if (entry.event === 'start') {
+      const other = running.get(job);
+      if (other !== undefined) {
+        found.push(`${job} runs as ${other} and as ${task}`);
+      }
+      running.set(job, task);
+    } else if (TASK_ENDS.includes(entry.event) && running.get(job) === task) {
+      running.delete(job);
+    }
+    if (
+      entry.promised.processors > capacity.processors ||
+      entry.promised.memoryMb > capacity.memoryMb
+    ) {
+      found.push(`${entry.worker} holds more than its capacity`);
+    }
+  }
+  return found;
+}
+
+/** Starts of a job in the ledger. */
+export function startsOf(
+  ledger: readonly LedgerEntry[],
+  job: string,
+): LedgerEntry[] {
+  return ledger.filter(entry => entry.event === 'start' && entry.job === job);
+}
+
+/** What is left of the lease of a job's running task, in milliseconds. */
+export function leaseLeft(deployment: Deployment, job: string): number {
+  for (const worker of deployment.workers) {
+    const {nowMs, tasks} = worker.status();
+    const task = tasks.find(
+      found => found.job === job && found.state === 'running',
+    );
+    if (task !== undefined) return task.leaseUntilMs - nowMs;
+  }
+  return 0;
+}
