Drive the scheduler with fake workers under faults; fix what that showed

Cause: the invariants of the scheduler need a check under lost answers, late messages, pauses, takeovers, outages and worker failures.

Changed: a property test with a fixed seed drives three schedulers, a stream and fake workers under a simulated clock; the checks read only the ledger of the workers and the final state. Seen failing and fixed: a task that a restarted worker had forgotten was renewed for ever; a start that a restarted worker had run and forgotten counted as not run; late reports showed ended tasks as running; an old leader judged the tasks of the new one.

--- a/src/common/jobs/active_job.ts
+++ b/src/common/jobs/active_job.ts
@@ -49,6 +49,10 @@
   leaseEndsAt: Millis;
   /** Whether a status has shown the task. */
   seen: boolean;
+  /** A later status did not show the task; its lease is not renewed. */
+  missing: boolean;
+  /** Lists read when a status first did not show a start; see `lists`. */
+  missingAtList: number | undefined;
   /** Whether the stop is part of an eviction. */
   evicting: boolean;
   /** Local time of the request for a checkpoint or a stop. */
@@ -131,6 +135,8 @@
     leaseUntilMs: -Infinity,
     leaseEndsAt: -Infinity,
     seen: false,
+    missing: false,
+    missingAtList: undefined,
     evicting: false,
     askedAt: -Infinity,
     share: 1,
--- a/src/common/jobs/closed_tasks.ts
+++ b/src/common/jobs/closed_tasks.ts
@@ -9,6 +9,8 @@
   readonly id: TaskId;
   readonly job: JobId;
   readonly worker: string;
+  /** When the task was known to have ended. */
+  readonly closedAt: Millis;
   /** Whether the record of the outcome was read back. */
   recorded: boolean;
   /** When the worker was last told to forget the outcome. */
@@ -29,11 +31,12 @@
   }
 
   /** Notes the end of a task whose record is not yet read back. */
-  close(id: TaskId, job: JobId, worker: string): void {
+  close(id: TaskId, job: JobId, worker: string, now: Millis): void {
     this.tasks.set(id, {
       id,
       job,
       worker,
+      closedAt: now,
       recorded: false,
       forgottenAt: -Infinity,
     });
--- /dev/null
+++ b/src/common/jobs/fake_caller.test_support.ts
@@ -0,0 +1,115 @@
+import {Millis} from '../base/clock.js';
+import {Ran} from '../base/refusal.js';
+import {Urgency} from '../tickets/types.js';
+import {FakeNode} from './fake_node.test_support.js';
+import {jobIdOf} from './job_id.js';
+import {Simulation} from './simulation.test_support.js';
+import {JobId, JobState, JobView, Submission} from './types.js';
+
+/** Time after which a caller asks another instance. */
+const PATIENCE_MS: Millis = 3000;
+
+/** A caller with one job. It asks again until it gets an answer. */
+export class FakeCaller {
+  readonly submission: Submission;
+  readonly job: JobId;
+  /** Every answer to the submission so far proves that nothing was run. */
+  refused = true;
+  accepted = false;
+  /** Time of an answer that says that the job was cancelled. */
+  cancelledAt: Millis | undefined;
+  cancelAsked = false;
+  private requests = 0;
+  /** Some callers give up after the first refusal. */
+  private readonly isPatient: boolean;
+
+  constructor(
+    index: number,
+    private readonly simulation: Simulation,
+    private readonly nodes: readonly FakeNode[],
+  ) {
+    const key = `key-${index}`;
+    this.job = jobIdOf('dc', key);
+    this.isPatient = simulation.chance(0.85);
+    this.submission = {
+      key,
+      jobClass: 'cut',
+      team: simulation.pick(['a', 'b']),
+      urgency: simulation.pick(Object.values(Urgency)),
+      size: {
+        processors: simulation.pick([0.5, 1, 2, 3]),
+        memoryMb: simulation.pick([200, 1000, 2500]),
+        accelerators: simulation.chance(0.2) ? 1 : 0,
+      },
+      runMs: simulation.between(200, 8000),
+      idempotent: simulation.chance(0.6),
+    };
+  }
+
+  /** Submits the job to any instance. */
+  submit(): void {
+    const {simulation, submission} = this;
+    const message = {kind: 'submit', submission} as const;
+    this.ask(message, answer =>
+      answer.caseOf({
+        Left: ({ran}) => {
+          if (ran !== Ran.NO) this.refused = false;
+          if (this.isPatient || ran !== Ran.NO) {
+            simulation.after(simulation.between(100, 1000), () =>
+              this.submit(),
+            );
+          }
+        },
+        Right: () => {
+          this.refused = false;
+          this.accepted = true;
+        },
+      }),
+    );
+  }
+
+  /** Cancels the job, if it has been accepted. */
+  cancel(): void {
+    if (!this.accepted) return;
+    const {simulation} = this;
+    this.cancelAsked = true;
+    this.ask({kind: 'cancel', job: this.job}, answer =>
+      answer.caseOf({
+        Left: () => {
+          simulation.after(simulation.between(100, 1000), () => this.cancel());
+        },
+        Right: value => {
+          if (value.kind === 'job') this.onCancelled(value.job);
+        },
+      }),
+    );
+  }
+
+  private onCancelled({state}: JobView): void {
+    if (state === JobState.CANCELLED) this.cancelledAt = this.simulation.now;
+  }
+
+  private ask(
+    message:
+      | {readonly kind: 'submit'; readonly submission: Submission}
+      | {readonly kind: 'cancel'; readonly job: JobId},
+    listener: Parameters<FakeNode['ask']>[2],
+  ): void {
+    const request = `${this.submission.key}/${++this.requests}`;
+    const node = this.simulation.pick(this.nodes);
+    let done = false;
+    node.ask(request, {...message, request}, answer => {
+      if (done) return;
+      done = true;
+      listener(answer);
+    });
+    this.simulation.after(PATIENCE_MS, () => {
+      if (done) return;
+      done = true;
+      // Without an answer the outcome is unknown.
+      this.refused = this.refused && message.kind !== 'submit';
+      if (message.kind === 'submit') this.submit();
+      else this.cancel();
+    });
+  }
+}
--- /dev/null
+++ b/src/common/jobs/fake_data_centre.test_support.ts
@@ -0,0 +1,239 @@
+import {MINUTE, Millis, SECOND} from '../base/clock.js';
+import {EMPTY_CONFIGURATION} from '../tickets/types.js';
+import {FakeCaller} from './fake_caller.test_support.js';
+import {FakeNode} from './fake_node.test_support.js';
+import {FakeRecord, FakeStream} from './fake_stream.test_support.js';
+import {FakeWorker, LedgerLine} from './fake_worker.test_support.js';
+import {Simulation} from './simulation.test_support.js';
+
+/** What goes wrong in a run; each fault can be switched off. */
+export interface Scenario {
+  readonly seed: number;
+  readonly workers: number;
+  readonly jobs: number;
+  readonly takeovers: boolean;
+  readonly pauses: boolean;
+  readonly logOutages: boolean;
+  readonly lostAppends: boolean;
+  readonly lostAnswers: boolean;
+  readonly lateMessages: boolean;
+  readonly workerKills: boolean;
+  readonly partitions: boolean;
+  readonly failingWorkers: boolean;
+  readonly cancellations: boolean;
+  readonly interference: boolean;
+}
+
+const NODES = 3;
+
+/** How long faults occur. */
+export const FAULTS_MS: Millis = 60 * SECOND;
+
+/** How long the data centre then has to finish its work. */
+export const RECOVERY_MS: Millis = 2 * MINUTE;
+
+const STEP_MS: Millis = 50;
+
+/** Lease of the leader, less the drift allowance. */
+const LEASE_MS: Millis = 2940;
+
+/** A data centre under a simulated clock. */
+export class FakeDataCentre {
+  readonly simulation: Simulation;
+  readonly ledger: LedgerLine[] = [];
+  readonly stream: FakeStream;
+  readonly workers = new Map<string, FakeWorker>();
+  readonly nodes: FakeNode[] = [];
+  readonly callers: FakeCaller[] = [];
+  private readonly network = {lostAnswers: 0, lateMessages: 0};
+  private successor: FakeNode | undefined;
+  private resigning = false;
+
+  constructor(private readonly scenario: Scenario) {
+    this.simulation = new Simulation(scenario.seed);
+    this.stream = new FakeStream(this.simulation);
+    for (let i = 0; i < scenario.workers; i++) this.addWorker(i);
+    for (let i = 0; i < NODES; i++) this.addNode(i);
+    this.stream.records.push({kind: 'view', base: null, leader: 0});
+  }
+
+  /** Runs the time of faults and the recovery. */
+  run(): void {
+    const {simulation, scenario} = this;
+    for (const node of this.nodes) {
+      simulation.after(node.index, () =>
+        simulation.every(STEP_MS, () => node.step()),
+      );
+    }
+    simulation.every(SECOND, () => this.publishList());
+    simulation.every(500, () => this.lead());
+    simulation.every(SECOND, () => this.breakSomething());
+    this.network.lostAnswers = scenario.lostAnswers ? 0.15 : 0;
+    this.network.lateMessages = scenario.lateMessages ? 0.08 : 0;
+    this.stream.loss = scenario.lostAppends ? 0.2 : 0;
+    this.stream.delay = scenario.lostAppends ? 0.05 : 0;
+    for (let i = 0; i < scenario.jobs; i++) this.addCaller(i);
+    simulation.runUntil(FAULTS_MS);
+    this.repair();
+    simulation.runUntil(FAULTS_MS + RECOVERY_MS);
+    for (const worker of this.workers.values()) worker.advance(simulation.now);
+  }
+
+  /** The node that the last view names, once it has read the view. */
+  private get leader(): FakeNode | undefined {
+    const {records} = this.stream;
+    return this.nodes.find(({epoch}) => epoch === this.lastView(records));
+  }
+
+  private lastView(records: readonly FakeRecord[]): number {
+    return records.findLastIndex(({kind}) => kind === 'view');
+  }
+
+  private addWorker(index: number): void {
+    const {simulation} = this;
+    const fields = {
+      capacity: {processors: 4, memoryMb: 4000, accelerators: 1},
+      rack: `r${index % 2}`,
+      clockOffset: simulation.between(-1e6, 1e6),
+      // Within the drift that the scheduler allows for (2%).
+      clockRate: simulation.between(0.985, 1.015),
+    };
+    const worker = new FakeWorker(`w${index}`, fields, this.ledger);
+    // A job that fails on three workers is set aside, so two may fail all.
+    if (this.scenario.failingWorkers && index < 2) {
+      worker.failsEverything = true;
+    }
+    this.workers.set(worker.id, worker);
+  }
+
+  private addNode(index: number): void {
+    const node = new FakeNode(
+      index,
+      this.simulation,
+      this.stream,
+      this.workers,
+      this.network,
+    );
+    const quota = {processors: 6, memoryMb: 8000, accelerators: 2};
+    const teams = {a: {quota, weight: 1}, b: {quota, weight: 2}};
+    const configuration = {...EMPTY_CONFIGURATION, number: 1, teams};
+    node.send({kind: 'configuration', configuration});
+    this.nodes.push(node);
+  }
+
+  private addCaller(index: number): void {
+    const caller = new FakeCaller(index, this.simulation, this.nodes);
+    this.callers.push(caller);
+    const {simulation} = this;
+    simulation.after(simulation.between(100, FAULTS_MS / 2), () =>
+      caller.submit(),
+    );
+    if (!this.scenario.cancellations || !simulation.chance(0.3)) return;
+    simulation.after(simulation.between(1000, FAULTS_MS), () =>
+      caller.cancel(),
+    );
+  }
+
+  private publishList(): void {
+    const instances = [...this.workers.values()].map(({instance}) => instance);
+    const broken = this.scenario.partitions && this.simulation.chance(0.1);
+    const list = broken ? [] : instances;
+    for (const node of this.nodes) {
+      node.deliver({kind: 'instances', instances: list});
+    }
+  }
+
+  /** Renews the leader's lease, or changes the leader once it has ended. */
+  private lead(): void {
+    const {simulation, stream} = this;
+    const {leader} = this;
+    if (this.successor === undefined) {
+      if (leader === undefined) return;
+      if (simulation.now >= leader.pausedUntil) {
+        leader.leaseUntil = simulation.now + LEASE_MS;
+      }
+      return;
+    }
+    if (this.resigning && leader?.scheduler.unsettledStarts === 0) {
+      leader.leaseUntil = simulation.now;
+    }
+    const held = this.nodes.some(node => simulation.now < node.leaseUntil);
+    if (held || !stream.available) return;
+    const base = this.lastView(stream.records);
+    const {index} = this.successor;
+    stream.records.push({kind: 'view', base, leader: index});
+    this.successor.leaseUntil = simulation.now + LEASE_MS;
+    this.successor = undefined;
+    this.resigning = false;
+  }
+
+  private breakSomething(): void {
+    const {simulation, scenario} = this;
+    if (simulation.now >= FAULTS_MS) return;
+    if (scenario.takeovers && simulation.chance(0.12)) this.changeLeader();
+    if (scenario.pauses && simulation.chance(0.1)) {
+      const node = simulation.pick(this.nodes);
+      node.pausedUntil = simulation.now + simulation.between(500, 6000);
+    }
+    if (scenario.logOutages && simulation.chance(0.06)) this.stopLog();
+    if (scenario.workerKills && simulation.chance(0.06)) this.killWorker();
+    if (scenario.partitions && simulation.chance(0.08)) this.cutWorker();
+    if (scenario.interference) this.interfere();
+  }
+
+  private changeLeader(): void {
+    const {simulation, leader} = this;
+    if (this.successor !== undefined || leader === undefined) return;
+    const others = this.nodes.filter(node => node !== leader);
+    this.successor = simulation.pick(others);
+    this.resigning = simulation.chance(0.4);
+    if (this.resigning) leader.deliver({kind: 'drain'});
+  }
+
+  private stopLog(): void {
+    const {simulation, stream} = this;
+    if (!stream.available) return;
+    stream.available = false;
+    simulation.after(simulation.between(500, 15_000), () => {
+      stream.available = true;
+    });
+  }
+
+  private killWorker(): void {
+    const {simulation} = this;
+    const worker = simulation.pick([...this.workers.values()]);
+    if (!worker.isUp) return;
+    worker.kill(simulation.now);
+    simulation.after(simulation.between(100, 20_000), () => worker.restart());
+  }
+
+  private cutWorker(): void {
+    const {simulation} = this;
+    const worker = simulation.pick([...this.workers.values()]);
+    if (!worker.isConnected) return;
+    worker.isConnected = false;
+    simulation.after(simulation.between(100, 20_000), () => {
+      worker.isConnected = true;
+    });
+  }
+
+  private interfere(): void {
+    const {simulation} = this;
+    for (const {id} of this.workers.values()) {
+      const message = {
+        kind: 'interference',
+        worker: id,
+        slowdown: simulation.between(1, 1.8),
+        measuredAt: simulation.now - simulation.between(100, 3000),
+      } as const;
+      for (const node of this.nodes) node.deliver(message);
+    }
+  }
+
+  private repair(): void {
+    this.stream.loss = 0;
+    this.stream.delay = 0;
+    this.network.lostAnswers = 0;
+    this.network.lateMessages = 0;
+  }
+}
--- /dev/null
+++ b/src/common/jobs/fake_node.test_support.ts
@@ -0,0 +1,201 @@
+import {Either} from 'purify-ts';
+import {Millis} from '../base/clock.js';
+import {Refusal} from '../base/refusal.js';
+import {Epoch} from '../stream/types.js';
+import {
+  FakeReader,
+  FakeStream,
+  FakeWriter,
+} from './fake_stream.test_support.js';
+import {FakeWorker} from './fake_worker.test_support.js';
+import {Scheduler} from './scheduler.js';
+import {Simulation} from './simulation.test_support.js';
+import {SchedulerAction, SchedulerAnswer, SchedulerMessage} from './types.js';
+
+/** What is lost or late between a node and the workers. */
+export interface NetworkFaults {
+  lostAnswers: number;
+  lateMessages: number;
+}
+
+type Answer = Either<Refusal, SchedulerAnswer>;
+type ActionOf<K extends SchedulerAction['kind']> = Extract<
+  SchedulerAction,
+  {kind: K}
+>;
+
+/** Time after which an unanswered call is given up. */
+const CALL_TIMEOUT_MS: Millis = 800;
+
+/** An entry instance: a scheduler, its reader and writer, and its calls. */
+export class FakeNode {
+  readonly scheduler: Scheduler;
+  readonly writer: FakeWriter;
+  readonly violations: string[] = [];
+  readonly actionsWithoutLease: string[] = [];
+  leaseUntil: Millis = -Infinity;
+  epoch: Epoch | undefined;
+  pausedUntil: Millis = 0;
+  private readonly reader: FakeReader;
+  private readonly answers = new Map<string, (answer: Answer) => void>();
+  private logSeen: boolean | undefined;
+
+  constructor(
+    readonly index: number,
+    private readonly simulation: Simulation,
+    private readonly stream: FakeStream,
+    private readonly workers: ReadonlyMap<string, FakeWorker>,
+    private readonly faults: NetworkFaults,
+  ) {
+    this.scheduler = new Scheduler(
+      {
+        mayAct: now => now < this.leaseUntil,
+        leaseUntil: () => this.leaseUntil,
+      },
+      {dataCentre: 'dc'},
+    );
+    this.reader = new FakeReader(stream);
+    this.writer = new FakeWriter(`n${index}#1`, stream);
+  }
+
+  /** One turn of the node's loop. */
+  step(): void {
+    if (this.simulation.now < this.pausedUntil) return;
+    if (this.stream.available) this.readStream();
+    if (this.logSeen !== this.stream.available) {
+      this.logSeen = this.stream.available;
+      this.send({kind: 'log', available: this.logSeen});
+    }
+    this.send({kind: 'tick'});
+    if (this.epoch !== undefined) {
+      this.writer.send(this.epoch, this.simulation.now);
+    }
+  }
+
+  /** Hands a message in, once the node is not paused. */
+  deliver(message: SchedulerMessage): void {
+    const waitMs = this.pausedUntil - this.simulation.now;
+    if (waitMs > 0) this.simulation.after(waitMs, () => this.deliver(message));
+    else this.send(message);
+  }
+
+  /** Sends a caller's request. */
+  ask(
+    request: string,
+    message: SchedulerMessage,
+    answer: (answer: Answer) => void,
+  ): void {
+    this.answers.set(request, answer);
+    this.deliver(message);
+  }
+
+  send(message: SchedulerMessage): void {
+    const {now} = this.simulation;
+    for (const action of this.scheduler.handle(message, now)) this.act(action);
+  }
+
+  private readStream(): void {
+    for (const record of this.reader.read()) {
+      if (record.kind === 'batch') {
+        const own = this.writer.onRead(record.batch);
+        this.send({kind: 'batch-read', own, ...pickBatch(record)});
+      } else if (record.leader === this.index) {
+        this.writer.reset();
+        this.epoch = record.epoch;
+        this.send({kind: 'lead', epoch: record.epoch});
+      } else if (this.epoch !== undefined) {
+        this.epoch = undefined;
+        this.writer.reset();
+        this.send({kind: 'follow'});
+      }
+    }
+  }
+
+  private act(action: SchedulerAction): void {
+    if (action.kind === 'append') this.writer.add(action.entries);
+    else if (action.kind === 'answer') this.answer(action);
+    else if (action.kind === 'violation') {
+      this.violations.push(`${action.rule} ${action.worker} ${action.task}`);
+    } else if (action.kind !== 'job-ended') this.call(action);
+  }
+
+  private answer({request, answer}: ActionOf<'answer'>): void {
+    const listener = this.answers.get(request);
+    this.answers.delete(request);
+    listener?.(answer);
+  }
+
+  /** Calls a worker: the request and the answer take time or are lost. */
+  private call(
+    action: Exclude<
+      SchedulerAction,
+      {kind: 'append' | 'answer' | 'violation' | 'job-ended'}
+    >,
+  ): void {
+    const {simulation} = this;
+    const sentAt = simulation.now;
+    if (sentAt >= this.leaseUntil) this.actionsWithoutLease.push(action.kind);
+    const worker = this.workers.get(action.worker);
+    simulation.after(this.latency(), () => {
+      if (worker === undefined || !worker.isReachable) {
+        this.fail(action.worker, sentAt);
+        return;
+      }
+      const message = this.carryOut(action, worker, sentAt);
+      if (simulation.chance(this.faults.lostAnswers)) {
+        this.fail(action.worker, sentAt);
+        return;
+      }
+      simulation.after(this.latency(), () => this.deliver(message()));
+    });
+  }
+
+  private fail(worker: string, sentAt: Millis): void {
+    const waitMs = sentAt + CALL_TIMEOUT_MS - this.simulation.now;
+    this.simulation.after(waitMs, () =>
+      this.deliver({kind: 'worker-unreachable', worker}),
+    );
+  }
+
+  private carryOut(
+    action: Exclude<
+      SchedulerAction,
+      {kind: 'append' | 'answer' | 'violation' | 'job-ended'}
+    >,
+    worker: FakeWorker,
+    sentAt: Millis,
+  ): () => SchedulerMessage {
+    const {now} = this.simulation;
+    const {id} = worker;
+    if (action.kind === 'start') {
+      const {task} = action;
+      if (!worker.startTask(task, action.start, now)) {
+        return () => ({kind: 'start-refused', worker: id, task});
+      }
+    } else if (action.kind === 'poll') worker.renew(action.leases, now);
+    else if (action.kind === 'stop-task') worker.stop(action.task, now);
+    else if (action.kind === 'forget-task') worker.forget(action.task, now);
+    else if (action.kind === 'checkpoint-task') {
+      worker.checkpoint(action.task, now);
+    } else worker.throttle(action.task, action.share, now);
+    const status = worker.status(now);
+    return () => ({
+      kind: 'worker-status',
+      worker: id,
+      status,
+      sentAt,
+      receivedAt: this.simulation.now,
+    });
+  }
+
+  private latency(): Millis {
+    const {simulation} = this;
+    return simulation.chance(this.faults.lateMessages)
+      ? simulation.between(50, 5000)
+      : simulation.between(0.5, 8);
+  }
+}
+
+function pickBatch<T extends {offset: number; batch: unknown}>(record: T) {
+  return {offset: record.offset, batch: record.batch as T['batch']};
+}
--- /dev/null
+++ b/src/common/jobs/fake_stream.test_support.ts
@@ -0,0 +1,128 @@
+import {Millis} from '../base/clock.js';
+import {BatchRecord, Epoch} from '../stream/types.js';
+import {Simulation} from './simulation.test_support.js';
+import {JobRecord} from './types.js';
+
+/** A view record or a batch of the stream. */
+export type FakeRecord =
+  | {
+      readonly kind: 'view';
+      readonly base: Epoch | null;
+      readonly leader: number;
+    }
+  | BatchRecord;
+
+/** The log: records in order, with outages, lost appends and lost answers. */
+export class FakeStream {
+  readonly records: FakeRecord[] = [];
+  available = true;
+  /** Probability that an append is lost on its way. */
+  loss = 0;
+  /** Probability that an append is delayed by seconds. */
+  delay = 0;
+
+  constructor(private readonly simulation: Simulation) {}
+
+  /** Appends a record after a delay, unless it is lost. */
+  append(record: FakeRecord): void {
+    const {simulation} = this;
+    if (!this.available || simulation.chance(this.loss)) return;
+    const delay = simulation.chance(this.delay)
+      ? simulation.between(200, 4000)
+      : simulation.between(2, 40);
+    simulation.after(delay, () => this.records.push(record));
+  }
+}
+
+/** What a reader makes of a record. */
+export type FoldedRecord =
+  | {
+      readonly kind: 'view';
+      readonly epoch: Epoch;
+      readonly leader: number;
+    }
+  | {readonly kind: 'batch'; readonly offset: number; batch: BatchRecord};
+
+/**
+ * The fold of a stream: the first view of a base wins; batches of another epoch
+ * and repeated sequences are void.
+ */
+export class FakeReader {
+  epoch: Epoch | null = null;
+  private offset = 0;
+  private readonly seen = new Set<string>();
+
+  constructor(private readonly stream: FakeStream) {}
+
+  /** Records in force that were not read before. */
+  *read(): Generator<FoldedRecord> {
+    const {records} = this.stream;
+    while (this.offset < records.length) {
+      const offset = this.offset++;
+      const record = records[offset];
+      if (record.kind === 'view') {
+        if (record.base !== this.epoch) continue;
+        this.epoch = offset;
+        yield {kind: 'view', epoch: offset, leader: record.leader};
+      } else if (record.epoch === this.epoch) {
+        const identity = `${record.writer} ${record.sequence}`;
+        if (this.seen.has(identity)) continue;
+        this.seen.add(identity);
+        yield {kind: 'batch', offset, batch: record};
+      }
+    }
+  }
+}
+
+/** Time after which an append without a record is repeated. */
+const REPEAT_MS: Millis = 300;
+
+/** Writes batches of one node in order; one is on its way at a time. */
+export class FakeWriter {
+  private waiting: JobRecord[] = [];
+  private current: BatchRecord | undefined;
+  private sentAt: Millis = 0;
+  private sequence = 0;
+
+  constructor(
+    private readonly name: string,
+    private readonly stream: FakeStream,
+  ) {}
+
+  add(entries: readonly JobRecord[]): void {
+    this.waiting.push(...entries);
+  }
+
+  /** Drops what belongs to an earlier epoch. */
+  reset(): void {
+    this.waiting = [];
+    this.current = undefined;
+  }
+
+  /** A batch of this writer was read back. */
+  onRead(batch: BatchRecord): boolean {
+    const own = batch.writer === this.name;
+    if (own && batch.sequence === this.current?.sequence) {
+      this.current = undefined;
+    }
+    return own;
+  }
+
+  /** Sends the next batch, or repeats one whose record does not appear. */
+  send(epoch: Epoch, now: Millis): void {
+    if (this.current === undefined && this.waiting.length > 0) {
+      this.current = {
+        kind: 'batch',
+        writer: this.name,
+        sequence: ++this.sequence,
+        epoch,
+        entries: this.waiting,
+      };
+      this.waiting = [];
+      this.sentAt = -Infinity;
+    }
+    if (this.current === undefined || now - this.sentAt < REPEAT_MS) return;
+    this.sentAt = now;
+    this.stream.append(this.current);
+  }
+}
--- a/src/common/jobs/polls.ts
+++ b/src/common/jobs/polls.ts
@@ -17,7 +17,7 @@
 
 /** Tasks that are left to their lease are not renewed. */
 function isRenewed(task: ActiveTask): boolean {
-  if (!task.seen) return false;
+  if (!task.seen || task.missing) return false;
   return task.phase !== TaskPhase.STOPPING || task.evicting;
 }
 
--- a/src/common/jobs/scheduler.test.ts
+++ b/src/common/jobs/scheduler.test.ts
@@ -347,7 +347,15 @@
     driver.epoch = 2;
     driver.send({kind: 'lead', epoch: 2});
     driver.now += 50;
-    expect(driver.scheduler.job(id)?.state).toBe(JobState.STARTING);
+    for (let i = 0; i <= 3; i++) {
+      // The worker may have run the task, restarted and forgotten it; the list
+      // shows that late.
+      expect(driver.scheduler.job(id)?.state).toBe(JobState.STARTING);
+      driver.status(start.worker, []);
+      driver.send({kind: 'instances', instances: driver.workers});
+      driver.tick();
+      expect(driver.all('start')).toEqual([]);
+    }
     driver.status(start.worker, []);
     driver.tick();
     driver.readBack();
--- a/src/common/jobs/scheduler.ts
+++ b/src/common/jobs/scheduler.ts
@@ -72,7 +72,7 @@
   now: Millis,
 ): Generator<SchedulerAction> {
   state.table.prune(state.unixMs);
-  if (state.term === undefined) return;
+  if (!state.mayAct(now)) return;
   state.closed.prune(now);
   endLapsedTasks(state, now);
   yield* surveyProgress(state, now);
@@ -119,6 +119,7 @@
     unixMs: Millis = now,
   ): Generator<SchedulerAction> {
     const {state} = this;
+    state.now = now;
     state.unixMs = unixMs;
     const handler = HANDLERS[message.kind] as Handler<typeof message.kind>;
     yield* handler(state, message as never, now);
--- /dev/null
+++ b/src/common/jobs/scheduler_safety.test.ts
@@ -0,0 +1,79 @@
+import fc from 'fast-check';
+import {FakeDataCentre, Scenario} from './fake_data_centre.test_support.js';
+import {
+  checkAtMostOnce,
+  checkCancelled,
+  checkCapacity,
+  checkCompletion,
+  checkOneTaskPerJob,
+  checkRefusals,
+  checkTaskIds,
+} from './ledger_checks.test_support.js';
+import {isFinal} from './job_table.js';
+
+const SEED = 20261204;
+
+const ANY_SCENARIO: fc.Arbitrary<Scenario> = fc.record({
+  seed: fc.integer(),
+  workers: fc.integer({min: 4, max: 6}),
+  jobs: fc.integer({min: 10, max: 60}),
+  takeovers: fc.boolean(),
+  pauses: fc.boolean(),
+  logOutages: fc.boolean(),
+  lostAppends: fc.boolean(),
+  lostAnswers: fc.boolean(),
+  lateMessages: fc.boolean(),
+  workerKills: fc.boolean(),
+  partitions: fc.boolean(),
+  failingWorkers: fc.boolean(),
+  cancellations: fc.boolean(),
+  interference: fc.boolean(),
+});
+
+function faultsOf(scenario: Scenario): string[] {
+  const dataCentre = new FakeDataCentre(scenario);
+  dataCentre.run();
+  return [
+    ...checkOneTaskPerJob(dataCentre.ledger),
+    ...checkTaskIds(dataCentre.ledger),
+    ...checkCapacity(dataCentre),
+    ...checkAtMostOnce(dataCentre),
+    ...checkRefusals(dataCentre),
+    ...checkCancelled(dataCentre),
+    ...checkCompletion(dataCentre),
+    ...checkEnd(dataCentre),
+  ];
+}
+
+/** What must hold once all faults are over. */
+function checkEnd({nodes, workers, callers}: FakeDataCentre): string[] {
+  const faults: string[] = [];
+  for (const node of nodes) {
+    faults.push(...node.violations);
+    faults.push(...node.actionsWithoutLease.map(kind => `${kind} unleased`));
+    if (node.scheduler.promisedTasks > 0) faults.push('promises are left');
+    for (const {job, accepted} of callers) {
+      const view = node.scheduler.job(job);
+      if (accepted && (view === undefined || !isFinal(view.state))) {
+        faults.push(`${job} is ${view?.state} at node ${node.index}`);
+      }
+    }
+  }
+  for (const worker of workers.values()) {
+    if (worker.taskCount > 0) faults.push(`${worker.id} keeps outcomes`);
+  }
+  return faults;
+}
+
+// Guards against double execution, overcommitment, lost work and false
+// refusals under any mixture of the faults of section 1.5 of the design.
+describe('Scheduler under faults', () => {
+  it('keeps the invariants with every mixture of faults', () => {
+    fc.assert(
+      fc.property(ANY_SCENARIO, scenario => {
+        expect(faultsOf(scenario)).toEqual([]);
+      }),
+      {seed: SEED, numRuns: 150},
+    );
+  });
+});
--- a/src/common/jobs/scheduler_state.ts
+++ b/src/common/jobs/scheduler_state.ts
@@ -60,6 +60,8 @@
 export class SchedulerState {
   term: Term | undefined;
   logAvailable = false;
+  /** Local time of the message that is being handled. */
+  now: Millis = 0;
   /** Unix time of the message that is being handled. */
   unixMs: Millis = 0;
   configuration: Configuration = EMPTY_CONFIGURATION;
@@ -85,6 +87,8 @@
   outbox: JobRecord[] = [];
   /** Records that were handed to the writer and are not yet read back. */
   inFlight: JobRecord[] = [];
+  /** Non-empty instance lists that were read. */
+  lists = 0;
   /** Whether jobs may be placeable that were not before. */
   dirty = false;
 
--- a/src/common/jobs/task_endings.ts
+++ b/src/common/jobs/task_endings.ts
@@ -7,7 +7,7 @@
 
 function close(state: SchedulerState, job: ActiveJob, task: ActiveTask): void {
   state.removeTask(task, job);
-  state.closed.close(task.id, job.id, task.worker);
+  state.closed.close(task.id, job.id, task.worker, state.now);
 }
 
 /** The job has ended; callers see that when the record is read back. */
--- a/src/common/jobs/task_lifecycle.ts
+++ b/src/common/jobs/task_lifecycle.ts
@@ -13,6 +13,12 @@
 type StatusMessage = Extract<SchedulerMessage, {kind: 'worker-status'}>;
 type StartRefused = Extract<SchedulerMessage, {kind: 'start-refused'}>;
 
+/**
+ * Newer lists that must show a worker with the same start number before a start
+ * that it does not list counts as not run.
+ */
+const NEWER_LISTS = 3;
+
 /** A status as the handlers of its tasks see it. */
 export interface StatusReport {
   readonly worker: WorkerEntry;
@@ -31,6 +37,8 @@
   worker.clock.add({sentAt, receivedAt, nowMs: status.nowMs});
   if (status.leaving) worker.leaving = true;
   const {term} = state;
+  // Without the lease another leader may be starting and ending tasks.
+  if (!state.mayAct(now)) return;
   // A report from before the term may miss a task that the earlier leader was
   // about to start; one that was overtaken shows tasks that have ended since.
   if (term === undefined || sentAt < term.since) return;
@@ -133,6 +141,7 @@
   const job = state.jobs.get(task.job);
   // A report says nothing about a task that was started after its poll.
   if (job === undefined || report.sentAt < task.startedAt) return;
+  task.missing = false;
   task.progress = status.progress;
   task.leaseUntilMs = Math.max(task.leaseUntilMs, status.leaseUntilMs);
   if (status.state !== TaskState.RUNNING) {
@@ -172,19 +181,40 @@
   if (job === undefined || sentAt < task.startedAt) return;
   if (task.seen) {
     // The worker lost the task; it is over when its last lease is.
+    task.missing = true;
     if (now >= task.leaseEndsAt) lapsed(state, job, task, task.checkpoint);
     return;
   }
   // Leases of an earlier leader's starts had ended when this term began.
   const startLeaseEnded = task.inherited || status.nowMs >= task.leaseUntilMs;
   if (!startLeaseEnded) return;
-  const replaced =
-    task.workerStart !== undefined &&
-    worker.instance !== undefined &&
-    worker.instance.start !== task.workerStart;
-  // A restarted worker may have run the task and forgotten it.
-  if (restarted || replaced) lapsed(state, job, task, task.checkpoint);
-  else neverRan(state, job, task, now);
+  if (restarted || isReplaced(worker, task)) {
+    lapsed(state, job, task, task.checkpoint);
+  } else if (job.submission.idempotent || isSameProcess(state, task)) {
+    neverRan(state, job, task, now);
+  }
+}
+
+/** Whether the worker's process is not the one that got the start. */
+function isReplaced(
+  {instance}: WorkerEntry,
+  {workerStart}: ActiveTask,
+): boolean {
+  return instance !== undefined && instance.start !== workerStart;
+}
+
+/**
+ * Whether lists that are newer than the status show the worker's process to be
+ * the one that got the start. A worker that restarted in between has forgotten
+ * a task that it may have run, and the list lags behind.
+ */
+function isSameProcess(state: SchedulerState, task: ActiveTask): boolean {
+  task.missingAtList ??= state.lists;
+  const {instance} = state.worker(task.worker);
+  return (
+    state.lists - task.missingAtList >= NEWER_LISTS &&
+    instance?.start === task.workerStart
+  );
 }
 
 /** The worker refused a start because its lease had ended. */
--- a/src/common/jobs/types.ts
+++ b/src/common/jobs/types.ts
@@ -100,7 +100,7 @@
       readonly task: TaskId;
       readonly worker: string;
       /** Start number of the worker; tells a restarted worker apart. */
-      readonly workerStart?: number;
+      readonly workerStart: number | undefined;
     }
   /** The start provably did not run; the job is queued again. */
   | {
--- a/src/common/jobs/unaccounted_tasks.ts
+++ b/src/common/jobs/unaccounted_tasks.ts
@@ -21,6 +21,9 @@
     countRoom(state, report, status);
     return;
   }
+  // A report from before the end of a task may show it running.
+  const closed = state.closed.get(status.task);
+  if (closed !== undefined && report.sentAt <= closed.closedAt) return;
   const job = state.jobs.get(status.job);
   if (job !== undefined && isInherited(state, job, status)) {
     yield* adopt(state, report, job, status, now);
@@ -126,11 +129,39 @@
     // Forgotten only after the record; sent again when it was lost.
     if (!closed.recorded || report.sentAt <= closed.forgottenAt) return;
   }
+  if (finishesQueuedJob(state, report.worker.id, status)) return;
   if (recordsLateEnd(state, report.worker.id, status)) return;
   const {worker} = report;
   yield* forgetTask(state, worker.id, status.task, now);
 }
 
+/** A job that waits to be run again had finished on a lost worker. */
+function finishesQueuedJob(
+  state: SchedulerState,
+  worker: string,
+  {job: id, task, state: taskState, result}: TaskStatus,
+): boolean {
+  const job = state.jobs.get(id);
+  const finished =
+    taskState === TaskState.FINISHED &&
+    job?.submission.idempotent === true &&
+    job.task === undefined &&
+    !job.ending;
+  if (!finished) return false;
+  state.closed.close(task, id, worker, state.now);
+  state.queue.remove(job);
+  job.ending = true;
+  state.record({
+    kind: 'ended',
+    job: id,
+    task,
+    outcome: 'finished',
+    result,
+    timeMs: state.unixMs,
+  });
+  return true;
+}
+
 /** An interrupted job finished after all, on a worker that was lost. */
 function recordsLateEnd(
   state: SchedulerState,
@@ -144,7 +175,7 @@
     status.state === TaskState.FINISHED;
   if (!learned) return false;
   if (!state.logAvailable) return true;
-  state.closed.close(status.task, status.job, worker);
+  state.closed.close(status.task, status.job, worker, state.now);
   state.record({
     kind: 'ended',
     job: status.job,
--- a/src/common/jobs/workers.ts
+++ b/src/common/jobs/workers.ts
@@ -28,6 +28,7 @@
       role === InstanceRole.WORKER && dataCentre === state.settings.dataCentre,
   );
   if (listed.length === 0) return;
+  state.lists++;
   const ids = new Set(listed.map(({id}) => id));
   for (const worker of state.workers.values()) {
     if (!ids.has(worker.id)) worker.instance = undefined;
