Queue requests in the proxy and add hedging

Requests went to the router at once and were refused when all targets were full. They now pass the admission queue of their service; a request that finds all targets full goes back to the front. A claim is asked for only when the queue would take the request, because it costs a record in the log. Hedging of slow idempotent requests is off by default. The attempts of a request moved to TargetTrials and its claim to RequestClaim.

Seen: 53 tests of src/common/routing and src/node pass.

--- a/src/common/routing/router.ts
+++ b/src/common/routing/router.ts
@@ -154,7 +154,6 @@
     this.targets.delete(record);
   }
 
-  /** Requests that the live local targets of a service take from here. */
   capacity(service: string): number {
     return this.routes.get(service)?.capacity ?? 0;
   }
--- a/src/common/routing/service_routes.ts
+++ b/src/common/routing/service_routes.ts
@@ -83,11 +83,13 @@
     );
   }
 
-  /** Requests that the local targets take from this instance. */
+  /** Requests that the targets take from this instance. */
   get capacity(): number {
     let capacity = 0;
-    for (const {health, record} of this.local?.targets ?? []) {
-      if (!health.ejected) capacity += record.limit;
+    for (const {targets} of this.groups.values()) {
+      for (const {health, record} of targets) {
+        if (!health.ejected) capacity += record.limit;
+      }
     }
     return capacity;
   }
--- a/src/common/routing/types.ts
+++ b/src/common/routing/types.ts
@@ -80,6 +80,8 @@
    *     target, all targets full, retry budget spent.
    */
   choose(request: RoutedRequest, now: Millis): Either<Refusal, Choice>;
+  /** Requests that the targets of a service take from this instance. */
+  capacity(service: string): number;
   /** Gives a choice back with its outcome. */
   finish(choice: Choice, outcome: AttemptOutcome, now: Millis): void;
 }
--- a/src/node/proxied_request.ts
+++ b/src/node/proxied_request.ts
@@ -1,76 +1,53 @@
-import {Either, Left} from 'purify-ts';
-import {Dispatcher} from 'undici';
-import {refuse, Refusal, RefusalKind} from '../common/base/refusal.js';
-import {AttemptOutcome, Choice} from '../common/routing/types.js';
-import {AnswerHead, Attempt, AttemptAbort, AttemptFailure} from './attempt.js';
+import {Either} from 'purify-ts';
+import {Refusal} from '../common/base/refusal.js';
+import {RequestPriority} from '../common/routing/admission.js';
+import {AttemptOutcome} from '../common/routing/types.js';
+import {AdmissionQueue, QueuePlace} from './admission_queue.js';
+import {AttemptAbort} from './attempt.js';
 import {Exchange, sendRefusal} from './json_server.js';
-import {
-  alreadyClaimed,
-  attemptFailed,
-  bodyTooLarge,
-  deadlinePassed,
-} from './proxy_refusals.js';
-import {
-  LeavingNotice,
-  ProxyDependencies,
-  ProxyOptions,
-  RequestEnd,
-  RequestEndKind,
-} from './proxy_types.js';
+import {bodyTooLarge, deadlinePassed} from './proxy_refusals.js';
+import {RequestEnd, RequestEndKind} from './proxy_types.js';
 import {BodyTooLargeError, RequestBody} from './request_body.js';
+import {RequestClaim, Wanted} from './request_claim.js';
 import {RequestContext} from './request_context.js';
-import {TargetPools} from './target_pools.js';
+import {ProxyParts, TargetTrials, TrialsEnd} from './target_trials.js';
 
-/** What a request shares with the others of its proxy. */
-export interface ProxyParts extends ProxyDependencies {
-  readonly pools: TargetPools;
-  readonly options: ProxyOptions;
-  readonly targetLeaving: (notice: LeavingNotice) => void;
-}
-
-/** Answers of a target that say that another one may do better. */
-const RETRIED_STATUS: ReadonlySet<number> = new Set([502, 503, 504]);
-
-/** A started attempt with its choice. */
-interface Trial {
-  readonly choice: Choice;
-  readonly attempt: Attempt;
-}
+/** Answers by which a target says that it has too much to do. */
+const OVERLOADED_STATUS: ReadonlySet<number> = new Set([429, 503]);
 
 /** The life of one request, from its headers to the end of the exchange. */
 export class ProxiedRequest {
-  private readonly tried: string[] = [];
   private readonly stop = new AbortController();
-  private mayHaveRun = false;
-  private claimHeld = false;
+  private readonly claim: RequestClaim;
   private refusal: Refusal | undefined;
   private status = 0;
-  private body!: RequestBody;
+  private attempts = 0;
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly parts: ProxyParts,
+    private readonly queue: AdmissionQueue,
     private readonly exchange: Exchange,
     private readonly context: RequestContext,
-  ) {}
+  ) {
+    this.claim = new RequestClaim(parts.claims, context.claimKey);
+  }
 
   /** Serves the request; resolves when the exchange has ended. */
   async run(): Promise<RequestEnd> {
     const {response} = this.exchange;
     const gone = () => this.cancel(AttemptOutcome.CANCELLED, 'caller gone');
     response.once('close', gone);
-    const wait = this.context.deadline - this.parts.clock.now();
-    const timer = setTimeout(
+    this.timer = setTimeout(
       () => this.cancel(AttemptOutcome.TIMED_OUT, 'deadline passed'),
-      Math.max(0, wait),
+      Math.max(0, this.context.deadline - this.parts.clock.now()),
     );
-    const stopTimer = () => clearTimeout(timer);
-    this.stop.signal.addEventListener('abort', stopTimer);
     try {
-      const refusal = await this.serve(stopTimer);
+      const refusal = await this.serve();
       if (refusal !== undefined) this.refuse(refusal);
       return this.describeEnd();
     } finally {
-      stopTimer();
+      clearTimeout(this.timer);
       response.off('close', gone);
     }
   }
@@ -84,16 +61,40 @@
   }
 
   /** Does the work; the result is the refusal to send, if any. */
-  private async serve(answering: () => void): Promise<Refusal | undefined> {
-    const early = (await this.receiveBody()) ?? (await this.claim());
-    if (early !== undefined) return early;
-    const refusal = await this.tryTargets(answering);
-    if (this.claimHeld && !this.mayHaveRun) this.endClaim('released');
-    return refusal;
+  private async serve(): Promise<Refusal | undefined> {
+    const body = await this.receiveBody();
+    if (!(body instanceof RequestBody)) return body;
+    // A claim costs a record in the log, so none is asked for in vain.
+    const hopeless = refusalOf(
+      this.queue.check(this.priority, this.context.deadline),
+    );
+    if (hopeless !== undefined) return hopeless;
+    const unclaimed = await this.claim.get(this.wanted);
+    if (unclaimed !== undefined) return unclaimed;
+    const place = this.queue.enter(this.priority, this.context.deadline);
+    const trials = new TargetTrials(
+      this.parts,
+      this.context,
+      body,
+      this.stop.signal,
+    );
+    try {
+      return await this.serveAdmitted(place, trials);
+    } finally {
+      this.attempts = trials.attempts;
+      if (!trials.mayHaveRun) this.claim.end('released');
+      place.leave(this.overloaded(trials));
+    }
+  }
+
+  private get priority(): RequestPriority {
+    return this.context.claimKey === undefined
+      ? RequestPriority.NORMAL
+      : RequestPriority.HIGH;
   }
 
   /** Waits for `work`, but not longer than the request is wanted. */
-  private wanted<T>(work: Promise<T>): Promise<T> {
+  private readonly wanted: Wanted = work => {
     const {signal} = this.stop;
     return new Promise((resolve, reject) => {
       const stopped = () => reject(signal.reason as AttemptAbort);
@@ -103,17 +104,14 @@
         .then(resolve, reject)
         .finally(() => signal.removeEventListener('abort', stopped));
     });
-  }
+  };
 
-  private async receiveBody(): Promise<Refusal | undefined> {
+  private async receiveBody(): Promise<RequestBody | Refusal> {
     const {request} = this.exchange;
     const {options} = this.parts;
     try {
-      this.body = await this.wanted(RequestBody.receive(request, options));
-      return undefined;
+      return await this.wanted(RequestBody.receive(request, options));
     } catch (error) {
-      // The rest of the body is not read, so the connection can't be reused.
-      this.exchange.response.setHeader('connection', 'close');
       if (error instanceof BodyTooLargeError) {
         return bodyTooLarge(error.limit, false);
       }
@@ -121,149 +119,38 @@
     }
   }
 
-  /** Gets the claim of a non-idempotent request. */
-  private async claim(): Promise<Refusal | undefined> {
-    const {claimKey} = this.context;
-    if (claimKey === undefined) return undefined;
-    const {claims} = this.parts;
-    const asked = claims.claim(claimKey);
-    try {
-      const answer = await this.wanted(asked);
-      return answer.caseOf<Refusal | undefined>({
-        Left: refusal => refusal,
-        Right: claim => {
-          if (!claim.granted) return alreadyClaimed(claim.held);
-          this.claimHeld = true;
-          return undefined;
-        },
-      });
-    } catch (error) {
-      if (!(error instanceof AttemptAbort)) throw error;
-      // Nothing is sent under a claim that comes too late.
-      void asked.then(answer =>
-        answer.ifRight(claim => {
-          if (claim.granted) claims.ended(claimKey, 'released');
-        }),
-      );
-      return deadlinePassed(false);
-    }
-  }
-
-  private endClaim(outcome: number | 'released'): void {
-    const {claimKey} = this.context;
-    if (!this.claimHeld || claimKey === undefined) return;
-    this.claimHeld = false;
-    this.parts.claims.ended(claimKey, outcome);
-  }
-
-  private async tryTargets(
-    answering: () => void,
+  private async serveAdmitted(
+    place: QueuePlace,
+    trials: TargetTrials,
   ): Promise<Refusal | undefined> {
-    let next = this.choose();
     for (;;) {
-      if (next.isLeft()) return next.extract() as Refusal;
-      const trial = this.begin(next.extract() as Choice);
-      const head = await trial.attempt.head;
-      if (head.isLeft()) {
-        const failure = head.extract() as AttemptFailure;
-        this.finish(trial, failure.outcome);
-        if (failure.sent) this.mayHaveRun = true;
-        next = this.another(failure).mapLeft(() => this.explain(failure));
-        continue;
-      }
-      const answer = head.extract() as AnswerHead;
-      this.mayHaveRun = true;
-      this.noteLeaving(trial.choice, answer);
-      next = this.anotherAfter(answer);
-      if (next.isLeft()) return this.relay(trial, answer, answering);
-      trial.attempt.discard();
-      this.finish(trial, AttemptOutcome.FAILED);
+      const refusal = await this.admitted(place);
+      if (refusal !== undefined) return refusal;
+      const end = await trials.run();
+      if (end.kind !== 'full') return this.conclude(end, trials);
+      place.putBack();
     }
   }
 
-  private choose(): Either<Refusal, Choice> {
-    const {router, clock} = this.parts;
-    if (this.stopped !== undefined) return Left(deadlinePassed(false));
-    const {service, idempotent, deadline} = this.context;
-    const request = {service, idempotent, deadline, tried: this.tried};
-    return router.choose(request, clock.now());
-  }
-
-  /** Chooses another target after a failure, if the request may be repeated. */
-  private another(failure: AttemptFailure): Either<unknown, Choice> {
-    const safe = !failure.sent || this.context.idempotent;
-    const over = this.stopped !== undefined || failure.fault !== undefined;
-    if (!safe || over || !this.body.repeatable) return Left(undefined);
-    return this.choose();
-  }
-
-  /** Chooses another target if the answer asks for it. */
-  private anotherAfter(answer: AnswerHead): Either<Refusal, Choice> {
-    const retry =
-      RETRIED_STATUS.has(answer.status) &&
-      this.context.idempotent &&
-      this.body.repeatable;
-    return retry ? this.choose() : Left(keepAnswer());
-  }
-
-  private begin(choice: Choice): Trial {
-    this.tried.push(choice.target.id);
-    const {pools, options} = this.parts;
-    const attempt = new Attempt(
-      pools.get(choice.target),
-      this.dispatchOptions(),
-      options,
-    );
-    const {signal} = this.stop;
-    const abort = () => attempt.abort(signal.reason as AttemptAbort);
-    if (signal.aborted) abort();
-    else signal.addEventListener('abort', abort);
-    return {choice, attempt};
-  }
-
-  private dispatchOptions(): Dispatcher.DispatchOptions {
-    const {method, path, headers} = this.context;
-    const {body} = this;
-    const streamedLength = body.repeatable ? undefined : body.length;
-    return {
-      method,
-      path,
-      body: body.content() as Dispatcher.DispatchOptions['body'],
-      headers:
-        streamedLength === undefined
-          ? headers
-          : {...headers, 'content-length': String(streamedLength)},
-    };
-  }
-
-  private finish({choice}: Trial, outcome: AttemptOutcome): void {
-    const {router, clock} = this.parts;
-    router.finish(choice, outcome, clock.now());
-  }
-
-  private noteLeaving({target}: Choice, answer: AnswerHead): void {
-    if (answer.headers['x-leaving'] !== 'true') return;
-    this.parts.targetLeaving({target: target.id, start: target.start});
+  private async admitted(place: QueuePlace): Promise<Refusal | undefined> {
+    try {
+      return refusalOf(await this.wanted(place.admitted));
+    } catch (error) {
+      if (error instanceof AttemptAbort) return deadlinePassed(false);
+      throw error;
+    }
   }
 
-  private async relay(
-    trial: Trial,
-    answer: AnswerHead,
-    answering: () => void,
+  private async conclude(
+    end: TrialsEnd,
+    trials: TargetTrials,
   ): Promise<Refusal | undefined> {
-    answering();
-    this.status = answer.status;
-    this.endClaim(answer.status);
-    const end = await trial.attempt.relay(this.exchange.response, answer);
-    const outcome =
-      answer.status >= 500 ? AttemptOutcome.FAILED : AttemptOutcome.SUCCEEDED;
-    this.finish(
-      trial,
-      end.caseOf({
-        Left: failure => failure.outcome,
-        Right: () => outcome,
-      }),
-    );
+    if (end.kind !== 'answer') return end.refusal;
+    // The deadline is for the beginning of the answer; a stream may go on.
+    clearTimeout(this.timer);
+    this.status = end.head.status;
+    this.claim.end(end.head.status);
+    await trials.relay(end.trial, end.head, this.exchange);
     await this.flushed();
     return undefined;
   }
@@ -287,26 +174,32 @@
     });
   }
 
-  private explain(failure: AttemptFailure): Refusal {
-    const {maxBodyBytes} = this.parts.options;
-    return attemptFailed(failure, this.mayHaveRun, maxBodyBytes);
+  /** What the end says about the load; undefined when it says nothing. */
+  private overloaded(trials: TargetTrials): boolean | undefined {
+    if (!trials.mayHaveRun) return undefined;
+    if (this.stopped?.outcome === AttemptOutcome.TIMED_OUT) return true;
+    if (this.status === 0) return undefined;
+    return OVERLOADED_STATUS.has(this.status);
   }
 
   private refuse(refusal: Refusal): void {
     this.refusal = refusal;
     const {request, response} = this.exchange;
-    if (!request.complete) response.setHeader('connection', 'close');
+    // What is left of the body is not read, so the connection can't be reused.
+    if (!request.complete && !response.headersSent) {
+      response.setHeader('connection', 'close');
+    }
     sendRefusal(response, refusal);
     this.status = response.statusCode;
   }
 
   private describeEnd(): RequestEnd {
-    const {context, refusal, status} = this;
+    const {context, refusal, status, attempts} = this;
     return {
       service: context.service,
       kind: this.endKind(),
       latencyMs: this.parts.clock.now() - context.arrivedAt,
-      attempts: this.tried.length,
+      attempts,
       status,
       refusal: refusal?.error,
     };
@@ -323,7 +216,9 @@
   }
 }
 
-/** Stands for "no further attempt" beside an answer that is passed on. */
-function keepAnswer(): Refusal {
-  return refuse(RefusalKind.TARGET_FAILED, 'The answer is passed on.', '');
+function refusalOf(admitted: Either<Refusal, void>): Refusal | undefined {
+  return admitted.caseOf<Refusal | undefined>({
+    Left: refusal => refusal,
+    Right: () => undefined,
+  });
 }
--- a/src/node/service_proxy.ts
+++ b/src/node/service_proxy.ts
@@ -1,14 +1,17 @@
 import {Disposable} from '../common/base/disposable.js';
 import {Emitter} from '../common/base/emitter.js';
 import {refuse, RefusalKind} from '../common/base/refusal.js';
+import {AdmissionLimits} from '../common/routing/admission.js';
 import {RoutingState} from '../common/routing/types.js';
+import {ServiceConfiguration} from '../common/tickets/types.js';
+import {AdmissionQueue} from './admission_queue.js';
 import {
   Exchange,
   JsonServer,
   RefusedRequest,
   RouteHandler,
 } from './json_server.js';
-import {ProxiedRequest, ProxyParts} from './proxied_request.js';
+import {ProxiedRequest} from './proxied_request.js';
 import {
   DEFAULT_PROXY_OPTIONS,
   LeavingNotice,
@@ -17,7 +20,9 @@
   RequestEnd,
 } from './proxy_types.js';
 import {readContext, requestId} from './request_context.js';
+import {ServiceLatency} from './service_latency.js';
 import {TargetPools} from './target_pools.js';
+import {ProxyParts} from './target_trials.js';
 
 /** Passes callers' requests to targets: `ANY /v1/services/{service}/{path}`. */
 export class ServiceProxy implements Disposable {
@@ -25,6 +30,8 @@
   private readonly ended = new Emitter<RequestEnd>();
   private readonly pools: TargetPools;
   private readonly parts: ProxyParts;
+  private readonly queues = new Map<string, AdmissionQueue>();
+  private readonly latencies = new Map<string, ServiceLatency>();
   private open = 0;
 
   /** A target said that it is leaving; the router knows already. */
@@ -46,6 +53,7 @@
         dependencies.router.markLeaving(notice.target, notice.start);
         this.leaving.fire(notice);
       },
+      latency: service => this.latency(service),
     };
   }
 
@@ -59,6 +67,16 @@
     const {router, clock} = this.parts;
     router.update(state, clock.now());
     this.pools.retain(state.targets);
+    for (const [name, queue] of this.queues) {
+      const configuration = this.parts.service(name);
+      if (configuration === undefined) this.forget(name);
+      else queue.update(this.admissionLimits(name, configuration));
+    }
+  }
+
+  /** Requests of a service that wait for their turn. */
+  waiting(service: string): number {
+    return this.queues.get(service)?.waiting ?? 0;
   }
 
   /** Exchanges with callers that have not ended, for a graceful shutdown. */
@@ -69,6 +87,7 @@
   /** Cuts all connections to targets. */
   dispose(): void {
     this.pools.dispose();
+    for (const queue of this.queues.values()) queue.dispose();
     this.leaving.dispose();
     this.ended.dispose();
   }
@@ -114,9 +133,47 @@
       Left: refusal => {
         throw new RefusedRequest(refusal);
       },
-      Right: read => new ProxiedRequest(this.parts, exchange, read),
+      Right: read => {
+        const queue = this.queue(service, configuration);
+        return new ProxiedRequest(this.parts, queue, exchange, read);
+      },
     });
   }
+
+  private queue(
+    service: string,
+    configuration: ServiceConfiguration,
+  ): AdmissionQueue {
+    let queue = this.queues.get(service);
+    if (queue === undefined) {
+      const limits = this.admissionLimits(service, configuration);
+      queue = new AdmissionQueue(this.parts.clock, limits);
+      this.queues.set(service, queue);
+    }
+    return queue;
+  }
+
+  private latency(service: string): ServiceLatency {
+    let latency = this.latencies.get(service);
+    if (latency === undefined) {
+      latency = new ServiceLatency();
+      this.latencies.set(service, latency);
+    }
+    return latency;
+  }
+
+  private admissionLimits(
+    service: string,
+    {queueLimit}: ServiceConfiguration,
+  ): AdmissionLimits {
+    return {queueLimit, capacity: this.parts.router.capacity(service)};
+  }
+
+  /** Drops a removed service; its waiting requests keep the old queue. */
+  private forget(service: string): void {
+    this.queues.delete(service);
+    this.latencies.delete(service);
+  }
 }
 
 /** Reads the service's name from the path `/v1/services/{service}/...`. */
