Apply records of tickets in batches

Cause: each accepted ticket copied the section that it changed. With 4,000 named workers a copy took 2.5 ms, and reading 4,600 tickets (2 days at the two-year size) took 12 s, in which a starting instance answers nothing.

What changed: applyAll copies a section once for a batch and changes it in place for the rest of the batch; the configuration is shown, and onChange fires, after the batch. Verdicts no longer carry a configuration. `ticket apply` counts the asked instance even when the list leaves it out, so that an empty list is not taken for success.

--- a/src/cli/run.test.ts
+++ b/src/cli/run.test.ts
@@ -151,6 +151,17 @@
       });
     });
 
+    it('does not take an empty list of instances for success', async () => {
+      const status = backend.status.bind(backend);
+      backend.status = async () => ({
+        ...(await status()),
+        instances: [],
+        ticketNumber: 0,
+      });
+      expect(await ctl('ticket apply t.yaml')).toBe(ExitCode.NOT_EVERYWHERE);
+      expect(told[0]).toContain('entry-1 (at 0)');
+    });
+
     it('ends with 1 and names the winner of a conflict', async () => {
       await ctl('ticket apply t.yaml');
       files['other.yaml'] = TICKET.replace('number: 1', 'number: 3');
--- a/src/cli/ticket_apply.ts
+++ b/src/cli/ticket_apply.ts
@@ -15,19 +15,32 @@
 /** Far below the 7 s, and cheap for a daemon. */
 const POLL_MS: Millis = 250;
 
-/** Instances that do not report `number` yet; undefined without an answer. */
+/**
+ * Instances that do not report `number` yet; undefined without an answer. The
+ * asked instance counts even when a faulty list leaves it out.
+ */
 async function lagging(
   number: number,
   context: CommandContext,
 ): Promise<readonly EntryInstanceReport[] | undefined> {
   const answer = await context.client.get('/v1/status');
   return bodyOf<StatusReport>(answer)
-    .map(status =>
-      status.instances.filter(
-        ({state, ticketNumber}) =>
-          state !== 'gone' && (ticketNumber === null || ticketNumber < number),
-      ),
-    )
+    .map(status => {
+      const {instance, dataCentre, ticketNumber, instances} = status;
+      const listed = instances.some(({id}) => id === instance);
+      const asked: EntryInstanceReport = {
+        id: instance,
+        start: 0,
+        dataCentre,
+        state: 'live',
+        ticketNumber,
+      };
+      return (listed ? instances : [asked, ...instances]).filter(
+        entry =>
+          entry.state !== 'gone' &&
+          (entry.ticketNumber === null || entry.ticketNumber < number),
+      );
+    })
     .toMaybe()
     .extract();
 }
--- a/src/common/tickets/ticket_state.ts
+++ b/src/common/tickets/ticket_state.ts
@@ -49,12 +49,17 @@
   );
 }
 
+/** Sections that no reader has seen yet, so that they may be changed. */
+type OwnedSections = Set<object>;
+
 function changeSection<T>(
   objects: Readonly<Record<string, T>>,
   changes: Readonly<Record<string, T | null>> | undefined,
+  owned: OwnedSections,
 ): Readonly<Record<string, T>> {
   if (changes === undefined) return objects;
-  const result: Record<string, T> = {...objects};
+  const result: Record<string, T> = owned.has(objects) ? objects : {...objects};
+  owned.add(result);
   for (const [name, value] of Object.entries(changes)) {
     if (value === null) delete result[name];
     else result[name] = value;
@@ -62,19 +67,25 @@
   return result;
 }
 
-/** Returns the state that `ticket` makes of `before`. */
-export function changeConfiguration(
+/**
+ * Returns the state that `ticket` makes of `before`.
+ *
+ * @param owned sections that may be changed in place of a copy; the sections
+ *     of the result are added. A copy of a section with 4,000 objects took
+ *     2.5 ms, and 2 days of tickets with a copy each took 12 s to read.
+ */
+function changeConfiguration(
   before: Configuration,
-  ticket: Ticket,
+  {number, changes}: Ticket,
+  owned: OwnedSections,
 ): Configuration {
-  const {changes} = ticket;
   return {
-    number: ticket.number,
-    services: changeSection(before.services, changes.services),
-    jobClasses: changeSection(before.jobClasses, changes.jobClasses),
-    teams: changeSection(before.teams, changes.teams),
-    workers: changeSection(before.workers, changes.workers),
-    instances: changeSection(before.instances, changes.instances),
+    number,
+    services: changeSection(before.services, changes.services, owned),
+    jobClasses: changeSection(before.jobClasses, changes.jobClasses, owned),
+    teams: changeSection(before.teams, changes.teams, owned),
+    workers: changeSection(before.workers, changes.workers, owned),
+    instances: changeSection(before.instances, changes.instances, owned),
   };
 }
 
@@ -103,6 +114,8 @@
     through: -1,
   };
   private identities = new Set<string>();
+  /** Sections that were made for the records being applied. */
+  private readonly owned: OwnedSections = new Set();
   /** Tickets without a verdict while earlier records are missing. */
   private waiting: StoredRecord<TicketRecordOf<'ticket'>>[] | undefined;
   /** First and last offset of the unbroken run that `waiting` is from. */
@@ -111,7 +124,7 @@
   private latest: Configuration = EMPTY_CONFIGURATION;
   private readonly changeEmitter = new Emitter<Configuration>();
 
-  /** The current configuration changed; fires once for each new number. */
+  /** The current configuration changed; fires once after a batch of records. */
   readonly onChange: Event<Configuration> = this.changeEmitter.event;
 
   /**
@@ -158,31 +171,17 @@
 
   /** Applies the next record of the stream. */
   apply(record: StoredRecord<unknown>): TicketOutcome {
-    if (record.offset <= this.position()) return ignored(IgnoredReason.COVERED);
-    if (record.offset > this.position() + 1) {
-      this.waiting = [];
-      this.waitingFrom = record.offset;
-    }
-    if (this.waiting !== undefined) this.waitingThrough = record.offset;
-    const parsed = RECORD_SCHEMA.safeParse(record.data);
-    let outcome: TicketOutcome;
-    if (!parsed.success) {
-      const message =
-        `The record at offset ${record.offset} of stream tickets ` +
-        `is malformed: ${parsed.error.issues[0].message}.`;
-      outcome = {kind: 'malformed', message};
-    } else {
-      const data = record.data as TicketRecord;
-      outcome =
-        data.kind === 'ticket'
-          ? this.applyTicket({...record, data})
-          : this.applyCheckpoint({...record, data});
-    }
-    if (this.waiting === undefined) {
-      this.folded = {...this.folded, through: record.offset};
-    }
-    this.show(this.folded.configuration);
-    return outcome;
+    return this.applyAll([record])[0];
+  }
+
+  /**
+   * Applies the next records of the stream. The configuration changes once,
+   * after the last of them, which is much faster than one at a time.
+   */
+  applyAll(records: readonly StoredRecord<unknown>[]): TicketOutcome[] {
+    const outcomes = records.map(record => this.fold(record));
+    this.finishBatch();
+    return outcomes;
   }
 
   /** Takes the state of a peer if it is newer or fills a gap. */
@@ -196,6 +195,7 @@
     const {number} = snapshot.configuration;
     if (this.waiting !== undefined && this.joins(snapshot)) {
       const verdicts = this.fillGap(snapshot);
+      this.finishBatch();
       return {kind: 'checkpoint-taken', number, verdicts};
     }
     if (number <= this.latest.number) return ignored(IgnoredReason.NOT_NEWER);
@@ -218,15 +218,47 @@
       return ignored(IgnoredReason.NOT_NEWER);
     }
     if (ticket.base !== this.latest.number) return {kind: 'gap'};
-    const configuration = changeConfiguration(this.latest, ticket);
-    this.show(configuration);
-    return {kind: 'accepted', configuration};
+    this.show(changeConfiguration(this.latest, ticket, new Set()));
+    return {kind: 'accepted', number: ticket.number};
   }
 
   dispose(): void {
     this.changeEmitter.dispose();
   }
 
+  private fold(record: StoredRecord<unknown>): TicketOutcome {
+    if (record.offset <= this.position()) return ignored(IgnoredReason.COVERED);
+    if (record.offset > this.position() + 1) {
+      this.waiting = [];
+      this.waitingFrom = record.offset;
+    }
+    if (this.waiting !== undefined) this.waitingThrough = record.offset;
+    const outcome = this.foldData(record);
+    if (this.waiting === undefined) {
+      this.folded = {...this.folded, through: record.offset};
+    }
+    return outcome;
+  }
+
+  private foldData(record: StoredRecord<unknown>): TicketOutcome {
+    const parsed = RECORD_SCHEMA.safeParse(record.data);
+    if (!parsed.success) {
+      const message =
+        `The record at offset ${record.offset} of stream tickets ` +
+        `is malformed: ${parsed.error.issues[0].message}.`;
+      return {kind: 'malformed', message};
+    }
+    const data = record.data as TicketRecord;
+    return data.kind === 'ticket'
+      ? this.applyTicket({...record, data})
+      : this.applyCheckpoint({...record, data});
+  }
+
+  private finishBatch(): void {
+    this.owned.clear();
+    this.show(this.folded.configuration);
+  }
+
   /** Offset of the last record that was read. */
   private position(): Offset {
     return this.waiting === undefined
@@ -299,7 +331,6 @@
       .filter(verdict => verdict !== undefined);
     const through = Math.max(snapshot.through, this.waitingThrough);
     this.folded = {...this.folded, through};
-    this.show(this.folded.configuration);
     return verdicts;
   }
 
@@ -331,9 +362,9 @@
       this.remember(refused, configuration);
       return {kind: 'refused', entry: refused, reason, winner};
     }
-    const next = changeConfiguration(configuration, ticket);
+    const next = changeConfiguration(configuration, ticket, this.owned);
     this.remember(entry, next);
-    return {kind: 'accepted', entry, configuration: next};
+    return {kind: 'accepted', entry};
   }
 
   /** Number of the ticket that took the same base, or the current number. */
--- a/src/common/tickets/types.ts
+++ b/src/common/tickets/types.ts
@@ -172,12 +172,7 @@
 
 /** The verdict on one ticket; the same for every reader of the stream. */
 export type TicketVerdict =
-  | {
-      readonly kind: 'accepted';
-      readonly entry: AuditEntry;
-      /** The state that the ticket made. */
-      readonly configuration: Configuration;
-    }
+  | {readonly kind: 'accepted'; readonly entry: AuditEntry}
   | {
       readonly kind: 'refused';
       readonly entry: AuditEntry;
@@ -202,7 +197,7 @@
 
 /** What became of a ticket that a peer passed on. */
 export type PassedTicketOutcome =
-  | {readonly kind: 'accepted'; readonly configuration: Configuration}
+  | {readonly kind: 'accepted'; readonly number: number}
   | {readonly kind: 'ignored'; readonly reason: IgnoredReason}
   /** A ticket in between is missing: ask the peer for a snapshot. */
   | {readonly kind: 'gap'}
