Simulate leadership under faults and renew a view after a long pause

A simulated data centre runs several cores with readers and writers under message loss, cuts, pauses, clock drift, log outages and replacement. World showed two processes that may act: a leader that was paused, dropped from the list and shown again formed a view, and a process with an older list still counted it as gone.

Lists now count only when asked for after the view of the process was read. A process that was paused for longer than the lease gives up its part in earlier views, and a leader without members renews its view on the log before it acts.

--- a/src/common/leadership/candidate_role.ts
+++ b/src/common/leadership/candidate_role.ts
@@ -58,14 +58,14 @@
 
   private *form(now: Millis): Generator<LeadershipAction> {
     const {state} = this;
-    if (state.pending || !state.logAvailable) return;
+    if (state.pending || !state.logAvailable || state.mayCountAsGone) return;
     if (this.missing(now)?.length !== 0) {
       this.formAt = undefined;
       return;
     }
     // Of several new instances one usually appends before the others.
     this.formAt ??= now + state.random() * state.timing.renewMs;
-    if (now >= this.formAt) yield* state.propose([state.self]);
+    if (now >= this.formAt) yield* state.propose([state.self], now);
   }
 
   /** Those whose consent is missing; undefined while that is not known. */
--- a/src/common/leadership/gone_table.ts
+++ b/src/common/leadership/gone_table.ts
@@ -15,25 +15,32 @@
 /** Processes that are remembered; several days of replacements. */
 const MAX_PROCESSES = 4096;
 
-/** Lists in a row that did not show a process. */
-interface Absence {
-  lists: number;
-  readonly since: Millis;
-  /** Whether a list has shown it before. */
+/** What the lists say about a process. */
+interface Presence {
+  /** Whether any list has shown it. */
   readonly wasListed: boolean;
+  /** Lists in a row that did not show it. */
+  readonly absentLists: number;
+  /** When it was noted, or the first of those lists was read. */
+  readonly since: Millis;
 }
 
 /**
  * Knows which processes have ended: by the platform's instance list, by a
  * ticket, or by a later start number of the same id (two processes of one id
  * would share a port).
+ *
+ * The platform may also drop a process that is paused and show it again. So
+ * only lists count that were asked for after the view was read in which the
+ * process takes part, and a process that was paused for longer than the lease
+ * takes no part in an earlier view; see `LeadershipState.advance`.
  */
 export class GoneTable {
-  /** Processes by member id; undefined when the newest list shows it. */
-  private readonly absences = new Map<MemberId, Absence | undefined>();
+  private readonly presences = new Map<MemberId, Presence>();
   private readonly latestStart = new Map<string, number>();
   private declared = new Set<string>();
   private entryInstances: readonly MemberId[] | undefined;
+  private selfListedAt: Millis = -Infinity;
 
   /**
    * @param absentMs least time between the first list without an instance and
@@ -54,28 +61,47 @@
     return this.entryInstances;
   }
 
-  /** Notes a list. An empty one, or one without this instance, tells little. */
-  readList(instances: readonly Instance[], now: Millis): void {
+  /**
+   * Notes a list that was asked for at `sentAt`. An empty one, or one without
+   * this instance, tells nothing about other instances.
+   */
+  readList(instances: readonly Instance[], sentAt: Millis, now: Millis): void {
     if (instances.length === 0) return;
     const shown = this.shownEntries(instances);
-    this.noteMembers([this.self], now);
-    this.noteAbsent(this.self, shown, now);
-    if (!shown.has(this.self)) return;
+    if (!this.presences.has(this.self)) this.noteMembers([this.self], sentAt);
+    if (!shown.has(this.self)) {
+      this.noteAbsent(this.self, sentAt, now);
+      return;
+    }
     this.entryInstances = [...shown];
-    for (const member of this.absences.keys()) {
-      if (member !== this.self) this.noteAbsent(member, shown, now);
+    this.selfListedAt = sentAt;
+    for (const member of this.presences.keys()) {
+      if (!shown.has(member)) this.noteAbsent(member, sentAt, now);
+    }
+    for (const member of shown) {
+      const presence = {wasListed: true, absentLists: 0, since: sentAt};
+      this.presences.set(member, presence);
     }
-    for (const member of shown) this.absences.set(member, undefined);
     this.forgetOldest();
   }
 
-  /** Notes the members of a view; they may be missing in the list so far. */
+  /** Whether a list that was asked for since `time` shows this instance. */
+  isSelfListedSince(time: Millis): boolean {
+    return this.selfListedAt >= time;
+  }
+
+  /**
+   * Notes the members of a view that was read: from now on lists have to show
+   * anew that one of them is absent.
+   */
   noteMembers(members: readonly MemberId[], now: Millis): void {
     for (const member of members) {
       this.noteStart(member);
-      if (!this.absences.has(member)) {
-        this.absences.set(member, {lists: 0, since: now, wasListed: false});
-      }
+      const presence = this.presences.get(member);
+      // What this instance knows about itself is not affected by views.
+      if (member === this.self && presence) continue;
+      const wasListed = presence?.wasListed ?? false;
+      this.presences.set(member, {wasListed, absentLists: 0, since: now});
     }
   }
 
@@ -97,12 +123,10 @@
   /** Whether the process has provably ended or is declared gone. */
   isGone(member: MemberId, now: Millis): boolean {
     if (this.isReplaced(member) || this.isDeclared(member)) return true;
-    const absence = this.absences.get(member);
-    return (
-      absence !== undefined &&
-      absence.lists >= ABSENT_LISTS &&
-      now - absence.since >= (absence.wasListed ? this.absentMs : UNLISTED_MS)
-    );
+    const presence = this.presences.get(member);
+    if (!presence || presence.absentLists < ABSENT_LISTS) return false;
+    const least = presence.wasListed ? this.absentMs : UNLISTED_MS;
+    return now - presence.since >= least;
   }
 
   /**
@@ -112,9 +136,9 @@
    */
   isSelfDropped(now: Millis): boolean {
     if (this.isReplaced(this.self) || this.isDeclared(this.self)) return true;
-    const absence = this.absences.get(this.self);
-    if (!absence || absence.lists === 0) return false;
-    return absence.wasListed || now - absence.since >= UNLISTED_MS / 2;
+    const presence = this.presences.get(this.self);
+    if (!presence || presence.absentLists === 0) return false;
+    return presence.wasListed || now - presence.since >= UNLISTED_MS / 2;
   }
 
   private shownEntries(instances: readonly Instance[]): Set<MemberId> {
@@ -128,24 +152,21 @@
     return shown;
   }
 
-  private noteAbsent(
-    member: MemberId,
-    shown: ReadonlySet<MemberId>,
-    now: Millis,
-  ): void {
-    if (shown.has(member) || !this.absences.has(member)) return;
-    const absence = this.absences.get(member);
-    if (absence) {
-      absence.lists++;
-    } else {
-      this.absences.set(member, {lists: 1, since: now, wasListed: true});
-    }
+  private noteAbsent(member: MemberId, sentAt: Millis, now: Millis): void {
+    const presence = this.presences.get(member);
+    if (!presence || sentAt < presence.since) return;
+    const isFirst = presence.absentLists === 0;
+    this.presences.set(member, {
+      wasListed: presence.wasListed,
+      absentLists: presence.absentLists + 1,
+      since: isFirst && presence.wasListed ? now : presence.since,
+    });
   }
 
   private forgetOldest(): void {
-    for (const [member, absence] of this.absences) {
-      if (this.absences.size <= MAX_PROCESSES) return;
-      if (absence) this.absences.delete(member);
+    for (const [member, presence] of this.presences) {
+      if (this.presences.size <= MAX_PROCESSES) return;
+      if (presence.absentLists > 0) this.presences.delete(member);
     }
   }
 
--- a/src/common/leadership/leader_role.ts
+++ b/src/common/leadership/leader_role.ts
@@ -23,7 +23,7 @@
     const state = this.state;
     if (!state.isLeader) return 0;
     const needed = [...this.neededGrants(now)];
-    if (needed.length === 0 && state.wokeAt !== undefined) return 0;
+    if (needed.length === 0 && state.needsRenewal) return 0;
     let until = (state.aliveAt ?? now) + state.heldLeaseMs;
     for (const member of needed) {
       until = Math.min(until, this.grants.until(member));
@@ -120,7 +120,11 @@
     const changed = kept.length < state.view.members.length || added.length > 0;
     const checkpointDue =
       now - state.viewReadAt >= state.timing.viewCheckpointMs;
-    if (changed || checkpointDue) yield* state.propose([...kept, ...added]);
+    const renewal = state.needsRenewal && this.neededGrants(now).size === 0;
+    if (renewal && state.mayCountAsGone) return;
+    if (changed || checkpointDue || renewal) {
+      yield* state.propose([...kept, ...added], now);
+    }
   }
 
   private isSilent(member: MemberId, now: Millis): boolean {
--- a/src/common/leadership/leadership.ts
+++ b/src/common/leadership/leadership.ts
@@ -94,7 +94,7 @@
     tick: () => {},
     'view-read': (message, now) => this.viewRead(message.view, now),
     'view-void': message => this.viewVoid(message.record.base),
-    'caught-up': message => this.caughtUp(message.sentAt),
+    'caught-up': message => this.state.readToEnd(message.sentAt),
     log: message => {
       this.state.logAvailable = message.available;
     },
@@ -152,11 +152,6 @@
     if (this.state.pending?.base === base) this.state.pending = undefined;
   }
 
-  private caughtUp(sentAt: Millis): void {
-    this.state.caughtUp = true;
-    this.state.confirmAwake(sentAt);
-  }
-
   private *peerUp(member: MemberId, now: Millis): Generator<LeadershipAction> {
     this.state.gone.noteStart(member);
     this.candidate.peerUp(member);
@@ -167,13 +162,9 @@
     message: Extract<LeadershipMessage, {kind: 'instances'}>,
     now: Millis,
   ): Generator<LeadershipAction> {
-    const {state} = this;
-    state.gone.readList(message.instances, now);
+    const {instances, sentAt} = message;
+    this.state.gone.readList(instances, sentAt, now);
     yield* this.checkDropped(now);
-    // While the log answers, only the stream tells who leads now.
-    const shown =
-      message.instances.length > 0 && !state.gone.isSelfDropped(now);
-    if (shown && !state.logAvailable) state.confirmAwake(message.sentAt);
   }
 
   private *declaredGone(
--- a/src/common/leadership/leadership_state.ts
+++ b/src/common/leadership/leadership_state.ts
@@ -8,6 +8,7 @@
   /** Always the epoch of the current view. */
   readonly base: Epoch | null;
   readonly members: readonly MemberId[];
+  readonly proposedAt: Millis;
 }
 
 /** What the roles of one instance share. */
@@ -26,11 +27,12 @@
   aliveAt: Millis | undefined;
   /** Silence of others is counted from here at the earliest. */
   listeningSince: Millis = 0;
-  /**
-   * Set when a pause outlasted the lease: time of the wake-up. Until it is
-   * cleared by evidence asked for later, this instance may have been replaced.
-   */
-  wokeAt: Millis | undefined;
+  /** When the last pause ended that was longer than the lease. */
+  wokeAt: Millis = -Infinity;
+  /** Whether the stream has been read to its end since then. */
+  private isCurrent = true;
+  /** When the current view was proposed, if this instance leads it. */
+  private ownViewProposedAt: Millis = -Infinity;
   /** What members have consented to, by the epoch that they named. */
   readonly consents = new Map<MemberId, Epoch | null>();
 
@@ -65,7 +67,15 @@
     return this.view?.epoch ?? null;
   }
 
-  /** Notes that the process runs at `now` and recognizes a pause. */
+  /**
+   * Notes that the process runs at `now` and recognizes a pause.
+   *
+   * During a pause that is longer than the lease the list may have dropped
+   * this instance, so that others count it as gone and are slow to learn that
+   * it is back. It gives up its part in the views of that time and joins
+   * again. A leader may go on, since its members' new grants show that nobody
+   * has replaced it; without members it has to renew its view first.
+   */
   *advance(now: Millis): Generator<LeadershipAction> {
     const gap = now - (this.aliveAt ?? now);
     this.aliveAt = Math.max(this.aliveAt ?? now, now);
@@ -73,29 +83,38 @@
     if (gap > this.timing.renewMs) this.listeningSince = now;
     if (gap < this.heldLeaseMs) return;
     this.wokeAt = now;
-    // The list may have dropped this instance meanwhile, so that the leader
-    // needs no grant from it. It joins again.
+    this.isCurrent = false;
     if (this.view && !this.isLeader) yield* this.relinquish(this.view.epoch);
   }
 
-  /** Ends the doubt after a pause, by evidence asked for at `sentAt`. */
-  confirmAwake(sentAt: Millis): void {
-    if (this.wokeAt !== undefined && sentAt >= this.wokeAt) {
-      this.wokeAt = undefined;
-    }
+  /** Notes that the stream was read to its end as of `sentAt`. */
+  readToEnd(sentAt: Millis): void {
+    this.caughtUp = true;
+    if (sentAt >= this.wokeAt) this.isCurrent = true;
+  }
+
+  /** Whether the view was proposed before a pause longer than the lease. */
+  get needsRenewal(): boolean {
+    return this.ownViewProposedAt < this.wokeAt;
+  }
+
+  /** Whether others may still count this instance as gone after a pause. */
+  get mayCountAsGone(): boolean {
+    return !this.gone.isSelfListedSince(this.wokeAt);
   }
 
   /** Makes `view` the current one. */
   setView(view: View, now: Millis): void {
+    const own = view.leader === this.self;
     this.view = view;
     this.viewReadAt = now;
+    this.ownViewProposedAt = (own && this.pending?.proposedAt) || -Infinity;
     // A pending view that is not this one has an old base, so it is void.
     this.pending = undefined;
     this.consents.clear();
     this.gone.noteMembers(view.members, now);
-    const unconfirmed = this.wokeAt !== undefined && view.leader !== this.self;
-    const dropped = this.gone.isSelfDropped(now);
-    if (dropped || unconfirmed) this.relinquished = view.epoch;
+    const isOld = !own && !this.isCurrent;
+    if (isOld || this.gone.isSelfDropped(now)) this.relinquished = view.epoch;
   }
 
   /** Takes no part in views up to `epoch` from now on. */
@@ -113,8 +132,11 @@
   }
 
   /** Appends a view led by this instance that follows the current one. */
-  *propose(members: readonly MemberId[]): Generator<LeadershipAction> {
-    this.pending = {base: this.epoch, members};
+  *propose(
+    members: readonly MemberId[],
+    now: Millis,
+  ): Generator<LeadershipAction> {
+    this.pending = {base: this.epoch, members, proposedAt: now};
     yield {
       kind: 'append-view',
       base: this.epoch,
--- a/src/common/leadership/member_role.ts
+++ b/src/common/leadership/member_role.ts
@@ -67,7 +67,7 @@
     const members = view.members.filter(
       member => member !== view.leader && !state.isOut(member, now),
     );
-    yield* state.propose(members);
+    yield* state.propose(members, now);
   }
 
   private suspects(now: Millis): boolean {
--- /dev/null
+++ b/src/common/leadership/testing/simulated_process.ts
@@ -0,0 +1,208 @@
+import {Millis} from '../../base/clock.js';
+import {JobRecord} from '../../jobs/types.js';
+import {
+  DataCentreEvent,
+  DataCentreReader,
+} from '../../stream/data_centre_reader.js';
+import {RecordWriter, WriterAction} from '../../stream/record_writer.js';
+import {DataCentreRecord, MemberId} from '../../stream/types.js';
+import {Leadership} from '../leadership.js';
+import {LeadershipAction, LeadershipMessage} from '../types.js';
+import {DATA_CENTRE} from './instance_for.js';
+import type {LogAnswer, World} from './world.js';
+
+const TICK_MS: Millis = 50;
+const POLL_MS: Millis = 30;
+const LIST_MS: Millis = 1000;
+
+/** A process with a leadership core, a reader and a writer. */
+export class SimulatedProcess {
+  ended = false;
+  readonly reader = new DataCentreReader();
+  private readonly core: Leadership;
+  private readonly writer: RecordWriter<DataCentreRecord, JobRecord>;
+  private readonly inbox: Array<() => void> = [];
+  private readonly clockStart: Millis;
+  private pausedUntil: Millis = -1;
+  private readAnswered = true;
+  private logAvailable = true;
+  private jobs = 0;
+
+  constructor(
+    private readonly world: World,
+    readonly member: MemberId,
+    private readonly rate: number,
+  ) {
+    this.clockStart = world.between(0, 1e6);
+    this.core = new Leadership({
+      self: member,
+      dataCentre: DATA_CENTRE,
+      random: world.random,
+    });
+    this.writer = new RecordWriter(member, entries => ({
+      kind: 'batch',
+      epoch: this.core.view?.epoch ?? 0,
+      entries,
+    }));
+  }
+
+  /** The process's own clock. */
+  get now(): Millis {
+    return this.clockStart + this.world.time * this.rate;
+  }
+
+  get mayAct(): boolean {
+    return this.core.mayAct(this.now);
+  }
+
+  get isPaused(): boolean {
+    return this.world.time < this.pausedUntil;
+  }
+
+  /** Starts the loops of the process. */
+  run(): void {
+    this.tick();
+    this.poll();
+    this.list();
+  }
+
+  pause(duration: Millis): void {
+    this.pausedUntil = this.world.time + duration;
+    this.world.queue.after(duration, () => {
+      // Ticks and answers that came during the pause are handled in any order.
+      while (this.inbox.length > 0) {
+        const at = Math.floor(this.world.random() * this.inbox.length);
+        this.inbox.splice(at, 1)[0]();
+      }
+    });
+  }
+
+  /** Hands a message to the core, after a pause if there is one. */
+  receive(message: LeadershipMessage): void {
+    this.deliver(() => this.give(message));
+  }
+
+  private deliver(run: () => void): void {
+    if (this.ended) return;
+    if (this.isPaused) {
+      this.inbox.push(run);
+    } else {
+      run();
+    }
+  }
+
+  private give(message: LeadershipMessage): void {
+    for (const action of this.core.handle(message, this.now)) {
+      this.perform(action);
+    }
+  }
+
+  private perform(action: LeadershipAction): void {
+    const {world} = this;
+    if (action.kind === 'send') {
+      world.send(this.member, action.to, action.message);
+    } else if (action.kind === 'append-view') {
+      const {base, leader, members} = action;
+      const body = {kind: 'view', base, leader, members} as const;
+      this.write(this.writer.enqueueRecord(body, this.now));
+    } else {
+      world.note(
+        `${this.member} ${action.kind} ${action.view?.epoch} ` +
+          `(${action.view?.leader})`,
+      );
+      if (action.kind === 'follow') this.writer.discardEntries();
+    }
+  }
+
+  private write(actions: Iterable<WriterAction<DataCentreRecord>>): void {
+    for (const action of actions) {
+      if (action.kind !== 'append') continue;
+      this.world.append(this.member, action.record, offset =>
+        this.deliver(() => {
+          this.write(
+            offset === undefined
+              ? this.writer.failed(this.now)
+              : this.writer.answered(offset, this.now),
+          );
+          this.reportLog();
+        }),
+      );
+    }
+  }
+
+  private tick(): void {
+    this.give({kind: 'tick'});
+    this.write(this.writer.tick(this.now));
+    this.reportLog();
+    if (this.mayAct && this.writer.queued < 3) {
+      const job = `${this.member}/${this.jobs++}`;
+      const entry = {kind: 'cancelled', job} as const;
+      this.write(this.writer.enqueue([entry], this.now));
+    }
+    this.world.queue.after(TICK_MS, () => this.deliver(() => this.tick()));
+  }
+
+  private poll(): void {
+    const sentAt = this.now;
+    this.world.read(this.member, this.reader.nextOffset, answer =>
+      this.deliver(() => {
+        this.readAnswer(answer, sentAt);
+        this.world.queue.after(POLL_MS, () => this.deliver(() => this.poll()));
+      }),
+    );
+  }
+
+  private readAnswer(answer: LogAnswer | undefined, sentAt: Millis): void {
+    this.readAnswered = answer !== undefined;
+    for (const stored of answer?.records ?? []) {
+      for (const event of this.reader.read(stored)) this.handle(event);
+    }
+    this.reportLog();
+    if (!answer?.atEnd) return;
+    this.write(this.writer.caughtUp(this.now));
+    this.give({kind: 'caught-up', sentAt});
+  }
+
+  private handle(event: DataCentreEvent): void {
+    if (event.kind === 'malformed-void') return;
+    if (event.kind === 'view-in-force') {
+      this.give({kind: 'view-read', view: event.view});
+    }
+    const own = event.record.writer === this.member;
+    if (event.kind === 'view-void' && own) {
+      this.give({kind: 'view-void', record: event.record});
+    }
+    this.write(this.writer.read(event.record, this.now));
+  }
+
+  private reportLog(): void {
+    const available = this.readAnswered && this.writer.available;
+    if (available === this.logAvailable) return;
+    this.logAvailable = available;
+    this.give({kind: 'log', available});
+  }
+
+  private list(): void {
+    const sentAt = this.now;
+    this.world.list(this.member, instances =>
+      this.deliver(() => {
+        if (instances) this.give({kind: 'instances', instances, sentAt});
+        this.world.queue.after(LIST_MS, () => this.deliver(() => this.list()));
+      }),
+    );
+  }
+
+  /** Graceful shutdown of the core. */
+  resign(): void {
+    this.receive({kind: 'resign'});
+  }
+
+  /** Tells the core which instances tickets declare gone. */
+  declareGone(ids: readonly string[]): void {
+    this.receive({kind: 'declared-gone', ids});
+  }
+
+  get view() {
+    return this.core.view;
+  }
+}
--- /dev/null
+++ b/src/common/leadership/testing/world.ts
@@ -0,0 +1,247 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {Millis} from '../../base/clock.js';
+import {Instance} from '../../base/platform.js';
+import {DataCentreRecord, MemberId, StoredRecord} from '../../stream/types.js';
+import {memberId} from '../member.js';
+import {LeadershipPeerMessage} from '../types.js';
+import {Conditions} from './conditions.js';
+import {EventQueue} from './event_queue.js';
+import {instanceFor} from './instance_for.js';
+import {SimulatedProcess} from './simulated_process.js';
+
+/** How long a writer waits for the answer to an append. */
+const APPEND_TIMEOUT_MS: Millis = 800;
+
+/** Time after which the platform drops an instance that does not respond. */
+const PLATFORM_SILENCE_MS: Millis = 2000;
+
+/** Clocks run at rates within this fraction of true time. */
+const RATE_SPREAD = 0.01;
+
+/** Answer to a read of the simulated log. */
+export interface LogAnswer {
+  readonly records: ReadonlyArray<StoredRecord<DataCentreRecord>>;
+  readonly atEnd: boolean;
+}
+
+/**
+ * Several processes of one data centre with a log, an instance list and a
+ * network in simulated time. Checks after each event that at most one process
+ * may act.
+ */
+export class World {
+  readonly queue = new EventQueue();
+  readonly conditions = new Conditions();
+  readonly log: Array<StoredRecord<DataCentreRecord>> = [];
+  readonly processes = new Map<string, SimulatedProcess>();
+  readonly trace: string[] = [];
+  /** Members that the list shows. */
+  private readonly listed = new Set<MemberId>();
+  private readonly starts = new Map<string, number>();
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  get time(): Millis {
+    return this.queue.time;
+  }
+
+  /** A number from 0 up to 1. */
+  readonly random = (): number => uniformFloat64(this.generator);
+
+  /** A number from `low` up to `high`. */
+  between(low: number, high: number): number {
+    return low + this.random() * (high - low);
+  }
+
+  note(text: string): void {
+    this.trace.push(`${this.time.toFixed(0)} ${text}`);
+  }
+
+  /** Starts a process of an id; an earlier one has to be ended. */
+  start(id: string): SimulatedProcess {
+    const start = (this.starts.get(id) ?? 0) + 1;
+    this.starts.set(id, start);
+    const member = memberId(id, start);
+    const rate = this.between(1 - RATE_SPREAD, 1 + RATE_SPREAD);
+    const process = new SimulatedProcess(this, member, rate);
+    this.note(`start ${member} rate ${rate.toFixed(4)}`);
+    for (const other of this.processes.values()) {
+      this.linkUp(process, other);
+      this.linkUp(other, process);
+    }
+    this.processes.set(id, process);
+    this.queue.after(this.between(200, 2500), () => {
+      if (!process.ended) this.listed.add(member);
+    });
+    process.run();
+    return process;
+  }
+
+  /** Ends the process of an id; the list drops it some time later. */
+  kill(id: string): void {
+    const process = this.processes.get(id);
+    if (!process) return;
+    this.note(`kill ${process.member}`);
+    process.ended = true;
+    this.processes.delete(id);
+    this.queue.after(this.between(300, 4000), () =>
+      this.listed.delete(process.member),
+    );
+  }
+
+  /** Pauses a process; the platform may drop it from the list meanwhile. */
+  pause(id: string, duration: Millis): void {
+    const process = this.processes.get(id);
+    if (!process || process.isPaused) return;
+    this.note(`pause ${process.member} for ${duration}`);
+    process.pause(duration);
+    this.queue.after(PLATFORM_SILENCE_MS, () => {
+      if (process.isPaused) this.listed.delete(process.member);
+    });
+    this.queue.after(duration + this.between(0, 2000), () => {
+      if (!process.ended && !process.isPaused) this.listed.add(process.member);
+    });
+  }
+
+  send(from: MemberId, to: MemberId, message: LeadershipPeerMessage): void {
+    const {conditions} = this;
+    if (conditions.cut(Conditions.path(from, to)).isOpen(this.time)) return;
+    if (conditions.lossyNetwork.isOpen(this.time) && this.random() < 0.3) {
+      return;
+    }
+    const delay =
+      this.random() < 0.02 ? this.between(5, 2500) : this.between(0.5, 5);
+    this.queue.after(delay, () => {
+      this.find(to)?.receive({kind: 'peer', from, message});
+    });
+  }
+
+  /** Appends a record; calls back `undefined` when the answer is lost. */
+  append(
+    from: MemberId,
+    data: DataCentreRecord,
+    done: (offset: number | undefined) => void,
+  ): void {
+    const lossy = this.conditions.lossyLog.isOpen(this.time);
+    const slow = this.conditions.slowLog.isOpen(this.time);
+    const delay =
+      slow && this.random() < 0.5
+        ? this.between(APPEND_TIMEOUT_MS, 5000)
+        : this.between(1, 10);
+    if (this.isCutFromLog(from) || (lossy && this.random() < 0.3)) {
+      this.queue.after(APPEND_TIMEOUT_MS, () => done(undefined));
+      return;
+    }
+    if (delay >= APPEND_TIMEOUT_MS) {
+      this.queue.after(APPEND_TIMEOUT_MS, () => done(undefined));
+    }
+    this.queue.after(delay, () => {
+      const offset = this.store(data);
+      if (delay >= APPEND_TIMEOUT_MS) return;
+      const lost = offset === undefined || (lossy && this.random() < 0.4);
+      const wait = lost ? APPEND_TIMEOUT_MS : this.between(1, 10);
+      this.queue.after(wait, () => done(lost ? undefined : offset));
+    });
+  }
+
+  /** Reads records; calls back `undefined` when the log does not answer. */
+  read(
+    from: MemberId,
+    position: number,
+    done: (answer: LogAnswer | undefined) => void,
+  ): void {
+    this.queue.after(this.between(1, 10), () => {
+      if (this.isCutFromLog(from)) {
+        this.queue.after(300, () => done(undefined));
+        return;
+      }
+      const records = this.log.slice(position, position + 100);
+      const atEnd = position + records.length === this.log.length;
+      const slow = this.conditions.slowLog.isOpen(this.time);
+      const delay = slow ? this.between(1, 1200) : this.between(1, 10);
+      this.queue.after(delay, () => done({records, atEnd}));
+    });
+  }
+
+  /** Asks for the list; calls back `undefined` when there is no answer. */
+  list(
+    from: MemberId,
+    done: (instances: readonly Instance[] | undefined) => void,
+  ): void {
+    const {conditions, time} = this;
+    const shown = conditions.listEmpty.isOpen(time) ? [] : [...this.listed];
+    const failed =
+      conditions.listOutage.isOpen(time) ||
+      conditions.cut(Conditions.toList(from)).isOpen(time);
+    this.queue.after(this.between(1, 20), () =>
+      done(failed ? undefined : shown.map(instanceFor)),
+    );
+  }
+
+  /** Processes that may act now, each by its own clock. */
+  acting(): SimulatedProcess[] {
+    return [...this.processes.values()].filter(process => process.mayAct);
+  }
+
+  /** Runs until `end` and checks after each event that at most one acts. */
+  runUntil(end: Millis): void {
+    this.queue.runUntil(end, () => this.check());
+  }
+
+  /** Runs until exactly one process acts; false when `end` comes first. */
+  runUntilLed(end: Millis): boolean {
+    while (this.time < end) {
+      this.runUntil(Math.min(end, this.time + 100));
+      if (this.acting().length === 1) return true;
+    }
+    return false;
+  }
+
+  private check(): void {
+    const acting = this.acting();
+    if (acting.length < 2) return;
+    const names = acting.map(process => process.member).join(' and ');
+    throw new Error(
+      `${names} may act at the same time.\n${this.trace.slice(-60).join('\n')}`,
+    );
+  }
+
+  private store(data: DataCentreRecord): number | undefined {
+    if (this.conditions.logOutage.isOpen(this.time)) return undefined;
+    const offset = this.log.length;
+    this.log.push({offset, timeMs: this.time, data});
+    if (data.kind === 'view') {
+      this.note(
+        `log ${offset}: view ${data.leader} [${data.members.join(' ')}] ` +
+          `base ${data.base} by ${data.writer}/${data.sequence}`,
+      );
+    }
+    return offset;
+  }
+
+  private isCutFromLog(from: MemberId): boolean {
+    return (
+      this.conditions.logOutage.isOpen(this.time) ||
+      this.conditions.cut(Conditions.toLog(from)).isOpen(this.time)
+    );
+  }
+
+  private linkUp(at: SimulatedProcess, to: SimulatedProcess): void {
+    const path = Conditions.path(at.member, to.member);
+    this.queue.after(this.between(1, 300), () => {
+      if (this.conditions.cut(path).isOpen(this.time) || to.ended) return;
+      at.receive({kind: 'peer-up', member: to.member});
+    });
+  }
+
+  private find(member: MemberId): SimulatedProcess | undefined {
+    for (const process of this.processes.values()) {
+      if (process.member === member) return process;
+    }
+    return undefined;
+  }
+}
