--- a/src/common/leadership/candidate_role.ts
+++ b/src/common/leadership/candidate_role.ts
@@ -58,7 +58,7 @@
 
   private *form(now: Millis): Generator<LeadershipAction> {
     const {state} = this;
-    if (state.pending || !state.logAvailable) return;
+    if (state.pending || !state.logAvailable || state.mayCountAsGone) return;
     if (this.missing(now)?.length !== 0) {
       this.formAt = undefined;
       return;
@@ -67,7 +67,7 @@
     // this length. The jitter lets one of several new instances append first.
     this.formAt ??=
       now + state.timing.leaseMs + state.random() * state.timing.renewMs;
-    if (now >= this.formAt) yield* state.propose([state.self]);
+    if (now >= this.formAt) yield* state.propose([state.self], now);
   }
 
   /** Those whose consent is missing; undefined while that is not known. */
