--- /dev/null
+++ b/tests/failures.test.ts
@@ -0,0 +1,273 @@
+import {Deployment, Entry} from '../test_support/deployment.js';
+import {call, eventually, sleep} from '../test_support/http.js';
+import {
+  finished,
+  inForce,
+  leaderAmong,
+  leaseLeft,
+  startDeployment,
+  startsOf,
+  status,
+  submit,
+  submitted,
+  violations,
+} from './support.js';
+
+const CAPACITY = {processors: 16, memoryMb: 64_000};
+
+const SMALL = {processors: 1, memoryMb: 100, accelerators: 0};
+
+describe('failures of processes and of the platform', () => {
+  let deployment: Deployment;
+
+  afterEach(async () => {
+    const found = violations(deployment.ledger(), CAPACITY);
+    await deployment.stop();
+    expect(found).toEqual([]);
+  });
+
+  function otherThan(entry: Entry): Entry {
+    return deployment.entries.find(other => other !== entry)!;
+  }
+
+  async function setFaults(url: string, faults: object): Promise<void> {
+    await call(`${url}/faults`, {method: 'PUT', body: faults});
+  }
+
+  it('keeps a paused leader from acting after its successor leads', async () => {
+    deployment = await startDeployment();
+    const old = await leaderAmong(deployment.entries);
+    const other = otherThan(old);
+    const fields = {size: SMALL, runMs: 500, idempotent: true};
+    const jobs = [];
+    for (let i = 0; i < 10; i++) {
+      jobs.push(await submitted(other, `before-${i}`, fields));
+    }
+    deployment.signal(old, 'SIGSTOP');
+    const after = await submitted(other, 'after', fields);
+    expect((await finished(other, after.id)).state).toBe('finished');
+    deployment.signal(old, 'SIGCONT');
+    await eventually('the old leader follows', async () => {
+      const report = await status(old);
+      return report.leader?.startsWith(other.id) ? true : undefined;
+    });
+    for (const {id} of jobs) {
+      expect((await finished(other, id)).state).toBe('finished');
+    }
+  });
+
+  it('serves and finishes idempotent jobs while the log is down', async () => {
+    deployment = await startDeployment();
+    const leader = await leaderAmong(deployment.entries);
+    const running = await submitted(leader, 'runs', {
+      size: SMALL,
+      runMs: 4000,
+    });
+    await eventually('the job starts', () =>
+      leaseLeft(deployment, running.id) > 0 ? true : undefined,
+    );
+    await setFaults(deployment.platform.log, {down: true});
+    await eventually('the outage is seen', async () =>
+      (await status(leader)).logAvailable ? undefined : true,
+    );
+    const refused = await submit(leader, 'during');
+    expect(refused.json).toMatchObject({
+      error: 'log_unavailable',
+      ran: 'no',
+    });
+    expect(refused.headers['retry-after']).toBeDefined();
+    const ticket = await call(`${leader.operatorUrl}/v1/tickets`, {
+      method: 'POST',
+      body: {number: 2, base: 1, author: 'x', changes: {}},
+    });
+    expect(ticket.json).toMatchObject({error: 'log_unavailable', ran: 'no'});
+    const charge = await call(
+      `${leader.callerUrl}/v1/services/order-desk/charge`,
+      {
+        method: 'POST',
+        headers: {
+          'idempotency-key': 'charge-1',
+          'x-request-created': String(Date.now()),
+        },
+      },
+    );
+    expect(charge.json).toMatchObject({ran: 'no'});
+    const served = await call(
+      `${leader.callerUrl}/v1/services/order-desk/look`,
+    );
+    expect(served.status).toBe(200);
+    await eventually('the task ends during the outage', () =>
+      deployment
+        .ledger()
+        .some(({event, job}) => event === 'finished' && job === running.id)
+        ? true
+        : undefined,
+    );
+    await setFaults(deployment.platform.log, {down: false});
+    expect((await finished(leader, running.id)).state).toBe('finished');
+    expect(startsOf(deployment.ledger(), running.id)).toHaveLength(1);
+    // The refused submission left nothing behind: the key makes a new job now.
+    const later = await submitted(leader, 'during');
+    await finished(leader, later.id);
+    expect(startsOf(deployment.ledger(), later.id)).toHaveLength(1);
+    const keys = deployment.ledger().filter(({key}) => key === 'charge-1');
+    expect(keys).toEqual([]);
+  });
+
+  it('makes one job and one ticket of appends whose answers are lost', async () => {
+    deployment = await startDeployment();
+    const leader = await leaderAmong(deployment.entries);
+    await setFaults(deployment.platform.log, {loseAppendAnswers: 1});
+    const job = await submitted(leader, 'lost', {size: SMALL, runMs: 100});
+    await finished(leader, job.id);
+    expect(startsOf(deployment.ledger(), job.id)).toHaveLength(1);
+    await setFaults(deployment.platform.log, {loseAppendAnswers: 1});
+    const ticket = await call(`${leader.operatorUrl}/v1/tickets`, {
+      method: 'POST',
+      body: {number: 2, base: 1, author: 'x', changes: {}},
+    });
+    expect(ticket.status).toBe(201);
+    await inForce(deployment.entries, 2);
+    const audit = await call(`${leader.operatorUrl}/v1/audit`);
+    expect((audit.json as {entries: unknown[]}).entries).toHaveLength(2);
+  });
+
+  it('runs a non-idempotent request once when the caller tries again', async () => {
+    deployment = await startDeployment();
+    const leader = await leaderAmong(deployment.entries);
+    const headers = {
+      'idempotency-key': 'cut-1',
+      'x-request-created': String(Date.now()),
+    };
+    const send = (entry: Entry, extra: Record<string, string> = {}) =>
+      call(`${entry.callerUrl}/v1/services/order-desk/cut`, {
+        method: 'POST',
+        headers: {...headers, ...extra},
+      });
+    // The entry dies with the request in flight at a slow target.
+    const victim = otherThan(leader);
+    const lost = send(victim, {'x-work-ms': '1000'}).catch(() => undefined);
+    const arrived = () =>
+      deployment
+        .ledger()
+        .filter(({event, key}) => event === 'request' && key === 'cut-1');
+    await eventually('the request arrives', () => arrived()[0]);
+    deployment.signal(victim, 'SIGKILL');
+    await lost;
+    const again = await send(leader);
+    expect(again.status).toBe(409);
+    expect(again.json).toMatchObject({
+      error: 'already_claimed',
+      ran: 'unknown',
+    });
+    await sleep(1500);
+    expect(arrived()).toHaveLength(1);
+  });
+
+  it('finishes requests in flight at a graceful shutdown', async () => {
+    deployment = await startDeployment();
+    const leader = await leaderAmong(deployment.entries);
+    const pending = [];
+    for (let i = 0; i < 8; i++) {
+      pending.push(
+        call(`${leader.callerUrl}/v1/services/order-desk/slow/${i}`, {
+          headers: {'x-work-ms': '2500'},
+        }),
+      );
+    }
+    await eventually('the requests arrive', () =>
+      deployment.ledger().filter(({event}) => event === 'request').length >= 8
+        ? true
+        : undefined,
+    );
+    deployment.signal(leader, 'SIGTERM');
+    const answers = await Promise.all(pending);
+    expect(answers.map(answer => answer.status)).toEqual(Array(8).fill(200));
+    answers.forEach((answer, i) =>
+      expect(answer.json).toMatchObject({path: `slow/${i}`}),
+    );
+    expect(await deployment.ended(leader)).toBe(0);
+    // The lead was handed over, so the other one takes jobs.
+    const other = otherThan(leader);
+    const job = await submitted(other, 'handed-over', {
+      size: SMALL,
+      runMs: 100,
+    });
+    expect((await finished(other, job.id)).state).toBe('finished');
+  });
+
+  it('sends nothing to a leaving target although the list lags', async () => {
+    deployment = await startDeployment();
+    const [entry] = deployment.entries;
+    const [leaving] = deployment.workers;
+    await setFaults(deployment.platform.instances, {lagMs: 60_000});
+    leaving.faults.leaving = true;
+    const request = () => call(`${entry.callerUrl}/v1/services/order-desk/x`);
+    const requestsThere = () =>
+      leaving.ledger.filter(({event}) => event === 'request').length;
+    await eventually('the target has said that it leaves', async () => {
+      await request();
+      return requestsThere() > 0 ? true : undefined;
+    });
+    const before = requestsThere();
+    for (let i = 0; i < 100; i++) {
+      expect((await request()).status).toBe(200);
+    }
+    expect(requestsThere()).toBe(before);
+  });
+
+  it('goes round a target that fails everything', async () => {
+    deployment = await startDeployment();
+    const leader = await leaderAmong(deployment.entries);
+    const [bad] = deployment.workers;
+    bad.faults.failEverything = true;
+    const jobs = [];
+    for (let i = 0; i < 10; i++) {
+      const fields = {size: SMALL, runMs: 100, idempotent: true};
+      jobs.push(await submitted(leader, `bad-${i}`, fields));
+    }
+    for (const {id} of jobs) {
+      expect((await finished(leader, id)).state).toBe('finished');
+    }
+    let failures = 0;
+    for (let i = 0; i < 100; i++) {
+      const answer = await call(`${leader.callerUrl}/v1/services/order-desk/x`);
+      if (answer.status !== 200) failures++;
+    }
+    // Five failures in a row eject it, and probes may fail too.
+    expect(failures).toBeLessThanOrEqual(10);
+  });
+
+  it('takes over when all instances of a data centre are replaced', async () => {
+    deployment = await startDeployment();
+    const [a, b] = deployment.entries;
+    await leaderAmong(deployment.entries);
+    const job = await submitted(a, 'survives', {
+      size: SMALL,
+      runMs: 300,
+      idempotent: true,
+    });
+    await finished(a, job.id);
+    for (const entry of [a, b]) deployment.signal(entry, 'SIGKILL');
+    for (const entry of [a, b]) {
+      await deployment.ended(entry);
+      deployment.delist(entry);
+    }
+    const fresh = await deployment.addEntry('hamilton', 5);
+    const again = await eventually(
+      'the same key is known',
+      async () => {
+        const answer = await submit(fresh, 'survives', {
+          size: SMALL,
+          runMs: 300,
+          idempotent: true,
+        });
+        return answer.status < 300 ? answer : undefined;
+      },
+      90_000,
+    );
+    expect(again.json).toMatchObject({id: job.id, state: 'finished'});
+    expect(startsOf(deployment.ledger(), job.id)).toHaveLength(1);
+    expect((await status(fresh)).ticketNumber).toBe(1);
+  });
+});
