--- a/src/cli/run.test.ts
+++ b/src/cli/run.test.ts
@@ -1,5 +1,7 @@
+import {readFileSync} from 'node:fs';
 import {createServer, Server} from 'node:http';
 import {AddressInfo} from 'node:net';
+import {join} from 'node:path';
 import {parseArgs} from 'node:util';
 import {Either, Left, Right} from 'purify-ts';
 import {ManualClock} from '../common/base/manual_clock.js';
@@ -8,6 +10,8 @@
 import {FakeOperatorBackend} from '../node/fake_operator_backend.js';
 import {JsonServer} from '../node/json_server.js';
 import {addOperatorRoutes} from '../node/operator_api.js';
+import {parseYaml} from '../common/tickets/checked_yaml.js';
+import {SUBMISSION_SCHEMA} from '../node/job_submission.js';
 import {COMMANDS} from './command_table.js';
 import {ExitCode} from './exit_code.js';
 import {run} from './run.js';
@@ -455,3 +459,30 @@
     });
   });
 });
+
+/** Guards against a reference that misses a command or an exit code. */
+describe('docs/CLI.md', () => {
+  const page = readFileSync(join(__dirname, '../../docs/CLI.md'), 'utf8');
+
+  it('names every command with its options, and every exit code', () => {
+    for (const [name, command] of Object.entries(COMMANDS)) {
+      const rows = page
+        .split('\n')
+        .filter(row => row.startsWith(`| \`${name}`));
+      expect(rows.length).toBeGreaterThan(0);
+      for (const option of Object.keys(command.options)) {
+        const flag = option.replace(/[A-Z]/g, c => `-${c.toLowerCase()}`);
+        expect(rows.join()).toContain(`--${flag}`);
+      }
+    }
+    for (const code of Object.values(ExitCode)) {
+      expect(page).toContain(`\n| ${code} | `);
+    }
+  });
+
+  it('has a job file that is accepted', () => {
+    const example = /```yaml\n([^`]*)```/.exec(page)?.[1] ?? '';
+    const job = parseYaml(SUBMISSION_SCHEMA, example, 'CLI.md');
+    expect(job.isRight()).toBe(true);
+  });
+});
--- a/src/common/tickets/ticket_file.test.ts
+++ b/src/common/tickets/ticket_file.test.ts
@@ -1,6 +1,9 @@
+import {readFileSync} from 'node:fs';
+import {join} from 'node:path';
 import {formatFaults} from './checked_yaml.js';
 import {parseTicket} from './ticket_file.js';
-import {checkTicket} from './ticket_schema.js';
+import {checkTicket, TICKET_DEFAULTS} from './ticket_schema.js';
+import {TicketRefusalReason} from './types.js';
 
 function parse(text: string) {
   return parseTicket(text, 't.yaml');
@@ -178,3 +181,34 @@
     ]);
   });
 });
+
+/** Guards against a reference that names other defaults or a faulty example. */
+describe('docs/TICKETS.md', () => {
+  const page = readFileSync(
+    join(__dirname, '../../../docs/TICKETS.md'),
+    'utf8',
+  );
+
+  it('has examples that are accepted', () => {
+    const examples = [...page.matchAll(/```yaml\n([^`]*)```/g)];
+    expect(examples).toHaveLength(3);
+    for (const [, text] of examples) {
+      expect(formatFaults(parse(text).swap().orDefault([]))).toBe('');
+    }
+  });
+
+  it('names every default and every reason of a refusal', () => {
+    for (const defaults of Object.values(TICKET_DEFAULTS)) {
+      for (const [field, value] of Object.entries(defaults)) {
+        const row = page
+          .split('\n')
+          .find(line => line.includes(`| \`${field}\` |`));
+        const shown = field === 'deadlineMs' ? '10s' : String(value);
+        expect(row?.split(' | ')[3]).toBe(shown);
+      }
+    }
+    for (const reason of Object.values(TicketRefusalReason)) {
+      expect(page).toContain(`| \`${reason}\` |`);
+    }
+  });
+});
--- a/src/common/tickets/ticket_state.test.ts
+++ b/src/common/tickets/ticket_state.test.ts
@@ -266,6 +266,22 @@
   });
 });
 
+describe('TicketState with a snapshot inside the records that wait', () => {
+  it('judges only the records after the snapshot and goes on', () => {
+    const records = [1, 2, 3, 4, 5].map(n => ticketRecord(n, n - 1, n));
+    const peer = new TicketState();
+    applyAll(peer, records.slice(0, 2));
+    const state = new TicketState();
+    applyAll(state, records.slice(1, 4), 1);
+    expect(state.takeSnapshot(peer.snapshot())).toMatchObject({
+      kind: 'checkpoint-taken',
+      verdicts: [{entry: {number: 3}}, {entry: {number: 4}}],
+    });
+    expect(state.through).toBe(3);
+    expect(state.apply(stored(4, records[4])).kind).toBe('accepted');
+  });
+});
+
 describe('TicketState with peers', () => {
   const records = [1, 2, 3].map(n => ticketRecord(n, n - 1, n));
 
@@ -483,7 +499,11 @@
           number = configuration.number;
         });
         for (const {kind, amount} of actions) {
-          const peer = amount % stream.snapshots.length;
+          // Around the reader's position, where snapshots and gaps meet.
+          const peer = Math.min(
+            Math.max(0, next + 4 - (amount % 12)),
+            stream.snapshots.length - 1,
+          );
           if (kind === 'read') {
             const end = next + 1 + (amount % 4);
             const outcomes = reader.applyAll(stream.records.slice(next, end));
--- a/src/daemon/settings.test.ts
+++ b/src/daemon/settings.test.ts
@@ -1,4 +1,4 @@
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {
@@ -229,3 +229,30 @@
     }
   });
 });
+
+/** Guards against a reference that names other settings or defaults. */
+describe('docs/SETTINGS.md', () => {
+  const page = readFileSync(join(__dirname, '../../docs/SETTINGS.md'), 'utf8');
+
+  it('has an example that is accepted', () => {
+    const example = /```yaml\n([^`]*)```/.exec(page)?.[1] ?? '';
+    expect(settings(example).timeouts.drainMs).toBe(60_000);
+  });
+
+  it('names every optional setting with its default', () => {
+    for (const [section, values] of Object.entries(SETTINGS_DEFAULTS)) {
+      for (const [name, value] of Object.entries(values)) {
+        const row = page
+          .split('\n')
+          .find(line => line.startsWith(`| \`${section}.${name}\` |`));
+        expect(row?.split('|')[4].trim()).toBe(String(value));
+      }
+    }
+  });
+
+  it('names every variable', () => {
+    for (const [variable, path] of Object.entries(ENVIRONMENT_OVERRIDES)) {
+      expect(page).toContain(`| \`${variable}\` | \`${path.join('.')}\` |`);
+    }
+  });
+});
