Tell when a checkpoint is due and where to read next

Cause: the daemon writes a checkpoint after 50 tickets or an hour and follows the stream by offset; both follow from the records that were read.

What changed: TicketState has ticketsSinceCheckpoint, checkpointTimeMs and nextOffset. Tests cover the bound on waiting records at its edge, and a reader of the log stand-in after retention has dropped the first records.

--- a/src/common/tickets/ticket_state.test.ts
+++ b/src/common/tickets/ticket_state.test.ts
@@ -1,7 +1,12 @@
 import {isDeepStrictEqual} from 'node:util';
 import fc from 'fast-check';
+import {LogService} from '../../../test_support/log_service.js';
 import {StoredRecord} from '../stream/types.js';
-import {MAX_AUDIT_ENTRIES, TicketState} from './ticket_state.js';
+import {
+  MAX_AUDIT_ENTRIES,
+  MAX_WAITING_RECORDS,
+  TicketState,
+} from './ticket_state.js';
 import {
   Configuration,
   Ticket,
@@ -226,6 +231,8 @@
     const late = new TicketState();
     expect(late.apply(stored(1, ticketRecord(2, 1, 2))).kind).toBe('waiting');
     expect(late.missesRecords).toBe(true);
+    expect(late.nextOffset).toBe(2);
+    expect(late.through).toBe(-1);
     expect(late.configuration.number).toBe(0);
     // Describes the state before offset 1 and was appended after it.
     const checkpoint = checkpointRecord(writer.snapshot(), 1);
@@ -266,6 +273,73 @@
   });
 });
 
+describe('TicketState with many records that wait', () => {
+  const count = MAX_WAITING_RECORDS + 10;
+  const records = Array.from({length: count}, (unusedItem, i) =>
+    ticketRecord(i + 1, i, i + 1),
+  );
+
+  it.each([
+    // The first 9 of the records that waited from offset 1 on are dropped.
+    [8, 'ignored', 0],
+    [9, 'checkpoint-taken', MAX_WAITING_RECORDS],
+  ])(
+    'forgets the oldest: a checkpoint through %i is %s',
+    (through, kind, verdicts) => {
+      const writer = new TicketState();
+      applyAll(writer, records.slice(0, through + 1));
+      const late = new TicketState();
+      applyAll(late, records.slice(1), 1);
+      const checkpoint = checkpointRecord(writer.snapshot(), 1);
+      const outcome = late.apply(stored(count, checkpoint));
+      expect(outcome.kind).toBe(kind);
+      expect(verdictsOf(outcome)).toHaveLength(verdicts);
+    },
+  );
+});
+
+describe('TicketState and checkpoints to write', () => {
+  it('counts the tickets that the last checkpoint does not cover', () => {
+    const state = new TicketState();
+    expect(state.checkpointTimeMs).toBeUndefined();
+    applyAll(state, [ticketRecord(1, 0, 1), ticketRecord(2, 1, 2)]);
+    const checkpoint = checkpointRecord(state.snapshot(), 1);
+    expect(state.ticketsSinceCheckpoint).toBe(2);
+    // A ticket that was appended before the checkpoint but is not covered.
+    applyAll(state, [ticketRecord(3, 2, 3), checkpoint], 2);
+    expect(state.ticketsSinceCheckpoint).toBe(1);
+    expect(state.checkpointTimeMs).toBe(1003);
+    applyAll(state, [ticketRecord(4, 3, 4)], 4);
+    expect(state.ticketsSinceCheckpoint).toBe(2);
+  });
+});
+
+describe('TicketState on the log service', () => {
+  it('agrees after retention has dropped the first records', () => {
+    const log = new LogService();
+    const read = (state: TicketState, from: number) => {
+      state.applyAll(log.read('tickets', from, 500).records);
+      return state;
+    };
+    const first = new TicketState();
+    for (let n = 1; n <= 9; n++) {
+      log.append('tickets', ticketRecord(n, n - 1, n));
+      // Two operators race for each number.
+      log.append('tickets', ticketRecord(n, n - 1, n, undefined, 'b#1'));
+      read(first, first.nextOffset);
+      if (n % 3 === 0) {
+        log.append('tickets', checkpointRecord(first.snapshot(), n));
+      }
+    }
+    read(first, first.nextOffset);
+    log.dropBefore('tickets', 5);
+    const late = read(new TicketState(), 0);
+    expect(late.missesRecords).toBe(false);
+    expect(late.configuration.number).toBe(9);
+    expect(late.snapshot()).toEqual(first.snapshot());
+  });
+});
+
 describe('TicketState with a snapshot inside the records that wait', () => {
   it('judges only the records after the snapshot and goes on', () => {
     const records = [1, 2, 3, 4, 5].map(n => ticketRecord(n, n - 1, n));
--- a/src/common/tickets/ticket_state.ts
+++ b/src/common/tickets/ticket_state.ts
@@ -1,3 +1,4 @@
+import {Millis} from '../base/clock.js';
 import {Disposable} from '../base/disposable.js';
 import {Emitter, Event} from '../base/emitter.js';
 import {MemberId, Offset, StoredRecord} from '../stream/types.js';
@@ -107,7 +108,7 @@
  * peers pass accepted tickets on. It never goes back to a lower number.
  */
 export class TicketState implements Disposable {
-  /** The state after record `position`, as every reader has it. */
+  /** The state after record `folded.through`, as every reader has it. */
   private folded: TicketSnapshot = {
     configuration: EMPTY_CONFIGURATION,
     audit: [],
@@ -122,6 +123,9 @@
   private waitingFrom: Offset = 0;
   private waitingThrough: Offset = -1;
   private latest: Configuration = EMPTY_CONFIGURATION;
+  /** What the last checkpoint record covers, and its time. */
+  private checkpointThrough: Offset = -1;
+  private checkpointTime: Millis | undefined;
   private readonly changeEmitter = new Emitter<Configuration>();
 
   /** The current configuration changed; fires once after a batch of records. */
@@ -148,11 +152,31 @@
     return this.folded.through;
   }
 
+  /** Offset to read from next; later than `through + 1` while records wait. */
+  get nextOffset(): Offset {
+    return this.position() + 1;
+  }
+
   /** Whether records are missing, so that tickets get no verdict for now. */
   get missesRecords(): boolean {
     return this.waiting !== undefined;
   }
 
+  /**
+   * Number of tickets that the last checkpoint in the stream does not cover,
+   * up to the number of audit entries that are kept.
+   */
+  get ticketsSinceCheckpoint(): number {
+    return this.folded.audit.filter(
+      entry => entry.offset > this.checkpointThrough,
+    ).length;
+  }
+
+  /** Unix time of the last checkpoint record; undefined before the first. */
+  get checkpointTimeMs(): Millis | undefined {
+    return this.checkpointTime;
+  }
+
   /**
    * Returns the state for a checkpoint record or for a peer. Its configuration
    * is that of the records read, not one that a peer passed on. While records
@@ -292,6 +316,8 @@
   ): TicketOutcome {
     const checkpoint = record.data;
     const {number} = checkpoint.configuration;
+    this.checkpointThrough = checkpoint.through;
+    this.checkpointTime = record.timeMs;
     if (this.waiting !== undefined) {
       if (!this.joins(checkpoint)) {
         return ignored(IgnoredReason.RECORDS_MISSING);
