--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -102,6 +102,9 @@
     const closed = this.callers.close();
     const proxy = this.kernel.get('routing').proxy;
     await this.waitUntil(() => proxy.inFlight === 0, end);
+    // A connection that was busy when the server closed stays open, idle.
+    await this.waitUntil(() => false, Date.now() + DRAIN_POLL_MS);
+    this.callers.closeIdleConnections();
     await Promise.race([closed, this.waitUntil(() => false, end)]);
     this.dispose();
     this.logger.withTag('daemon').info('The daemon has stopped.');
--- a/src/daemon/routing_service.ts
+++ b/src/daemon/routing_service.ts
@@ -47,7 +47,11 @@
           claims,
           clock,
           wallClock: Date.now,
-          service: name => tickets.state.configuration.services[name],
+          service: name => {
+            const {services} = tickets.state.configuration;
+            // `constructor` is an allowed name of a service.
+            return Object.hasOwn(services, name) ? services[name] : undefined;
+          },
         },
         {maxBodyBytes: parts.settings.limits.maxBodyBytes},
       ),
--- a/src/daemon/ticket_service.ts
+++ b/src/daemon/ticket_service.ts
@@ -73,7 +73,6 @@
   private readonly writer: RecordWriter<TicketRecord, never>;
   private readonly channel: StreamChannel<TicketRecord, never>;
   private readonly pending = new Map<Ticket, PendingTicket>();
-  private ticketsSinceCheckpoint = 0;
   private lastCheckpointAt: Millis;
   /** Since when each peer has had a newer state. */
   private readonly aheadSince = new Map<MemberId, Millis>();
@@ -186,19 +185,14 @@
     const outcome = this.state.apply(record);
     if (outcome.kind === 'malformed') {
       this.logger.warn('A record was ignored.', {reason: outcome.message});
-    } else if (outcome.kind === 'accepted') {
-      this.ticketsSinceCheckpoint++;
     }
     const data: Partial<TicketRecord> = record.data ?? {};
-    if (data.kind === 'checkpoint') {
-      this.ticketsSinceCheckpoint = 0;
-      this.lastCheckpointAt = this.clock.now();
-    }
+    if (data.kind === 'checkpoint') this.lastCheckpointAt = this.clock.now();
   }
 
   private confirm(record: TicketRecord): void {
     if (record.kind !== 'ticket') return;
-    if (this.ticketsSinceCheckpoint >= CHECKPOINT_TICKETS) {
+    if (this.state.ticketsSinceCheckpoint >= CHECKPOINT_TICKETS) {
       // Only the writer of this ticket appends the checkpoint it makes due.
       this.appendCheckpoint();
     }
@@ -231,7 +225,8 @@
 
   private appendCheckpoint(): void {
     this.lastCheckpointAt = this.clock.now();
-    this.ticketsSinceCheckpoint = 0;
+    // A state with a gap would be taken for a whole one.
+    if (this.state.missesRecords) return;
     const body = {kind: 'checkpoint', ...this.state.snapshot()} as const;
     this.channel.run(this.writer.enqueueRecord(body, this.clock.now()));
   }
--- a/src/node/json_server.ts
+++ b/src/node/json_server.ts
@@ -175,6 +175,11 @@
     });
   }
 
+  /** Closes connections that carry no request. */
+  closeIdleConnections(): void {
+    this.server.closeIdleConnections();
+  }
+
   /** Cuts all connections. */
   closeAllConnections(): void {
     this.server.closeAllConnections();
