Add unit tests of the scheduler's rules and check checkpoints in the runs

The intervals of checkpoints are settings, so that the property test has several in each run; it compares a reader that starts at the last one. Clock bounds allow for reports in whole milliseconds. In the fakes, a lease belongs to a view, so that a paused old leader no longer gets the lease of a later term.

--- a/src/common/jobs/clock_estimate.ts
+++ b/src/common/jobs/clock_estimate.ts
@@ -1,5 +1,8 @@
 import {Millis} from '../base/clock.js';
 
+/** Reports give the clock in whole milliseconds, rounded down. */
+const REPORT_ROUNDING_MS: Millis = 1;
+
 /** A reading of a worker's clock between two local times. */
 export interface ClockSample {
   /** Local time before the worker read its clock. */
@@ -58,7 +61,8 @@
   upperBound(time: Millis): Millis {
     const sample = this.latest;
     if (sample === undefined) return Infinity;
-    return Math.ceil(sample.nowMs + this.fastest(time - sample.sentAt));
+    const reading = sample.nowMs + REPORT_ROUNDING_MS;
+    return Math.ceil(reading + this.fastest(time - sample.sentAt));
   }
 
   /** Whether the worker's clock has certainly reached `workerMs` by `now`. */
--- a/src/common/jobs/fake_data_centre.test_support.ts
+++ b/src/common/jobs/fake_data_centre.test_support.ts
@@ -55,6 +55,7 @@
     for (let i = 0; i < scenario.workers; i++) this.addWorker(i);
     for (let i = 0; i < NODES; i++) this.addNode(i);
     this.stream.records.push({kind: 'view', base: null, leader: 0});
+    this.nodes[0].leaseEpoch = 0;
   }
 
   /** Runs the time of faults and the recovery. */
@@ -163,6 +164,7 @@
     const {index} = this.successor;
     stream.records.push({kind: 'view', base, leader: index});
     this.successor.leaseUntil = simulation.now + LEASE_MS;
+    this.successor.leaseEpoch = stream.records.length - 1;
     this.successor = undefined;
     this.resigning = false;
   }
--- a/src/common/jobs/fake_node.test_support.ts
+++ b/src/common/jobs/fake_node.test_support.ts
@@ -24,6 +24,9 @@
   {kind: K}
 >;
 
+/** Few, so that each run has several checkpoints. */
+const CHECKPOINT_RECORDS = 25;
+
 /** Time after which an unanswered call is given up. */
 const CALL_TIMEOUT_MS: Millis = 800;
 
@@ -34,6 +37,8 @@
   readonly violations: string[] = [];
   readonly actionsWithoutLease: string[] = [];
   leaseUntil: Millis = -Infinity;
+  /** View for which the lease was given. */
+  leaseEpoch: Epoch | undefined;
   epoch: Epoch | undefined;
   pausedUntil: Millis = 0;
   private readonly reader: FakeReader;
@@ -49,15 +54,19 @@
   ) {
     this.scheduler = new Scheduler(
       {
-        mayAct: now => now < this.leaseUntil,
+        mayAct: now => this.holdsLease(now),
         leaseUntil: () => this.leaseUntil,
       },
-      {dataCentre: 'dc'},
+      {dataCentre: 'dc', checkpointRecords: CHECKPOINT_RECORDS},
     );
     this.reader = new FakeReader(stream);
     this.writer = new FakeWriter(`n${index}#1`, stream);
   }
 
+  private holdsLease(now: Millis): boolean {
+    return now < this.leaseUntil && this.epoch === this.leaseEpoch;
+  }
+
   /** One turn of the node's loop. */
   step(): void {
     if (this.simulation.now < this.pausedUntil) return;
@@ -134,7 +143,7 @@
   ): void {
     const {simulation} = this;
     const sentAt = simulation.now;
-    if (sentAt >= this.leaseUntil) this.actionsWithoutLease.push(action.kind);
+    if (!this.holdsLease(sentAt)) this.actionsWithoutLease.push(action.kind);
     const worker = this.workers.get(action.worker);
     simulation.after(this.latency(), () => {
       if (worker === undefined || !worker.isReachable) {
--- /dev/null
+++ b/src/common/jobs/placement.test.ts
@@ -0,0 +1,76 @@
+import {Candidate, PLACEMENTS, PlacementPolicy} from './placement.js';
+import {Quarantine} from './quarantine.js';
+
+function candidate(worker: string, free: number, rack = 'r'): Candidate {
+  return {
+    worker,
+    rack,
+    room: {processors: free, memoryMb: free * 1000, accelerators: 0},
+    usable: {processors: 8, memoryMb: 8000, accelerators: 0},
+  };
+}
+
+const SIZE = {processors: 2, memoryMb: 1000, accelerators: 0};
+
+describe('placement', () => {
+  const bestFit = PLACEMENTS[PlacementPolicy.BEST_FIT];
+  const firstFit = PLACEMENTS[PlacementPolicy.FIRST_FIT];
+
+  // Guards against large jobs that find no room because small ones are spread.
+  it('takes the fullest worker that fits', () => {
+    const workers = [candidate('a', 8), candidate('b', 1), candidate('c', 3)];
+    expect(bestFit(SIZE, workers, () => 0)?.worker).toBe('c');
+    expect(firstFit(SIZE, workers, () => 0)?.worker).toBe('a');
+  });
+
+  // Guards against the loss of one rack ending all tasks.
+  it('spreads over racks on ties', () => {
+    const workers = [candidate('a', 8, 'r1'), candidate('b', 8, 'r2')];
+    const onRack = (rack: string) => (rack === 'r1' ? 3 : 1);
+    expect(bestFit(SIZE, workers, onRack)?.worker).toBe('b');
+  });
+
+  it('places nothing that does not fit', () => {
+    expect(bestFit(SIZE, [candidate('a', 1)], () => 0)).toBeUndefined();
+    expect(firstFit(SIZE, [candidate('a', 1)], () => 0)).toBeUndefined();
+  });
+});
+
+describe('Quarantine', () => {
+  function failThree(quarantine: Quarantine, now: number): void {
+    for (const job of ['j1', 'j2', 'j3']) quarantine.failed('w', job, now);
+  }
+
+  it('holds a worker that fails three different jobs in a row', () => {
+    const quarantine = new Quarantine();
+    quarantine.failed('w', 'j1', 0);
+    quarantine.failed('w', 'j1', 0);
+    quarantine.failed('w', 'j1', 0);
+    expect(quarantine.holds('w', 0)).toBe(false);
+    failThree(quarantine, 0);
+    expect(quarantine.holds('w', 59_999)).toBe(true);
+    expect(quarantine.holds('w', 60_000)).toBe(false);
+  });
+
+  it('starts over after a success', () => {
+    const quarantine = new Quarantine();
+    quarantine.failed('w', 'j1', 0);
+    quarantine.failed('w', 'j2', 0);
+    quarantine.succeeded('w');
+    quarantine.failed('w', 'j3', 0);
+    expect(quarantine.holds('w', 0)).toBe(false);
+  });
+
+  it('doubles the period with each further failure, up to 30 minutes', () => {
+    const quarantine = new Quarantine();
+    failThree(quarantine, 0);
+    let now = 60_000;
+    const periods = [120, 240, 480, 960, 1800, 1800];
+    for (const [index, seconds] of periods.entries()) {
+      quarantine.failed('w', `k${index}`, now);
+      expect(quarantine.holds('w', now + seconds * 1000 - 1)).toBe(true);
+      now += seconds * 1000;
+      expect(quarantine.holds('w', now)).toBe(false);
+    }
+  });
+});
--- a/src/common/jobs/records_out.ts
+++ b/src/common/jobs/records_out.ts
@@ -1,14 +1,8 @@
-import {MINUTE, Millis} from '../base/clock.js';
+import {Millis} from '../base/clock.js';
 import {checkpointParts} from './checkpoint_parts.js';
 import {SchedulerState} from './scheduler_state.js';
 import {SchedulerAction} from './types.js';
 
-/** A checkpoint is due after this time if anything was recorded. */
-const CHECKPOINT_MS: Millis = 10 * MINUTE;
-
-/** A checkpoint is due after this many records. */
-const CHECKPOINT_RECORDS = 5000;
-
 /** Hands the records that wait to the writer, in order. */
 export function* flushRecords(
   state: SchedulerState,
@@ -29,9 +23,10 @@
   const {term, table} = state;
   if (term === undefined || term.checkpointPending) return;
   if (!state.logAvailable || !state.mayAct(now)) return;
+  const {checkpointMs, checkpointRecords} = state.settings;
   const records = table.recordsSinceCheckpoint;
-  const late = records > 0 && now - term.checkpointAt >= CHECKPOINT_MS;
-  if (!late && records < CHECKPOINT_RECORDS) return;
+  const late = records > 0 && now - term.checkpointAt >= checkpointMs;
+  if (!late && records < checkpointRecords) return;
   yield* flushRecords(state);
   term.checkpointPending = true;
   // The writer keeps the order, so the records on their way come before the
--- a/src/common/jobs/scheduler.ts
+++ b/src/common/jobs/scheduler.ts
@@ -1,4 +1,4 @@
-import {Millis} from '../base/clock.js';
+import {MINUTE, Millis} from '../base/clock.js';
 import {onCancel} from './cancellations.js';
 import {onClaim, onEndClaim} from './claims.js';
 import {onInterference} from './evictions.js';
@@ -27,6 +27,9 @@
 /** Jobs that a data centre holds at most. */
 const DEFAULT_QUEUE_LIMIT = 50_000;
 
+const DEFAULT_CHECKPOINT_MS: Millis = 10 * MINUTE;
+const DEFAULT_CHECKPOINT_RECORDS = 5000;
+
 type Handler<K extends SchedulerMessage['kind']> = (
   state: SchedulerState,
   message: Extract<SchedulerMessage, {kind: K}>,
@@ -101,6 +104,8 @@
       placement: PlacementPolicy.BEST_FIT,
       reaction: ReactionPolicy.THROTTLE_THEN_EVICT,
       queueLimit: DEFAULT_QUEUE_LIMIT,
+      checkpointMs: DEFAULT_CHECKPOINT_MS,
+      checkpointRecords: DEFAULT_CHECKPOINT_RECORDS,
       ...settings,
     };
     this.state = new SchedulerState(complete, lease, table);
--- a/src/common/jobs/scheduler_safety.test.ts
+++ b/src/common/jobs/scheduler_safety.test.ts
@@ -9,7 +9,9 @@
   checkRefusals,
   checkTaskIds,
 } from './ledger_checks.test_support.js';
-import {isFinal} from './job_table.js';
+import {FakeReader, FakeStream} from './fake_stream.test_support.js';
+import {JobTable, isFinal} from './job_table.js';
+import {JobRecord} from './types.js';
 
 const SEED = 20261204;
 
@@ -42,9 +44,38 @@
     ...checkCancelled(dataCentre),
     ...checkCompletion(dataCentre),
     ...checkEnd(dataCentre),
+    ...checkCheckpoint(dataCentre),
   ];
 }
 
+/** The records in force, from the start of the last checkpoint on. */
+function tailOf(stream: FakeStream): JobRecord[] {
+  const records: JobRecord[] = [];
+  let start = 0;
+  for (const read of new FakeReader(stream).read()) {
+    if (read.kind !== 'batch') continue;
+    for (const record of read.batch.entries) {
+      const last =
+        record.kind === 'checkpoint' && record.part === record.parts - 1;
+      if (last) start = records.length - record.part;
+      records.push(record);
+    }
+  }
+  return records.slice(start);
+}
+
+/** A reader that starts at a checkpoint learns what all others know. */
+function checkCheckpoint({nodes, callers, stream}: FakeDataCentre): string[] {
+  const table = new JobTable();
+  for (const record of tailOf(stream)) table.apply(record);
+  const json = (value: unknown) => JSON.stringify(value, undefined, 1);
+  return callers
+    .filter(
+      ({job}) => json(table.job(job)) !== json(nodes[0].scheduler.job(job)),
+    )
+    .map(({job}) => `${job} differs after a checkpoint`);
+}
+
 /** What must hold once all faults are over. */
 function checkEnd({nodes, workers, callers}: FakeDataCentre): string[] {
   const faults: string[] = [];
--- a/src/common/jobs/scheduler_state.ts
+++ b/src/common/jobs/scheduler_state.ts
@@ -32,6 +32,10 @@
   readonly reaction: ReactionPolicy;
   /** Jobs that may be queued or running. */
   readonly queueLimit: number;
+  /** A checkpoint is due after this time if anything was recorded. */
+  readonly checkpointMs: Millis;
+  /** A checkpoint is due after this many records. */
+  readonly checkpointRecords: number;
 }
 
 /** The time in which this instance leads one view. */
