Test the survey, hand-over, evictions and quotas; hold quotas in a survey

Cause: with single mechanisms switched off, the tests did not notice a survey by old reports, a hand-over with open starts, a missing list, an unchecked quota, and a stop without a checkpoint. While a survey runs, jobs of an earlier leader may run without a known task, so new starts could exceed a quota.

Changed: unit tests for these rules; the ledger check sums each team's running tasks; a job that may run without a known task counts against its quota until the survey settles it.

--- a/src/common/jobs/active_job.ts
+++ b/src/common/jobs/active_job.ts
@@ -77,6 +77,8 @@
   readonly failedOn: Set<string>;
   /** An earlier leader may have started it without a record. */
   awaitsSurvey: boolean;
+  /** Whether the job counts against its quota as if it ran. */
+  holdsQuota: boolean;
   /** A record that ends the job is not yet read back. */
   ending: boolean;
   /** State of the job before that record. */
@@ -100,6 +102,7 @@
     checkpoint: view.checkpoint,
     failedOn: new Set(view.failedOn),
     awaitsSurvey: false,
+    holdsQuota: false,
     ending: false,
     stateBeforeEnd: JobState.QUEUED,
     cancellations: [],
--- a/src/common/jobs/fake_data_centre.test_support.ts
+++ b/src/common/jobs/fake_data_centre.test_support.ts
@@ -24,6 +24,9 @@
   readonly interference: boolean;
 }
 
+/** Quota of each team; less than the workers have, so that it binds. */
+export const QUOTA = {processors: 5, memoryMb: 6000, accelerators: 2};
+
 const NODES = 3;
 
 /** How long faults occur. */
@@ -115,7 +118,7 @@
       this.workers,
       this.network,
     );
-    const quota = {processors: 6, memoryMb: 8000, accelerators: 2};
+    const quota = QUOTA;
     const teams = {a: {quota, weight: 1}, b: {quota, weight: 2}};
     const configuration = {...EMPTY_CONFIGURATION, number: 1, teams};
     node.send({kind: 'configuration', configuration});
--- a/src/common/jobs/ledger_checks.test_support.ts
+++ b/src/common/jobs/ledger_checks.test_support.ts
@@ -1,5 +1,5 @@
-import {EMPTY_SIZE, addSizes, fits, subtractSizes} from '../base/size.js';
-import {FakeDataCentre} from './fake_data_centre.test_support.js';
+import {EMPTY_SIZE, Size, addSizes, fits, subtractSizes} from '../base/size.js';
+import {FakeDataCentre, QUOTA} from './fake_data_centre.test_support.js';
 import {LedgerLine} from './fake_worker.test_support.js';
 
 /** Slack for rounding of exact end times, in milliseconds. */
@@ -66,6 +66,24 @@
   return faults;
 }
 
+/** The running tasks of a team never need more than its quota. */
+export function checkQuotas({ledger, callers}: FakeDataCentre): string[] {
+  const teams = new Map(callers.map(({job, submission}) => [job, submission]));
+  const used = new Map<string, Size>();
+  const faults: string[] = [];
+  for (const {time, event, job, size} of byTime(ledger)) {
+    const team = teams.get(job)!.team;
+    const before = used.get(team) ?? EMPTY_SIZE;
+    const isStart = event === 'start';
+    const after = (isStart ? addSizes : subtractSizes)(before, size);
+    used.set(team, after);
+    if (isStart && !fits(after, QUOTA)) {
+      faults.push(`team ${team} exceeds its quota at ${time}`);
+    }
+  }
+  return faults;
+}
+
 /** Non-idempotent work is started once; after that, only from a checkpoint. */
 export function checkAtMostOnce({ledger, callers}: FakeDataCentre): string[] {
   const faults: string[] = [];
--- /dev/null
+++ b/src/common/jobs/scheduler_rules.test.ts
@@ -0,0 +1,264 @@
+import {TaskState} from '../base/platform.js';
+import {RefusalKind} from '../base/refusal.js';
+import {EMPTY_CONFIGURATION} from '../tickets/types.js';
+import {
+  Driver,
+  instance,
+  listed,
+  running,
+  submission,
+} from './scheduler_driver.test_support.js';
+import {JobState, Violation} from './types.js';
+
+/** Two measurements: the first throttles, the second evicts. */
+function evictOne(driver: Driver, worker: string): void {
+  for (let i = 0; i < 2; i++) {
+    driver.now += 6000;
+    driver.send({
+      kind: 'interference',
+      worker,
+      slowdown: 2,
+      measuredAt: driver.now - 100,
+    });
+  }
+}
+
+/** A new leader in the same instance. */
+function takeOver(driver: Driver): void {
+  driver.send({kind: 'follow'});
+  driver.actions = [];
+  driver.appended = [];
+  driver.epoch++;
+  driver.send({kind: 'lead', epoch: driver.epoch});
+}
+
+describe('survey', () => {
+  // Guards against a start of the earlier leader that a report from before its
+  // arrival does not show.
+  it('does not count a report from before the term', () => {
+    const {driver, start} = running();
+    const sentAt = driver.now;
+    driver.now += 1000;
+    takeOver(driver);
+    driver.send({kind: 'instances', instances: driver.workers});
+    for (const {id} of driver.workers) driver.status(id, [], {sentAt});
+    driver.tick();
+    expect(driver.all('start')).toEqual([]);
+    for (const {id} of driver.workers) driver.status(id, []);
+    driver.tick();
+    expect(driver.lastStart().start.job).toBe(start.start.job);
+  });
+
+  // Guards against a worker that an older list does not show yet.
+  it('needs a list that was read in the term', () => {
+    const {driver} = running();
+    takeOver(driver);
+    driver.tick();
+    for (const {id} of driver.workers) driver.status(id, []);
+    driver.tick();
+    expect(driver.all('start')).toEqual([]);
+    driver.send({kind: 'instances', instances: []});
+    driver.tick();
+    expect(driver.all('start')).toEqual([]);
+    driver.send({kind: 'instances', instances: driver.workers});
+    driver.tick();
+    expect(driver.all('start')).toHaveLength(1);
+  });
+
+  it('starts no inherited work without a checkpoint after a stop', () => {
+    const {driver, id, start} = running({idempotent: false});
+    takeOver(driver);
+    driver.now += 10;
+    driver.status(start.worker, [listed(start, TaskState.STOPPED)]);
+    driver.readBack();
+    expect(driver.scheduler.job(id)?.state).toBe(JobState.INTERRUPTED);
+  });
+
+  it('counts jobs that may be running against the quota', () => {
+    const driver = new Driver();
+    const quota = {processors: 3, memoryMb: 9000, accelerators: 0};
+    const teams = {team: {quota, weight: 1}};
+    const configuration = {...EMPTY_CONFIGURATION, teams};
+    driver.send({kind: 'configuration', configuration});
+    driver.lead();
+    driver.accept(submission('a'));
+    takeOver(driver);
+    driver.send({kind: 'instances', instances: driver.workers});
+    driver.tick();
+    driver.status('w1', []);
+    driver.accept(submission('b'));
+    driver.tick();
+    expect(driver.all('start')).toEqual([]);
+    driver.status('w2', []);
+    driver.tick();
+    expect(driver.all('start')).toHaveLength(1);
+  });
+});
+
+describe('hand-over', () => {
+  // Guards against a start that arrives after the survey of the next leader.
+  it('starts nothing while draining and counts the open starts', () => {
+    const driver = new Driver();
+    driver.lead();
+    driver.accept(submission('a'));
+    driver.accept(submission('b', {idempotent: false}));
+    driver.tick();
+    expect(driver.scheduler.unsettledStarts).toBe(1);
+    driver.send({kind: 'drain'});
+    driver.readBack();
+    driver.accept(submission('c'));
+    driver.tick();
+    expect(driver.all('start')).toHaveLength(1);
+    const start = driver.lastStart();
+    driver.status(start.worker, [listed(start, TaskState.RUNNING)]);
+    expect(driver.scheduler.unsettledStarts).toBe(0);
+  });
+});
+
+describe('workers', () => {
+  it('gives a leaving worker no tasks until it has a new start number', () => {
+    const driver = new Driver([instance('w1')]);
+    driver.lead();
+    driver.status('w1', [], {leaving: true});
+    driver.now += 10;
+    driver.status('w1', []);
+    driver.accept(submission('a'));
+    driver.tick();
+    expect(driver.all('start')).toEqual([]);
+    const instances = [instance('w1', 'r1', 2)];
+    driver.send({kind: 'instances', instances});
+    driver.tick();
+    expect(driver.all('start')).toHaveLength(1);
+  });
+
+  it('sets a job aside that failed on three workers', () => {
+    const workers = ['w1', 'w2', 'w3', 'w4'].map(id => instance(id));
+    const driver = new Driver(workers);
+    driver.lead();
+    const id = driver.accept(submission('a'));
+    const used = new Set<string>();
+    for (let i = 0; i < 3; i++) {
+      driver.tick();
+      const start = driver.lastStart();
+      used.add(start.worker);
+      driver.now += 10;
+      driver.status(start.worker, [listed(start, TaskState.FAILED)]);
+      driver.readBack();
+    }
+    expect(used.size).toBe(3);
+    expect(driver.scheduler.job(id)).toMatchObject({
+      state: JobState.FAILED,
+      reason: expect.stringContaining('Set aside'),
+    });
+  });
+
+  it('never repeats non-idempotent work that failed', () => {
+    const {driver, id, start} = running({idempotent: false});
+    driver.now += 10;
+    driver.status(start.worker, [listed(start, TaskState.FAILED)]);
+    driver.readBack();
+    expect(driver.scheduler.job(id)?.state).toBe(JobState.FAILED);
+  });
+
+  it('reports a task that is listed twice', () => {
+    const {driver, start} = running();
+    const task = listed(start, TaskState.RUNNING);
+    driver.now += 10;
+    driver.status(start.worker, [task, task]);
+    const other = start.worker === 'w1' ? 'w2' : 'w1';
+    driver.status(other, [task]);
+    expect(driver.all('violation').map(({rule}) => rule)).toEqual([
+      Violation.TASK_LISTED_TWICE,
+      Violation.TASK_ON_TWO_WORKERS,
+    ]);
+  });
+
+  // Guards against a second task while a report leaves the first one out.
+  it('waits for the lease of a running task that a status does not show', () => {
+    const {driver, start} = running();
+    driver.tick();
+    driver.now += 1000;
+    driver.status(start.worker, []);
+    driver.tick();
+    expect(driver.all('start')).toHaveLength(1);
+    driver.now += 11_000;
+    driver.status(start.worker, []);
+    driver.tick();
+    expect(driver.all('start')).toHaveLength(2);
+  });
+
+  it('never exceeds a quota', () => {
+    const driver = new Driver();
+    const quota = {processors: 3, memoryMb: 9000, accelerators: 0};
+    const teams = {team: {quota, weight: 1}};
+    const configuration = {...EMPTY_CONFIGURATION, teams};
+    driver.send({kind: 'configuration', configuration});
+    driver.lead();
+    driver.accept(submission('a'));
+    driver.accept(submission('b'));
+    driver.tick();
+    expect(driver.all('start')).toHaveLength(1);
+    const size = {processors: 4, memoryMb: 1, accelerators: 0};
+    const large = submission('c', {size});
+    driver.send({kind: 'submit', request: 'c', submission: large});
+    expect(driver.refusalOf('c').error).toBe(RefusalKind.QUOTA);
+  });
+});
+
+describe('eviction', () => {
+  it('stops a task after its checkpoint and resumes it from there', () => {
+    const {driver, id, start} = running({idempotent: false});
+    const {worker} = start;
+    evictOne(driver, worker);
+    expect(driver.all('throttle-task')).toHaveLength(1);
+    expect(driver.all('checkpoint-task')).toHaveLength(1);
+    expect(driver.scheduler.job(id)?.state).toBe(JobState.EVICTING);
+    expect(driver.all('stop-task')).toEqual([]);
+    driver.now += 10;
+    const kept = {progress: 0.6, checkpoint: 0.6};
+    driver.status(worker, [listed(start, TaskState.RUNNING, kept)]);
+    expect(driver.all('stop-task')).toHaveLength(1);
+    driver.now += 10;
+    driver.status(worker, [listed(start, TaskState.STOPPED, kept)]);
+    driver.readBack();
+    expect(driver.scheduler.job(id)?.evictions).toBe(1);
+    // The interference keeps new tasks away from this worker.
+    const other = worker === 'w1' ? 'w2' : 'w1';
+    driver.status(other, []);
+    driver.tick();
+    driver.readBack();
+    expect(driver.lastStart()).toMatchObject({
+      worker: other,
+      start: {checkpoint: 0.6},
+    });
+  });
+
+  it('gives up on non-idempotent work that keeps no checkpoint', () => {
+    const {driver, id, start} = running({idempotent: false});
+    evictOne(driver, start.worker);
+    for (let i = 0; i < 12; i++) {
+      driver.now += 1000;
+      driver.status(start.worker, [listed(start, TaskState.RUNNING)]);
+    }
+    expect(driver.all('stop-task')).toEqual([]);
+    expect(driver.scheduler.job(id)?.state).toBe(JobState.RUNNING);
+  });
+
+  it('evicts no job more often than its class allows', () => {
+    const {driver, start} = running({jobClass: 'kept'});
+    const size = submission('x').size;
+    const kept = {
+      size,
+      runMs: 1,
+      urgency: 'normal',
+      idempotent: true,
+      maxEvictions: 0,
+    } as const;
+    driver.send({
+      kind: 'configuration',
+      configuration: {...EMPTY_CONFIGURATION, jobClasses: {kept}},
+    });
+    evictOne(driver, start.worker);
+    expect(driver.all('checkpoint-task')).toEqual([]);
+  });
+});
--- a/src/common/jobs/scheduler_safety.test.ts
+++ b/src/common/jobs/scheduler_safety.test.ts
@@ -6,6 +6,7 @@
   checkCapacity,
   checkCompletion,
   checkOneTaskPerJob,
+  checkQuotas,
   checkRefusals,
   checkTaskIds,
 } from './ledger_checks.test_support.js';
@@ -39,6 +40,7 @@
     ...checkOneTaskPerJob(dataCentre.ledger),
     ...checkTaskIds(dataCentre.ledger),
     ...checkCapacity(dataCentre),
+    ...checkQuotas(dataCentre),
     ...checkAtMostOnce(dataCentre),
     ...checkRefusals(dataCentre),
     ...checkCancelled(dataCentre),
--- a/src/common/jobs/scheduler_state.ts
+++ b/src/common/jobs/scheduler_state.ts
@@ -129,8 +129,23 @@
     return entry;
   }
 
+  /** Counts a job against its quota that may run without a known task. */
+  holdQuota(job: ActiveJob): void {
+    if (job.holdsQuota) return;
+    job.holdsQuota = true;
+    this.fairness.add(job.team, job.submission.size);
+  }
+
+  /** Ends what `holdQuota` began. */
+  releaseQuota(job: ActiveJob): void {
+    if (!job.holdsQuota) return;
+    job.holdsQuota = false;
+    this.fairness.remove(job.team, job.submission.size);
+  }
+
   /** Counts a task as promised. The capacity is accounted by the caller. */
   addTask(task: ActiveTask, job: ActiveJob): void {
+    this.releaseQuota(job);
     job.task = task;
     this.tasks.set(task.id, task);
     this.worker(task.worker).tasks.set(task.id, task);
--- a/src/common/jobs/survey.ts
+++ b/src/common/jobs/survey.ts
@@ -67,6 +67,7 @@
   } else if (job.submission.idempotent) {
     // The earlier leader may have started it without a record.
     job.awaitsSurvey = true;
+    state.holdQuota(job);
   } else {
     state.queue.add(job);
   }
@@ -147,6 +148,7 @@
   for (const job of state.jobs.values()) {
     if (!job.awaitsSurvey) continue;
     job.awaitsSurvey = false;
+    state.releaseQuota(job);
     if (job.task !== undefined || job.ending) continue;
     if (job.cancellations.length > 0) cancelled(state, job);
     else state.queue.add(job);
--- a/src/common/jobs/task_endings.ts
+++ b/src/common/jobs/task_endings.ts
@@ -42,6 +42,7 @@
   task?: ActiveTask,
 ): void {
   markEnding(job);
+  state.releaseQuota(job);
   if (task !== undefined) close(state, job, task);
   state.queue.remove(job);
   state.record({
--- a/src/common/jobs/unaccounted_tasks.ts
+++ b/src/common/jobs/unaccounted_tasks.ts
@@ -81,7 +81,9 @@
   yield* onListed(state, report, task, status, now);
   // The ended task of an inherited job does not end the wait for the survey:
   // a later task of the job may run on another worker.
-  if (job.task === undefined && !job.ending) state.queue.remove(job);
+  if (job.task !== undefined || job.ending) return;
+  state.queue.remove(job);
+  state.holdQuota(job);
 }
 
 /** A task runs that no job accounts for. It is counted, reported and stopped. */
@@ -150,6 +152,7 @@
   if (!finished) return false;
   state.closed.close(task, id, worker, state.now);
   state.queue.remove(job);
+  state.releaseQuota(job);
   job.ending = true;
   state.record({
     kind: 'ended',
