--- a/src/common/jobs/active_job.ts
+++ b/src/common/jobs/active_job.ts
@@ -57,8 +57,8 @@
   evicting: boolean;
   /** Local time of the request for a checkpoint or a stop. */
   askedAt: Millis;
-  /** Share of full speed that was last set. */
-  share: number;
+  /** Share of full speed; undefined when an earlier leader set it. */
+  share: number | undefined;
   progress: number;
   checkpoint: number;
 }
@@ -142,7 +142,7 @@
     missingAtList: undefined,
     evicting: false,
     askedAt: -Infinity,
-    share: 1,
+    share: inherited ? undefined : 1,
     progress: job.checkpoint,
     checkpoint: job.checkpoint,
   };
--- a/src/common/jobs/capacity.ts
+++ b/src/common/jobs/capacity.ts
@@ -15,25 +15,19 @@
  */
 export class Capacity {
   private readonly accounts = new Map<string, Account>();
-  /** Changes when room may have grown anywhere. */
-  private growth = 0;
-
-  /** A number that changes whenever room may have grown on any worker. */
-  get growthCount(): number {
-    return this.growth;
-  }
 
   /** Sets what a worker has and what is reserved for its services. */
   setWorker(worker: string, capacity: Size, reserved: Size): void {
     const account = this.account(worker);
     account.capacity = capacity;
     account.reserved = reserved;
-    this.growth++;
   }
 
-  /** Notes a change that lets more work be placed, such as a new worker. */
-  noteGrowth(): void {
-    this.growth++;
+  /** Forgets a worker without promises. */
+  removeWorker(worker: string): void {
+    if (this.accounts.get(worker)?.tasks.size === 0) {
+      this.accounts.delete(worker);
+    }
   }
 
   /** Size that is free on a worker; negative parts when it is overcommitted. */
@@ -78,7 +72,6 @@
     account.tasks.delete(task);
     // Summed anew, so that rounding errors of fractions do not build up.
     account.promised = [...account.tasks.values()].reduce(addSizes, EMPTY_SIZE);
-    this.growth++;
   }
 
   /** Tasks that are promised room on a worker. */
--- a/src/common/jobs/job_table.ts
+++ b/src/common/jobs/job_table.ts
@@ -14,9 +14,9 @@
 
 /** How long the fold keeps what has ended, in milliseconds of Unix time. */
 export interface Retention {
-  /** How long an ended job can be looked up. */
+  /** How long an ended job can be looked up; not an interrupted one. */
   readonly jobKeptMs: Millis;
-  /** How long the key of an ended job is known, counted from its end. */
+  /** How long the key of an ended job and an interrupted job are known. */
   readonly keyKeptMs: Millis;
   readonly claimKeptMs: Millis;
 }
@@ -51,6 +51,8 @@
   private jobs = new Map<JobId, JobView>();
   /** Ended jobs in the order of their ends. */
   private ended = new Map<JobId, Millis>();
+  /** Interrupted jobs, which wait for an operator, in the same order. */
+  private interrupted = new Map<JobId, Millis>();
   private tombstones = new Map<JobId, Tombstone>();
   /** Open and ended claims in the order of their times. */
   private claims = new Map<string, Claim>();
@@ -111,6 +113,7 @@
     const copy = new JobTable(this.retention);
     copy.jobs = new Map(this.jobs);
     copy.ended = new Map(this.ended);
+    copy.interrupted = new Map(this.interrupted);
     copy.tombstones = new Map(this.tombstones);
     copy.claims = new Map(this.claims);
     return copy;
@@ -118,12 +121,11 @@
 
   /** Drops what has passed its retention at the Unix time `unixMs`. */
   prune(unixMs: Millis): void {
-    for (const [id, endedMs] of this.ended) {
-      if (unixMs - endedMs < this.retention.jobKeptMs) break;
-      this.bury(id);
-    }
+    const {jobKeptMs, keyKeptMs} = this.retention;
+    this.buryOld(this.ended, unixMs - jobKeptMs);
+    this.buryOld(this.interrupted, unixMs - keyKeptMs);
     for (const [id, {endedMs}] of this.tombstones) {
-      if (unixMs - endedMs < this.retention.keyKeptMs) break;
+      if (unixMs - endedMs < keyKeptMs) break;
       this.tombstones.delete(id);
     }
     for (const [key, {timeMs}] of this.claims) {
@@ -234,7 +236,9 @@
     );
     const ended = whole.jobs.filter(view => view.endedMs !== undefined);
     ended.sort((a, b) => (a.endedMs ?? 0) - (b.endedMs ?? 0));
-    this.ended = new Map(ended.map(view => [view.id, view.endedMs ?? 0]));
+    this.ended.clear();
+    this.interrupted.clear();
+    for (const view of ended) this.noteEnd(view);
     this.records = 0;
   }
 
@@ -243,15 +247,28 @@
     if (view === undefined) return;
     const next = change(view);
     this.jobs.set(id, next);
-    if (next !== view && next.endedMs !== undefined) {
-      this.ended.delete(id);
-      this.ended.set(id, next.endedMs);
+    if (next !== view) this.noteEnd(next);
+  }
+
+  private noteEnd({id, state, endedMs}: JobView): void {
+    if (endedMs === undefined) return;
+    this.ended.delete(id);
+    this.interrupted.delete(id);
+    const ends = state === JobState.INTERRUPTED ? this.interrupted : this.ended;
+    ends.set(id, endedMs);
+  }
+
+  /** Drops the views of jobs that ended at `beforeMs` or earlier. */
+  private buryOld(ends: Map<JobId, Millis>, beforeMs: Millis): void {
+    for (const [id, endedMs] of ends) {
+      if (endedMs > beforeMs) break;
+      ends.delete(id);
+      this.bury(id);
     }
   }
 
   private bury(id: JobId): void {
     const view = this.jobs.get(id);
-    this.ended.delete(id);
     this.jobs.delete(id);
     if (view === undefined) return;
     this.tombstones.set(id, {
--- a/src/common/jobs/quarantine.ts
+++ b/src/common/jobs/quarantine.ts
@@ -48,12 +48,8 @@
     this.suspicions.delete(worker);
   }
 
-  /** Earliest end of a quarantine after `now`; Infinity without one. */
-  nextRelease(now: Millis): Millis {
-    let next = Infinity;
-    for (const {until} of this.suspicions.values()) {
-      if (until > now && until < next) next = until;
-    }
-    return next;
+  /** Forgets a worker. */
+  forget(worker: string): void {
+    this.suspicions.delete(worker);
   }
 }
--- a/src/common/jobs/reaction.ts
+++ b/src/common/jobs/reaction.ts
@@ -33,7 +33,8 @@
 /** A batch task on the measured worker. */
 export interface ReactionTask {
   readonly task: TaskId;
-  readonly share: number;
+  /** Share of full speed; undefined when it is not known. */
+  readonly share: number | undefined;
   /** Whether the task's job may be evicted. */
   readonly evictable: boolean;
   /** Work since the last checkpoint, in milliseconds of run time. */
@@ -70,7 +71,7 @@
 
 const throttleThenEvict: Policy = (signal, tasks) => {
   if (signal.slowdown >= HIGH_SLOWDOWN) {
-    const fast = tasks.filter(task => task.share > THROTTLED_SHARE);
+    const fast = tasks.filter(task => task.share !== THROTTLED_SHARE);
     if (fast.length > 0) {
       return fast.map(({task}) => ({
         kind: 'throttle',
@@ -83,7 +84,7 @@
   }
   if (signal.slowdown > LOW_SLOWDOWN) return [];
   // One at a time, so that a step down shows its effect before the next.
-  const slow = tasks.find(task => task.share < 1);
+  const slow = tasks.find(task => task.share !== 1);
   return slow === undefined
     ? []
     : [{kind: 'throttle', task: slow.task, share: 1}];
--- a/src/common/jobs/starts.ts
+++ b/src/common/jobs/starts.ts
@@ -82,13 +82,15 @@
 
 /** Sizes that found no worker; larger ones need not be tried. */
 class FailedSizes {
-  private readonly sizes: Size[] = [];
+  /** Only the smallest ones: none fits within another. */
+  private sizes: Size[] = [];
 
   covers(size: Size): boolean {
     return this.sizes.some(failed => fits(failed, size));
   }
 
   add(size: Size): void {
+    this.sizes = this.sizes.filter(other => !fits(size, other));
     this.sizes.push(size);
   }
 }
@@ -112,6 +114,12 @@
   }
 }
 
+/** Notes for operators why a job is not placed. */
+function wait(job: ActiveJob, what: string): false {
+  job.reason = `Waits for ${what}.`;
+  return false;
+}
+
 /** One pass over the queue. */
 class PlacementPass {
   readonly placed: Array<{job: ActiveJob; task: ActiveTask}> = [];
@@ -126,13 +134,16 @@
   place(job: ActiveJob): boolean {
     const {state} = this;
     const {size, idempotent} = job.submission;
-    if (!idempotent && !state.logAvailable) return false;
-    if (!state.fairness.allows(job.team, size)) return false;
+    if (!idempotent && !state.logAvailable) return wait(job, 'the log');
+    if (!state.fairness.allows(job.team, size)) {
+      return wait(job, 'the quota of its team');
+    }
     const candidate = this.choose(job);
-    if (candidate === undefined) return false;
+    if (candidate === undefined) return wait(job, 'a worker with room');
     const id = `${job.id}.${this.term.epoch}-${++this.term.lastTask}`;
     const {worker, rack} = candidate;
     if (!state.capacity.promise(worker, id, size)) return false;
+    job.reason = undefined;
     const workerStart = state.worker(worker).instance?.start;
     const task = newTask(job, id, {worker, rack, workerStart});
     state.addTask(task, job);
--- a/src/common/jobs/submissions.ts
+++ b/src/common/jobs/submissions.ts
@@ -67,16 +67,19 @@
   return `${processors} processors, ${memoryMb} MB and ${accelerators} accelerators`;
 }
 
-/** Largest usable sizes; a size that fits none of them fits no worker. */
-function largestUsable(state: SchedulerState): Size[] {
-  const sizes = [...state.workers.values()]
-    .filter(worker => worker.instance !== undefined)
-    .map(worker => state.capacity.usable(worker.id));
-  return sizes.sort(
-    (a, b) =>
-      b.processors - a.processors ||
-      b.memoryMb - a.memoryMb ||
-      b.accelerators - a.accelerators,
+/** Sizes that jobs may have on the listed workers. */
+function* usableSizes(state: SchedulerState): Generator<Size> {
+  for (const {id, instance} of state.workers.values()) {
+    if (instance !== undefined) yield state.capacity.usable(id);
+  }
+}
+
+/** Order by processors, then memory, then accelerators; largest first. */
+function byLargest(a: Size, b: Size): number {
+  return (
+    b.processors - a.processors ||
+    b.memoryMb - a.memoryMb ||
+    b.accelerators - a.accelerators
   );
 }
 
@@ -84,14 +87,16 @@
   state: SchedulerState,
   submission: Submission,
 ): Refusal | undefined {
-  const usable = largestUsable(state);
+  for (const size of usableSizes(state)) {
+    if (fits(submission.size, size)) return undefined;
+  }
+  const [largest] = [...usableSizes(state)].sort(byLargest);
   // Without a list of workers nothing can be said about the size.
-  if (usable.length === 0) return undefined;
-  if (usable.some(size => fits(submission.size, size))) return undefined;
+  if (largest === undefined) return undefined;
   return refuse(
     RefusalKind.TOO_LARGE_FOR_ANY_WORKER,
     `The job needs ${describeSize(submission.size)}, more than any worker has.`,
-    `Ask for at most ${describeSize(usable[0])}.`,
+    `Ask for at most ${describeSize(largest)}.`,
   );
 }
 
--- a/src/common/jobs/task_endings.ts
+++ b/src/common/jobs/task_endings.ts
@@ -88,7 +88,9 @@
   const listed = [...state.workers.values()].filter(
     worker => worker.instance !== undefined,
   );
-  return listed.every(worker => job.failedOn.has(worker.id));
+  return (
+    listed.length > 0 && listed.every(worker => job.failedOn.has(worker.id))
+  );
 }
 
 /** The task failed; an idempotent job is tried on other workers. */
--- a/src/common/jobs/task_lifecycle.ts
+++ b/src/common/jobs/task_lifecycle.ts
@@ -149,7 +149,7 @@
     END_HANDLERS[status.state](state, job, task, status, now);
     return;
   }
-  if (!task.seen) confirmStart(report, task, now);
+  if (!task.seen) confirmStart(state, report, job, task, now);
   if (job.cancellations.length > 0) {
     yield* stopTask(state, task, now);
   } else if (task.evicting) {
@@ -158,15 +158,25 @@
   task.checkpoint = status.checkpoint;
 }
 
-/** The task runs; its short start lease is renewed with the next poll. */
+/**
+ * The task runs. Its start lease is short; the worker is polled at once when two
+ * regular polls might come too late to renew it, and for non-idempotent work,
+ * which a lapsed lease would leave to an operator.
+ */
 function confirmStart(
+  state: SchedulerState,
   {worker}: StatusReport,
+  job: ActiveJob,
   task: ActiveTask,
   now: Millis,
 ): void {
   task.seen = true;
   if (task.phase !== TaskPhase.STOPPING) task.phase = TaskPhase.RUNNING;
-  worker.nextPollAt = Math.min(worker.nextPollAt, now);
+  const soonMs = 2 * state.settings.timing.pollMs;
+  const leftMs = task.leaseUntilMs - worker.clock.upperBound(now);
+  if (leftMs < soonMs || !job.submission.idempotent) {
+    worker.nextPollAt = Math.min(worker.nextPollAt, now);
+  }
 }
 
 /** A status does not show a task that is accounted for. */
--- a/src/common/jobs/workers.ts
+++ b/src/common/jobs/workers.ts
@@ -1,4 +1,4 @@
-import {Millis} from '../base/clock.js';
+import {MINUTE, Millis} from '../base/clock.js';
 import {Instance, InstanceRole, InstanceState} from '../base/platform.js';
 import {SchedulerState} from './scheduler_state.js';
 import {surveyProgress} from './survey.js';
@@ -6,6 +6,9 @@
 import {WorkerEntry} from './worker_entry.js';
 import {updateCapacity} from './worker_state.js';
 
+/** Silence after which a worker that is not listed is forgotten. */
+const FORGET_MS: Millis = 10 * MINUTE;
+
 type Instances = Extract<SchedulerMessage, {kind: 'instances'}>;
 type ConfigurationMessage = Extract<SchedulerMessage, {kind: 'configuration'}>;
 
@@ -17,6 +20,19 @@
   worker.instance = instance;
 }
 
+/** Forgets a worker that left the list long ago, so that memory is bounded. */
+function forgetWorker(
+  state: SchedulerState,
+  worker: WorkerEntry,
+  now: Millis,
+): void {
+  if (worker.tasks.size > 0 || worker.hasAnswered(now, FORGET_MS)) return;
+  state.workers.delete(worker.id);
+  state.capacity.removeWorker(worker.id);
+  state.quarantine.forget(worker.id);
+  state.reaction.forget(worker.id);
+}
+
 /** Takes in a list of instances. An empty list is a fault and is ignored. */
 export function* onInstances(
   state: SchedulerState,
@@ -31,7 +47,9 @@
   state.lists++;
   const ids = new Set(listed.map(({id}) => id));
   for (const worker of state.workers.values()) {
-    if (!ids.has(worker.id)) worker.instance = undefined;
+    if (ids.has(worker.id)) continue;
+    worker.instance = undefined;
+    forgetWorker(state, worker, now);
   }
   for (const instance of listed) {
     updateWorker(state.worker(instance.id), instance);
