--- a/src/common/jobs/active_job.ts
+++ b/src/common/jobs/active_job.ts
@@ -57,8 +57,8 @@
   evicting: boolean;
   /** Local time of the request for a checkpoint or a stop. */
   askedAt: Millis;
-  /** Share of full speed that was last set. */
-  share: number;
+  /** Share of full speed; undefined when an earlier leader set it. */
+  share: number | undefined;
   progress: number;
   checkpoint: number;
 }
@@ -77,6 +77,8 @@
   readonly failedOn: Set<string>;
   /** An earlier leader may have started it without a record. */
   awaitsSurvey: boolean;
+  /** Whether the job counts against its quota as if it ran. */
+  holdsQuota: boolean;
   /** A record that ends the job is not yet read back. */
   ending: boolean;
   /** State of the job before that record. */
@@ -100,6 +102,7 @@
     checkpoint: view.checkpoint,
     failedOn: new Set(view.failedOn),
     awaitsSurvey: false,
+    holdsQuota: false,
     ending: false,
     stateBeforeEnd: JobState.QUEUED,
     cancellations: [],
@@ -139,7 +142,7 @@
     missingAtList: undefined,
     evicting: false,
     askedAt: -Infinity,
-    share: 1,
+    share: inherited ? undefined : 1,
     progress: job.checkpoint,
     checkpoint: job.checkpoint,
   };
--- a/src/common/jobs/scheduler.ts
+++ b/src/common/jobs/scheduler.ts
@@ -1,4 +1,4 @@
-import {Millis} from '../base/clock.js';
+import {MINUTE, Millis, SECOND} from '../base/clock.js';
 import {onCancel} from './cancellations.js';
 import {onClaim, onEndClaim} from './claims.js';
 import {onInterference} from './evictions.js';
@@ -24,9 +24,15 @@
 } from './types.js';
 import {onConfiguration, onInstances} from './workers.js';
 
+/** A hand-over that has not taken place by then is given up. */
+const DRAIN_MS: Millis = 10 * SECOND;
+
 /** Jobs that a data centre holds at most. */
 const DEFAULT_QUEUE_LIMIT = 50_000;
 
+const DEFAULT_CHECKPOINT_MS: Millis = 10 * MINUTE;
+const DEFAULT_CHECKPOINT_RECORDS = 5000;
+
 type Handler<K extends SchedulerMessage['kind']> = (
   state: SchedulerState,
   message: Extract<SchedulerMessage, {kind: K}>,
@@ -62,8 +68,12 @@
 }
 
 // eslint-disable-next-line require-yield
-function* onDrain(state: SchedulerState): Generator<SchedulerAction> {
-  if (state.term !== undefined) state.term.draining = true;
+function* onDrain(
+  state: SchedulerState,
+  unusedMessage: SchedulerMessage,
+  now: Millis,
+): Generator<SchedulerAction> {
+  if (state.term !== undefined) state.term.drainUntil = now + DRAIN_MS;
 }
 
 function* onTick(
@@ -101,6 +111,8 @@
       placement: PlacementPolicy.BEST_FIT,
       reaction: ReactionPolicy.THROTTLE_THEN_EVICT,
       queueLimit: DEFAULT_QUEUE_LIMIT,
+      checkpointMs: DEFAULT_CHECKPOINT_MS,
+      checkpointRecords: DEFAULT_CHECKPOINT_RECORDS,
       ...settings,
     };
     this.state = new SchedulerState(complete, lease, table);
--- a/src/common/jobs/scheduler_state.ts
+++ b/src/common/jobs/scheduler_state.ts
@@ -32,6 +32,10 @@
   readonly reaction: ReactionPolicy;
   /** Jobs that may be queued or running. */
   readonly queueLimit: number;
+  /** A checkpoint is due after this time if anything was recorded. */
+  readonly checkpointMs: Millis;
+  /** A checkpoint is due after this many records. */
+  readonly checkpointRecords: number;
 }
 
 /** The time in which this instance leads one view. */
@@ -42,8 +46,8 @@
   listRead: boolean;
   /** Jobs that an earlier leader may have started no longer wait. */
   surveyDone: boolean;
-  /** No more starts; the lead is about to be handed over. */
-  draining: boolean;
+  /** Nothing is started before this time, so that the lead can be handed over. */
+  drainUntil: Millis;
   /** Number of the last task; part of task ids. */
   lastTask: number;
   /** Local time of the last checkpoint of the job table. */
@@ -125,8 +129,23 @@
     return entry;
   }
 
+  /** Counts a job against its quota that may run without a known task. */
+  holdQuota(job: ActiveJob): void {
+    if (job.holdsQuota) return;
+    job.holdsQuota = true;
+    this.fairness.add(job.team, job.submission.size);
+  }
+
+  /** Ends what `holdQuota` began. */
+  releaseQuota(job: ActiveJob): void {
+    if (!job.holdsQuota) return;
+    job.holdsQuota = false;
+    this.fairness.remove(job.team, job.submission.size);
+  }
+
   /** Counts a task as promised. The capacity is accounted by the caller. */
   addTask(task: ActiveTask, job: ActiveJob): void {
+    this.releaseQuota(job);
     job.task = task;
     this.tasks.set(task.id, task);
     this.worker(task.worker).tasks.set(task.id, task);
--- a/src/common/jobs/survey.ts
+++ b/src/common/jobs/survey.ts
@@ -51,7 +51,7 @@
     since: now,
     listRead: false,
     surveyDone: false,
-    draining: false,
+    drainUntil: -Infinity,
     lastTask: 0,
     checkpointAt: now,
     checkpointPending: false,
@@ -72,6 +72,7 @@
   } else if (job.submission.idempotent) {
     // The earlier leader may have started it without a record.
     job.awaitsSurvey = true;
+    state.holdQuota(job);
   } else {
     state.queue.add(job);
   }
@@ -152,6 +153,7 @@
   for (const job of state.jobs.values()) {
     if (!job.awaitsSurvey) continue;
     job.awaitsSurvey = false;
+    state.releaseQuota(job);
     if (job.task !== undefined || job.ending) continue;
     if (job.cancellations.length > 0) cancelled(state, job);
     else state.queue.add(job);
