Test the request path against misbehaving targets; tell cuts from cancels

The tests showed that an answer cut by this side was counted as cancelled by the caller, because the cut closes the caller's connection. The end of an attempt now says whether this side ended it.

--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -39,6 +39,8 @@
   /** False only when provably no byte of the request was sent. */
   readonly sent: boolean;
   readonly reason: string;
+  /** Set when the attempt was ended from this side. */
+  readonly abort?: AttemptAbort;
   /** Set when the request itself is at fault and not the target. */
   readonly fault?: RequestFault;
 }
@@ -238,6 +240,7 @@
       outcome: abort?.outcome ?? (fault ? AttemptOutcome.CANCELLED : broken),
       sent,
       reason: error.message,
+      abort,
       fault,
     };
     this.resolveHead(Left(this.failed));
--- /dev/null
+++ b/src/node/misbehaving_target.test_support.ts
@@ -0,0 +1,91 @@
+import {AddressInfo, createServer, Server, Socket} from 'node:net';
+import {
+  Instance,
+  InstanceRole,
+  InstanceState,
+} from '../common/base/platform.js';
+import {EMPTY_SIZE} from '../common/base/size.js';
+
+/** Reacts to the head of a request on a connection. */
+export type Behaviour = (socket: Socket, head: string) => void;
+
+/** A target that speaks raw HTTP/1.1, for faults that no library produces. */
+export class MisbehavingTarget {
+  readonly heads: string[] = [];
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+  private port = 0;
+
+  private constructor(
+    private readonly id: string,
+    private readonly behaviour: Behaviour,
+  ) {
+    this.server = createServer(socket => this.accept(socket));
+  }
+
+  static async start(
+    id: string,
+    behaviour: Behaviour,
+  ): Promise<MisbehavingTarget> {
+    const target = new MisbehavingTarget(id, behaviour);
+    await new Promise<void>(resolve => {
+      target.server.listen(0, '127.0.0.1', resolve);
+    });
+    target.port = (target.server.address() as AddressInfo).port;
+    return target;
+  }
+
+  private accept(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.sockets.delete(socket));
+    let text = '';
+    socket.on('data', chunk => {
+      text += chunk.toString('latin1');
+      const end = text.indexOf('\r\n\r\n');
+      if (end < 0) return;
+      const head = text.slice(0, end);
+      text = '';
+      this.heads.push(head);
+      this.behaviour(socket, head);
+    });
+  }
+
+  get instance(): Instance {
+    return {
+      id: this.id,
+      role: InstanceRole.WORKER,
+      start: 1,
+      dataCentre: 'north',
+      rack: 'r1',
+      host: '127.0.0.1',
+      port: this.port,
+      peerPort: 0,
+      state: InstanceState.LIVE,
+      capacity: EMPTY_SIZE,
+      services: ['s'],
+      slots: 8,
+      connections: 64,
+    };
+  }
+
+  get openConnections(): number {
+    return this.sockets.size;
+  }
+
+  /** Stops listening, so that connections are refused. */
+  async close(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+}
+
+/** Answers every request with `body` and the request's path. */
+export const answering =
+  (status: string, headers: string, body: string): Behaviour =>
+  socket => {
+    socket.write(
+      `HTTP/1.1 ${status}\r\ncontent-length: ${body.length}\r\n${headers}\r\n` +
+        body,
+    );
+  };
--- a/src/node/proxied_request.ts
+++ b/src/node/proxied_request.ts
@@ -22,6 +22,7 @@
   private refusal: Refusal | undefined;
   private status = 0;
   private attempts = 0;
+  private cut = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -150,7 +151,12 @@
     clearTimeout(this.timer);
     this.status = end.head.status;
     this.claim.end(end.head.status);
-    await trials.relay(end.trial, end.head, this.exchange);
+    const relayed = await trials.relay(end.trial, end.head, this.exchange);
+    // Cutting the connection looks like a caller that goes away, too.
+    this.cut = relayed.caseOf({
+      Left: ({abort}) => abort === undefined || abort !== this.stopped,
+      Right: () => false,
+    });
     await this.flushed();
     return undefined;
   }
@@ -206,13 +212,13 @@
   }
 
   private endKind(): RequestEndKind {
+    if (this.cut) return RequestEndKind.CUT;
     if (this.stopped?.outcome === AttemptOutcome.CANCELLED) {
       return RequestEndKind.CANCELLED;
     }
-    if (this.refusal !== undefined) return RequestEndKind.REFUSED;
-    return this.exchange.response.writableEnded
+    return this.refusal === undefined
       ? RequestEndKind.ANSWERED
-      : RequestEndKind.CUT;
+      : RequestEndKind.REFUSED;
   }
 }
 
--- a/src/node/target_trials.ts
+++ b/src/node/target_trials.ts
@@ -92,7 +92,7 @@
     trial: Trial,
     head: AnswerHead,
     {response}: Exchange,
-  ): Promise<void> {
+  ): Promise<Either<AttemptFailure, void>> {
     const whole =
       head.status >= 500 ? AttemptOutcome.FAILED : AttemptOutcome.SUCCEEDED;
     const end = await trial.attempt.relay(response, head);
@@ -103,6 +103,7 @@
     const {service} = this.context;
     const latency = this.parts.clock.now() - trial.choice.chosenAt;
     if (end.isRight()) this.parts.latency(service).observe(latency);
+    return end;
   }
 
   private get stopped(): boolean {
