Add the benchmark entry of the request path

The cost of the request path must be known against direct calls in the same run. Targets, request path and load run in a process each; levels of concurrency rise past saturation; latencies go into an HDR histogram.

--- /dev/null
+++ b/bench/entry.ts
@@ -0,0 +1,106 @@
+import {ChildProcess, fork} from 'node:child_process';
+import {once} from 'node:events';
+import {writeFile} from 'node:fs/promises';
+import {fileURLToPath} from 'node:url';
+import {generateLoad, LoadFigures} from './load_generator.js';
+
+/** Options of the benchmark `entry`. */
+export interface EntryBenchmarkOptions {
+  /** File for the figures. */
+  readonly json?: string;
+  /** Measuring time of each step; each level has a direct and a proxied one. */
+  readonly stepMs: number;
+  /** Levels of concurrency, in rising order. */
+  readonly concurrency: readonly number[];
+}
+
+/** Figures of one level of concurrency. */
+interface Level {
+  readonly concurrency: number;
+  readonly direct: LoadFigures;
+  readonly proxied: LoadFigures;
+}
+
+/** Warm-up before the first measurement, in ms. */
+const WARM_UP_MS = 1000;
+
+const PATH = '/services/s/bench';
+
+function start(file: string): ChildProcess {
+  return fork(fileURLToPath(new URL(file, import.meta.url)));
+}
+
+/** Ports that a child sends once it listens. */
+async function portsOf(child: ChildProcess): Promise<readonly number[]> {
+  const [ports] = (await once(child, 'message')) as [readonly number[]];
+  return ports;
+}
+
+async function measure(
+  direct: readonly string[],
+  proxied: readonly string[],
+  {concurrency, stepMs}: EntryBenchmarkOptions,
+): Promise<Level[]> {
+  const most = Math.min(16, ...concurrency);
+  await generateLoad(direct, PATH, most, WARM_UP_MS);
+  await generateLoad(proxied, `/v1${PATH}`, most, WARM_UP_MS);
+  const levels: Level[] = [];
+  for (const level of concurrency) {
+    levels.push({
+      concurrency: level,
+      direct: await generateLoad(direct, PATH, level, stepMs),
+      proxied: await generateLoad(proxied, `/v1${PATH}`, level, stepMs),
+    });
+  }
+  return levels;
+}
+
+function rowOf({concurrency, direct, proxied}: Level) {
+  const ms = (value: number) => Number(value.toFixed(2));
+  return {
+    concurrency,
+    'direct req/s': direct.requestsPerSecond,
+    'proxied req/s': proxied.requestsPerSecond,
+    'direct p50 ms': ms(direct.p50Ms),
+    'proxied p50 ms': ms(proxied.p50Ms),
+    'added p50 ms': ms(proxied.p50Ms - direct.p50Ms),
+    'direct p99 ms': ms(direct.p99Ms),
+    'proxied p99 ms': ms(proxied.p99Ms),
+    'added p99 ms': ms(proxied.p99Ms - direct.p99Ms),
+    refused: proxied.refused,
+    failed: direct.failed + proxied.failed,
+  };
+}
+
+/**
+ * Measures requests/s and latency through the request path and by direct calls
+ * to the same targets, in the same run. Targets, request path and load run in a
+ * process each, so that they don't share a thread.
+ */
+export async function runEntryBenchmark(
+  options: EntryBenchmarkOptions,
+): Promise<void> {
+  const target = start('./entry_target.js');
+  const proxy = start('./entry_proxy.js');
+  try {
+    const targetPorts = await portsOf(target);
+    const listening = portsOf(proxy);
+    proxy.send(targetPorts);
+    const proxyPorts = await listening;
+    const origins = (ports: readonly number[]) =>
+      ports.map(port => `http://127.0.0.1:${port}`);
+    const levels = await measure(
+      origins(targetPorts),
+      origins(proxyPorts),
+      options,
+    );
+    console.table(levels.map(rowOf));
+    if (options.json !== undefined) {
+      const figures = {benchmark: 'entry', node: process.version, levels};
+      await writeFile(options.json, JSON.stringify(figures, null, 2) + '\n');
+    }
+  } finally {
+    target.kill();
+    proxy.kill();
+  }
+}
--- a/src/node/misbehaving_target.test_support.ts
+++ b/src/node/misbehaving_target.test_support.ts
@@ -13,6 +13,8 @@
 export class MisbehavingTarget {
   readonly heads: string[] = [];
   private readonly sockets = new Set<Socket>();
+  /** Connections that a request came on. */
+  private readonly used = new Set<Socket>();
   private readonly server: Server;
   private port = 0;
 
@@ -38,7 +40,10 @@
   private accept(socket: Socket): void {
     this.sockets.add(socket);
     socket.on('error', () => undefined);
-    socket.on('close', () => this.sockets.delete(socket));
+    socket.on('close', () => {
+      this.sockets.delete(socket);
+      this.used.delete(socket);
+    });
     let text = '';
     socket.on('data', chunk => {
       text += chunk.toString('latin1');
@@ -47,6 +52,7 @@
       const head = text.slice(0, end);
       text = '';
       this.heads.push(head);
+      this.used.add(socket);
       this.behaviour(socket, head);
     });
   }
@@ -69,8 +75,12 @@
     };
   }
 
-  get openConnections(): number {
-    return this.sockets.size;
+  /**
+   * Open connections that a request came on. undici opens a new, unused
+   * connection after an aborted request.
+   */
+  get usedConnections(): number {
+    return this.used.size;
   }
 
   /** Stops listening, so that connections are refused. */
