Test each leadership rule and compare readers with a reference fold

Switching mechanisms off in a scratch copy showed that several were not guarded: the union with pending views, the renewal after a pause, and giving up a part after a pause all passed.

The simulation also replaces instances under new ids, declares them gone by ticket and cuts them from the list, and compares what each reader took as in force with a fold written apart from it.

--- a/src/common/leadership/testing/faults.ts
+++ b/src/common/leadership/testing/faults.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {Millis} from '../../base/clock.js';
 import {Conditions} from './conditions.js';
+import {SimulatedProcess} from './simulated_process.js';
 import {World} from './world.js';
 
 /** A fault of a scenario; times are in milliseconds. */
@@ -13,7 +14,7 @@
   readonly second: number;
 }
 
-type Apply = (world: World, fault: Fault, ids: readonly string[]) => void;
+type Apply = (world: World, fault: Fault) => void;
 
 /** Highest number that a fault names; half of them mean the leader. */
 const MAX_NUMBER = 5;
@@ -36,47 +37,53 @@
   (world, fault) =>
     world.conditions[name].open(world.time + fault.duration);
 
-/** Numbers beyond the ids stand for the one that may act. */
-function pick(world: World, ids: readonly string[], number: number): string {
-  if (number < ids.length) return ids[number];
-  const acting = world.acting()[0]?.member;
-  return ids.find(id => world.processes.get(id)?.member === acting) ?? ids[0];
-}
-
-function member(world: World, ids: readonly string[], number: number) {
-  return world.processes.get(pick(world, ids, number))?.member;
+/** Numbers beyond those of the processes stand for the one that may act. */
+function pick(world: World, number: number): SimulatedProcess | undefined {
+  const processes = [...world.processes.values()];
+  return processes[number] ?? world.acting()[0] ?? processes[0];
 }
 
 function cut(world: World, name: string, fault: Fault): void {
   world.conditions.cut(name).open(world.time + fault.duration);
 }
 
-function replace(world: World, id: string, wait: Millis): void {
-  world.kill(id);
-  world.queue.after(wait, () => {
-    if (!world.processes.has(id)) world.start(id);
-  });
+/** Ends a process; another starts later under the same id or a new one. */
+function replace(
+  world: World,
+  process: SimulatedProcess,
+  wait: Millis,
+  newId = process.id,
+): void {
+  if (process.ended) return;
+  world.kill(process);
+  world.queue.after(wait, () => world.start(newId));
 }
 
 const APPLY = {
-  pause: (world, fault, ids) =>
-    world.pause(pick(world, ids, fault.first), fault.duration),
-  'cut-path': (world, fault, ids) => {
-    const from = member(world, ids, fault.first);
-    const to = member(world, ids, fault.second);
-    if (from && to) cut(world, Conditions.path(from, to), fault);
+  pause: (world, fault) => {
+    const process = pick(world, fault.first);
+    if (process) world.pause(process, fault.duration);
+  },
+  'cut-path': (world, fault) => {
+    const from = pick(world, fault.first);
+    const to = pick(world, fault.second);
+    if (from && to) cut(world, Conditions.path(from.member, to.member), fault);
   },
-  'cut-peers': (world, fault, ids) => {
-    const one = member(world, ids, fault.first);
-    for (const {member: other} of world.processes.values()) {
-      if (!one) return;
-      cut(world, Conditions.path(one, other), fault);
-      cut(world, Conditions.path(other, one), fault);
+  'cut-peers': (world, fault) => {
+    const one = pick(world, fault.first);
+    if (!one) return;
+    for (const other of world.processes.values()) {
+      cut(world, Conditions.path(one.member, other.member), fault);
+      cut(world, Conditions.path(other.member, one.member), fault);
     }
   },
-  'cut-log': (world, fault, ids) => {
-    const one = member(world, ids, fault.first);
-    if (one) cut(world, Conditions.toLog(one), fault);
+  'cut-log': (world, fault) => {
+    const one = pick(world, fault.first);
+    if (one) cut(world, Conditions.toLog(one.member), fault);
+  },
+  'cut-list': (world, fault) => {
+    const one = pick(world, fault.first);
+    if (one) cut(world, Conditions.toList(one.member), fault);
   },
   'log-outage': window('logOutage'),
   'lossy-log': window('lossyLog'),
@@ -84,31 +91,45 @@
   'list-empty': window('listEmpty'),
   'list-outage': window('listOutage'),
   'lossy-network': window('lossyNetwork'),
-  replace: (world, fault, ids) =>
-    replace(world, pick(world, ids, fault.first), fault.duration),
-  'replace-all': (world, fault, ids) => {
-    for (const id of ids) replace(world, id, REPLACEMENT_MS);
+  replace: (world, fault) => {
+    const one = pick(world, fault.first);
+    if (one) replace(world, one, fault.duration);
+  },
+  'replace-new-id': (world, fault) => {
+    const one = pick(world, fault.first);
+    if (one) replace(world, one, fault.duration, world.newId());
   },
-  /** New instances have new ids, so no start number tells that they ended. */
-  resign: (world, fault, ids) => {
-    const id = pick(world, ids, fault.first);
-    const process = world.processes.get(id);
-    process?.resign();
+  'replace-all': world => {
+    for (const one of [...world.processes.values()]) {
+      replace(world, one, REPLACEMENT_MS);
+    }
+  },
+  'replace-all-new-ids': world => {
+    for (const one of [...world.processes.values()]) {
+      replace(world, one, REPLACEMENT_MS, world.newId());
+    }
+  },
+  resign: (world, fault) => {
+    const one = pick(world, fault.first);
+    one?.receive({kind: 'resign'});
     world.queue.after(fault.duration, () => {
-      if (process && !process.ended) replace(world, id, REPLACEMENT_MS);
+      if (one) replace(world, one, REPLACEMENT_MS);
     });
   },
+  /** A ticket declares a process gone that has ended. */
+  'ticket-gone': (world, fault) => {
+    const one = pick(world, fault.first);
+    if (!one) return;
+    replace(world, one, fault.duration, world.newId());
+    world.declareGone(one.member);
+  },
 } satisfies Record<string, Apply>;
 
 /** Applies a fault to a world at its time. */
-export function schedule(
-  world: World,
-  fault: Fault,
-  ids: readonly string[],
-): void {
+export function schedule(world: World, fault: Fault): void {
   world.queue.after(fault.at, () => {
     world.note(`fault ${JSON.stringify(fault)}`);
-    APPLY[fault.kind](world, fault, ids);
+    APPLY[fault.kind](world, fault);
   });
 }
 
--- a/src/common/leadership/testing/simulated_process.ts
+++ b/src/common/leadership/testing/simulated_process.ts
@@ -19,6 +19,8 @@
 export class SimulatedProcess {
   ended = false;
   readonly reader = new DataCentreReader();
+  /** Offsets of the batches that it took as in force. */
+  readonly batches: number[] = [];
   private readonly core: Leadership;
   private readonly writer: RecordWriter<DataCentreRecord, JobRecord>;
   private readonly inbox: Array<() => void> = [];
@@ -30,6 +32,7 @@
 
   constructor(
     private readonly world: World,
+    readonly id: string,
     readonly member: MemberId,
     private readonly rate: number,
   ) {
@@ -168,6 +171,7 @@
     if (event.kind === 'view-in-force') {
       this.give({kind: 'view-read', view: event.view});
     }
+    if (event.kind === 'batch-in-force') this.batches.push(event.offset);
     const own = event.record.writer === this.member;
     if (event.kind === 'view-void' && own) {
       this.give({kind: 'view-void', record: event.record});
@@ -191,18 +195,4 @@
       }),
     );
   }
-
-  /** Graceful shutdown of the core. */
-  resign(): void {
-    this.receive({kind: 'resign'});
-  }
-
-  /** Tells the core which instances tickets declare gone. */
-  declareGone(ids: readonly string[]): void {
-    this.receive({kind: 'declared-gone', ids});
-  }
-
-  get view() {
-    return this.core.view;
-  }
 }
--- a/src/common/leadership/testing/world.ts
+++ b/src/common/leadership/testing/world.ts
@@ -38,6 +38,8 @@
   readonly trace: string[] = [];
   /** Members that the list shows. */
   private readonly listed = new Set<MemberId>();
+  private newIds = 0;
+  private readonly declared: MemberId[] = [];
   private readonly starts = new Map<string, number>();
   private readonly generator;
 
@@ -67,7 +69,7 @@
     this.starts.set(id, start);
     const member = memberId(id, start);
     const rate = this.between(1 - RATE_SPREAD, 1 + RATE_SPREAD);
-    const process = new SimulatedProcess(this, member, rate);
+    const process = new SimulatedProcess(this, id, member, rate);
     this.note(`start ${member} rate ${rate.toFixed(4)}`);
     for (const other of this.processes.values()) {
       this.linkUp(process, other);
@@ -78,25 +80,36 @@
       if (!process.ended) this.listed.add(member);
     });
     process.run();
+    process.receive({kind: 'declared-gone', ids: [...this.declared]});
     return process;
   }
 
-  /** Ends the process of an id; the list drops it some time later. */
-  kill(id: string): void {
-    const process = this.processes.get(id);
-    if (!process) return;
+  /** An id that no process has had. */
+  newId(): string {
+    return `n${++this.newIds}`;
+  }
+
+  /** A ticket that all processes read declares a process gone. */
+  declareGone(member: MemberId): void {
+    this.declared.push(member);
+    for (const process of this.processes.values()) {
+      process.receive({kind: 'declared-gone', ids: [...this.declared]});
+    }
+  }
+
+  /** Ends a process; the list drops it some time later. */
+  kill(process: SimulatedProcess): void {
     this.note(`kill ${process.member}`);
     process.ended = true;
-    this.processes.delete(id);
+    this.processes.delete(process.id);
     this.queue.after(this.between(300, 4000), () =>
       this.listed.delete(process.member),
     );
   }
 
   /** Pauses a process; the platform may drop it from the list meanwhile. */
-  pause(id: string, duration: Millis): void {
-    const process = this.processes.get(id);
-    if (!process || process.isPaused) return;
+  pause(process: SimulatedProcess, duration: Millis): void {
+    if (process.isPaused) return;
     this.note(`pause ${process.member} for ${duration}`);
     process.pause(duration);
     this.queue.after(PLATFORM_SILENCE_MS, () => {
