Keep slow callers out of the targets' latencies and failures

A caller that reads or sends slowly made its target look slow, and one whose body did not come in time made it look failing; two such callers could eject half of the targets. The router now gets the time to the beginning of the answer, and attempts whose body the caller did not finish count neither way. Refusals before the request path (bad headers, unknown service) fire onRequestEnd too, without a service name that callers could choose.

A test that expected a fixed number of requests to expire in the queue with equal deadlines failed once; the waiting requests now have the shorter deadline.

--- a/src/common/routing/router.test.ts
+++ b/src/common/routing/router.test.ts
@@ -375,6 +375,21 @@
     expect(counts.t0).toBeLessThan(10_000 / 8);
   });
 
+  it('does not take the time to pass an answer on for latency', () => {
+    const router = newRouter(stateOf(targets(2)));
+    let toFirst = 0;
+    for (let now = 0; now < 4000; now += 10) {
+      const choice = router.choose(REQUEST, now).unsafeCoerce();
+      const first = choice.target.id === 't0';
+      if (first) toFirst++;
+      // The callers of one target read slowly; both targets take 2 ms.
+      const end = now + (first ? 9 : 2);
+      router.finish(choice, AttemptOutcome.SUCCEEDED, end, 2);
+    }
+    expect(toFirst).toBeGreaterThan(100);
+    expect(toFirst).toBeLessThan(300);
+  });
+
   const SPREAD: SimulationSetup = {
     policy: RoutingPolicy.TWO_CHOICES,
     routers: 8,
--- a/src/common/routing/router.ts
+++ b/src/common/routing/router.ts
@@ -86,21 +86,27 @@
     return Right(this.take(request.service, route, retry, now));
   }
 
-  finish(choice: Choice, outcome: AttemptOutcome, now: Millis): void {
+  finish(
+    choice: Choice,
+    outcome: AttemptOutcome,
+    now: Millis,
+    latency: Millis | 'unmeasured' = now - choice.chosenAt,
+  ): void {
     this.time = now;
     const route = this.open.get(choice);
     if (route === undefined) return;
     this.open.delete(choice);
     const {target} = route;
     target.record.inFlight--;
-    const latency = now - choice.chosenAt;
     const usual = this.routes.get(choice.service)?.usual(route.group, now) ?? 0;
     const effect = effectOf(outcome, latency, usual);
     if (outcome === AttemptOutcome.NOT_SENT) target.record.skip(now);
     else if (effect === OutcomeEffect.FAILURE) {
-      target.observeFailure(latency, usual, now);
+      target.observeFailure(latency === 'unmeasured' ? 0 : latency, usual, now);
+    }
+    if (effect === OutcomeEffect.SUCCESS && latency !== 'unmeasured') {
+      target.observeSuccess(latency, now);
     }
-    if (effect === OutcomeEffect.SUCCESS) target.observeSuccess(latency, now);
     this.judge(choice, route, effect, now);
   }
 
@@ -227,11 +233,13 @@
 
 function effectOf(
   outcome: AttemptOutcome,
-  latency: Millis,
+  latency: Millis | 'unmeasured',
   usual: Millis,
 ): OutcomeEffect {
   // A deadline shorter than the usual latency says nothing about the target.
-  const hasty = outcome === AttemptOutcome.TIMED_OUT && latency < usual;
+  const hasty =
+    outcome === AttemptOutcome.TIMED_OUT &&
+    (latency === 'unmeasured' || latency < usual);
   return hasty ? OutcomeEffect.NONE : OUTCOME_EFFECTS[outcome];
 }
 
--- a/src/common/routing/types.ts
+++ b/src/common/routing/types.ts
@@ -82,6 +82,17 @@
   choose(request: RoutedRequest, now: Millis): Either<Refusal, Choice>;
   /** Requests that the targets of a service take from this instance. */
   capacity(service: string): number;
-  /** Gives a choice back with its outcome. */
-  finish(choice: Choice, outcome: AttemptOutcome, now: Millis): void;
+  /**
+   * Gives a choice back with its outcome.
+   *
+   * @param latency time from the choice to the beginning of the answer; by
+   *     default to `now`. 'unmeasured' when it says nothing about the target,
+   *     e.g. because the caller was slow to send the request.
+   */
+  finish(
+    choice: Choice,
+    outcome: AttemptOutcome,
+    now: Millis,
+    latency?: Millis | 'unmeasured',
+  ): void;
 }
--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -5,7 +5,7 @@
 import {AttemptOutcome} from '../common/routing/types.js';
 import {answerHeaders, Headers} from './proxy_headers.js';
 import {framingOf, Framing} from './answer_framing.js';
-import {BodyTooLargeError} from './request_body.js';
+import {BodyBrokenError, BodyTooLargeError} from './request_body.js';
 
 /** The beginning of a target's answer. */
 export interface AnswerHead {
@@ -16,6 +16,8 @@
 /** Faults of a request that show only when it is sent. */
 export const RequestFault = {
   BODY_TOO_LARGE: 'body-too-large',
+  /** The caller broke off its body. */
+  BODY_BROKEN: 'body-broken',
   MALFORMED: 'malformed',
 } as const;
 export type RequestFault = (typeof RequestFault)[keyof typeof RequestFault];
@@ -29,6 +31,7 @@
 
 function faultOf(error: Error): RequestFault | undefined {
   if (error instanceof BodyTooLargeError) return RequestFault.BODY_TOO_LARGE;
+  if (error instanceof BodyBrokenError) return RequestFault.BODY_BROKEN;
   const {code} = error as NodeJS.ErrnoException;
   return MALFORMED_CODES.has(code) ? RequestFault.MALFORMED : undefined;
 }
--- a/src/node/proxy_types.ts
+++ b/src/node/proxy_types.ts
@@ -36,6 +36,7 @@
 
 /** One finished request, for metrics. */
 export interface RequestEnd {
+  /** Empty for a service that does not exist. */
   readonly service: string;
   readonly kind: RequestEndKind;
   /** From the arrival of the request to the end of the exchange. */
--- a/src/node/request_body.ts
+++ b/src/node/request_body.ts
@@ -7,6 +7,13 @@
   }
 }
 
+/** The caller broke off while its body was passed on. */
+export class BodyBrokenError extends Error {
+  constructor(cause: unknown) {
+    super('the caller broke off its request body', {cause});
+  }
+}
+
 /** Limits of a request body in bytes. */
 export interface BodyLimits {
   /** Largest body that is kept as a whole. */
@@ -19,6 +26,8 @@
  * larger one is passed on as it arrives, once.
  */
 export class RequestBody {
+  private streamed = false;
+
   private constructor(
     /** The whole body; undefined when it is streamed. */
     readonly bytes: Buffer | undefined,
@@ -70,11 +79,26 @@
     return this.bytes !== undefined;
   }
 
+  /** Tells whether the caller has sent all of the body. */
+  get received(): boolean {
+    return this.repeatable || this.streamed;
+  }
+
   /** Gives the body in the form that undici takes. */
   content(): Buffer | AsyncIterable<Buffer> {
     return this.bytes ?? this.stream();
   }
 
+  private async next(
+    rest: AsyncIterator<Buffer>,
+  ): Promise<IteratorResult<Buffer>> {
+    try {
+      return await rest.next();
+    } catch (error) {
+      throw new BodyBrokenError(error);
+    }
+  }
+
   private async *stream(): AsyncGenerator<Buffer> {
     let size = 0;
     for (const chunk of this.begin) {
@@ -82,8 +106,11 @@
       yield chunk;
     }
     while (this.rest !== undefined) {
-      const next = await this.rest.next();
-      if (next.done === true) return;
+      const next = await this.next(this.rest);
+      if (next.done === true) {
+        this.streamed = true;
+        return;
+      }
       size += next.value.length;
       if (size > this.limit) throw new BodyTooLargeError(this.limit);
       yield next.value;
--- a/src/node/service_proxy.test.ts
+++ b/src/node/service_proxy.test.ts
@@ -471,15 +471,19 @@
 
   it('refuses requests that wait too long with ran: no', async () => {
     await startBad([() => undefined]);
-    const requests = Array.from({length: 20}, () =>
-      call('a', {headers: {'x-deadline-ms': '300'}}),
-    );
+    const ask = (count: number, deadline: string) =>
+      Array.from({length: count}, () =>
+        call('a', {headers: {'x-deadline-ms': deadline}}),
+      );
+    const first = ask(8, '2000');
+    await until(() => badTargets[0].heads.length === 8);
+    // The others wait, because the target takes 8 at a time.
+    const requests = [...first, ...ask(12, '100')];
     const answers = await Promise.all(requests);
     const refusals = await Promise.all(
       answers.map(({body}) => body.json() as Promise<{ran: string}>),
     );
     const count = (ran: string) => refusals.filter(r => r.ran === ran).length;
-    // The target takes 8 at a time.
     expect(badTargets[0].heads).toHaveLength(8);
     expect(count('unknown')).toBe(8);
     expect(count('no')).toBe(12);
@@ -511,6 +515,30 @@
     expect(fixture.router.describe('s')[0].inFlight).toBe(0);
   });
 
+  it('does not blame the target for a caller that is slow to send', async () => {
+    await startBad([() => undefined, () => undefined]);
+    for (let i = 0; i < 12; i++) {
+      const upload = send(`${fixture.origin}/v1/services/s/a`, {
+        method: 'POST',
+        headers: {'x-idempotent': 'true', 'x-deadline-ms': '50'},
+      });
+      upload.on('error', () => undefined);
+      upload.write(Buffer.alloc(70_000));
+      if (i % 2 === 0) {
+        const [answer] = (await once(upload, 'response')) as [IncomingMessage];
+        expect(answer.statusCode).toBe(504);
+      } else {
+        const sent = badTargets.flatMap(({heads}) => heads).length;
+        await until(() => fixture.ends.length > i || sent > i);
+      }
+      upload.destroy();
+      await until(() => fixture.ends.length === i + 1);
+    }
+    const views = fixture.router.describe('s');
+    expect(views.map(({ejected}) => ejected)).toEqual([false, false]);
+    expect(views.map(({inFlight}) => inFlight)).toEqual([0, 0]);
+  });
+
   it('cuts a caller that stops reading', async () => {
     const target = createServer((unused, response) => {
       response.writeHead(200, {'content-length': 64_000_000});
@@ -560,6 +588,9 @@
       });
     }
     expect(fixture.workers[0].ledger).toEqual([]);
+    expect(fixture.ends.map(({refusal}) => refusal)).toEqual(
+      Array(5).fill('bad_request'),
+    );
   });
 
   it('refuses one that is too old or from the future', async () => {
--- a/src/node/service_proxy.ts
+++ b/src/node/service_proxy.ts
@@ -1,6 +1,6 @@
 import {Disposable} from '../common/base/disposable.js';
 import {Emitter} from '../common/base/emitter.js';
-import {refuse, RefusalKind} from '../common/base/refusal.js';
+import {refuse, RefusalKind, REFUSAL_STATUS} from '../common/base/refusal.js';
 import {AdmissionLimits} from '../common/routing/admission.js';
 import {RoutingState} from '../common/routing/types.js';
 import {ServiceConfiguration} from '../common/tickets/types.js';
@@ -18,6 +18,7 @@
   ProxyDependencies,
   ProxyOptions,
   RequestEnd,
+  RequestEndKind,
 } from './proxy_types.js';
 import {readContext, requestId} from './request_context.js';
 import {ServiceLatency} from './service_latency.js';
@@ -97,11 +98,28 @@
     try {
       const request = this.accept(exchange);
       this.ended.fire(await request.run());
+    } catch (error) {
+      if (error instanceof RefusedRequest) this.noteRefused(exchange, error);
+      throw error;
     } finally {
       this.open--;
     }
   };
 
+  private noteRefused({url}: Exchange, {refusal}: RefusedRequest): void {
+    const service = serviceOf(url);
+    const known = this.parts.service(service) !== undefined;
+    this.ended.fire({
+      // Callers must not be able to add names to the metrics.
+      service: known ? service : '',
+      kind: RequestEndKind.REFUSED,
+      latencyMs: 0,
+      attempts: 0,
+      status: REFUSAL_STATUS[refusal.error],
+      refusal: refusal.error,
+    });
+  }
+
   /** @throws RefusedRequest for an unknown service or faulty headers. */
   private accept(exchange: Exchange): ProxiedRequest {
     const {request, response, url} = exchange;
--- a/src/node/target_trials.ts
+++ b/src/node/target_trials.ts
@@ -1,5 +1,6 @@
 import {Either, Left} from 'purify-ts';
 import {Dispatcher} from 'undici';
+import {Millis} from '../common/base/clock.js';
 import {refuse, Refusal, RefusalKind} from '../common/base/refusal.js';
 import {AttemptOutcome, Choice} from '../common/routing/types.js';
 import {Exchange} from './json_server.js';
@@ -26,6 +27,8 @@
 interface Trial {
   readonly choice: Choice;
   readonly attempt: Attempt;
+  /** From the choice to the beginning of the answer. */
+  latency?: Millis;
 }
 
 type Head = Either<AttemptFailure, AnswerHead>;
@@ -101,8 +104,9 @@
       end.caseOf({Left: ({outcome}) => outcome, Right: () => whole}),
     );
     const {service} = this.context;
-    const latency = this.parts.clock.now() - trial.choice.chosenAt;
-    if (end.isRight()) this.parts.latency(service).observe(latency);
+    if (end.isRight() && trial.latency !== undefined) {
+      this.parts.latency(service).observe(trial.latency);
+    }
     return end;
   }
 
@@ -204,19 +208,26 @@
 
   private noteFailure(trial: Trial, failure: AttemptFailure): void {
     if (failure.sent) this.sent = true;
-    this.finish(trial, failure.outcome);
+    const {CANCELLED, TIMED_OUT} = AttemptOutcome;
+    // A caller that is slow to send its body is not the target's fault.
+    const callerLate = failure.outcome === TIMED_OUT && !this.body.received;
+    this.finish(trial, callerLate ? CANCELLED : failure.outcome);
   }
 
-  private noteAnswer({choice}: Trial, answer: AnswerHead): void {
+  private noteAnswer(trial: Trial, answer: AnswerHead): void {
+    const {choice} = trial;
     this.sent = true;
+    trial.latency = this.parts.clock.now() - choice.chosenAt;
     if (answer.headers['x-leaving'] !== 'true') return;
     const {id, start} = choice.target;
     this.parts.targetLeaving({target: id, start});
   }
 
-  private finish({choice}: Trial, outcome: AttemptOutcome): void {
+  /** Gives the choice back; neither end of a slow caller counts as latency. */
+  private finish({choice, latency}: Trial, outcome: AttemptOutcome): void {
     const {router, clock} = this.parts;
-    router.finish(choice, outcome, clock.now());
+    const measured = this.body.repeatable ? latency : 'unmeasured';
+    router.finish(choice, outcome, clock.now(), measured);
   }
 
   private explain(failure: AttemptFailure): Refusal {
