--- /dev/null
+++ b/src/common/jobs/failed_sizes.ts
@@ -0,0 +1,16 @@
+import {Size, fits} from '../base/size.js';
+
+/** Sizes that found no worker; larger ones need not be tried. */
+export class FailedSizes {
+  /** Only the smallest ones: none fits within another. */
+  private sizes: Size[] = [];
+
+  covers(size: Size): boolean {
+    return this.sizes.some(failed => fits(failed, size));
+  }
+
+  add(size: Size): void {
+    this.sizes = this.sizes.filter(other => !fits(size, other));
+    this.sizes.push(size);
+  }
+}
--- a/src/common/jobs/starts.ts
+++ b/src/common/jobs/starts.ts
@@ -1,8 +1,8 @@
 import {Millis} from '../base/clock.js';
-import {Size, fits} from '../base/size.js';
-import {ActiveJob, ActiveTask, TaskPhase, newTask} from './active_job.js';
-import {Candidate, PLACEMENTS} from './placement.js';
-import {SchedulerState, Term} from './scheduler_state.js';
+import {ActiveJob, ActiveTask, TaskPhase} from './active_job.js';
+import {Candidate} from './placement.js';
+import {PlacementPass} from './placement_pass.js';
+import {SchedulerState} from './scheduler_state.js';
 import {cancelled, neverRan} from './task_endings.js';
 import {SchedulerAction} from './types.js';
 import {WorkerEntry} from './worker_entry.js';
@@ -80,21 +80,6 @@
   return leastMs < LEAST_START_LEASE_MS ? undefined : {leaseUntilMs, localEnd};
 }
 
-/** Sizes that found no worker; larger ones need not be tried. */
-class FailedSizes {
-  /** Only the smallest ones: none fits within another. */
-  private sizes: Size[] = [];
-
-  covers(size: Size): boolean {
-    return this.sizes.some(failed => fits(failed, size));
-  }
-
-  add(size: Size): void {
-    this.sizes = this.sizes.filter(other => !fits(size, other));
-    this.sizes.push(size);
-  }
-}
-
 /** Places queued jobs and starts them. */
 export function* startQueued(
   state: SchedulerState,
@@ -114,64 +99,6 @@
   }
 }
 
-/** Notes for operators why a job is not placed. */
-function wait(job: ActiveJob, what: string): false {
-  job.reason = `Waits for ${what}.`;
-  return false;
-}
-
-/** One pass over the queue. */
-class PlacementPass {
-  readonly placed: Array<{job: ActiveJob; task: ActiveTask}> = [];
-  private readonly failed = new FailedSizes();
-
-  constructor(
-    private readonly state: SchedulerState,
-    private readonly term: Term,
-    private readonly candidates: readonly Candidate[],
-  ) {}
-
-  place(job: ActiveJob): boolean {
-    const {state} = this;
-    const {size, idempotent} = job.submission;
-    if (!idempotent && !state.logAvailable) return wait(job, 'the log');
-    if (!state.fairness.allows(job.team, size)) {
-      return wait(job, 'the quota of its team');
-    }
-    const candidate = this.choose(job);
-    if (candidate === undefined) return wait(job, 'a worker with room');
-    const id = `${job.id}.${this.term.epoch}-${++this.term.lastTask}`;
-    const {worker, rack} = candidate;
-    if (!state.capacity.promise(worker, id, size)) return false;
-    job.reason = undefined;
-    const workerStart = state.worker(worker).instance?.start;
-    const task = newTask(job, id, {worker, rack, workerStart});
-    state.addTask(task, job);
-    job.attempts++;
-    this.placed.push({job, task});
-    return true;
-  }
-
-  private choose(job: ActiveJob): Candidate | undefined {
-    const {size} = job.submission;
-    if (this.failed.covers(size)) return undefined;
-    const open =
-      job.failedOn.size === 0
-        ? this.candidates
-        : this.candidates.filter(({worker}) => !job.failedOn.has(worker));
-    const placement = PLACEMENTS[this.state.settings.placement];
-    const chosen = placement(
-      size,
-      open,
-      rack => this.state.tasksOnRack.get(rack) ?? 0,
-    );
-    if (chosen === undefined && open === this.candidates) {
-      this.failed.add(size);
-    }
-    return chosen;
-  }
-}
-
 function recordStart(state: SchedulerState, task: ActiveTask): void {
   const {job, id, worker, workerStart} = task;
   state.record({kind: 'starting', job, task: id, worker, workerStart});
