--- /dev/null
+++ b/src/common/leadership/gone_table.ts
@@ -0,0 +1,187 @@
+import {Millis, MINUTE} from '../base/clock.js';
+import {Instance, InstanceRole} from '../base/platform.js';
+import {MemberId} from '../stream/types.js';
+import {memberId, memberParts} from './member.js';
+
+/** Newer lists from which an instance has to be absent to count as gone. */
+const ABSENT_LISTS = 3;
+
+/**
+ * Time without being listed after which a member that no list has shown counts
+ * as gone. Far longer than the lag of the list, which is a few seconds.
+ */
+const UNLISTED_MS = MINUTE;
+
+/** Processes that are remembered; several days of replacements. */
+const MAX_PROCESSES = 4096;
+
+/** What the lists say about a process. */
+interface Presence {
+  /** Whether any list has shown it. */
+  readonly wasListed: boolean;
+  /** Lists in a row that did not show it. */
+  readonly absentLists: number;
+  /** When it was noted, or the first of those lists was read. */
+  readonly since: Millis;
+}
+
+/**
+ * Knows which processes have ended: by the platform's instance list, by a
+ * ticket, or by a later start number of the same id (two processes of one id
+ * would share a port).
+ *
+ * The platform may also drop a process that is paused and show it again. So
+ * only lists count that were asked for after the view was read in which the
+ * process takes part, and a process that was paused for longer than the lease
+ * takes no part in an earlier view; see `LeadershipState.advance`.
+ */
+export class GoneTable {
+  private readonly presences = new Map<MemberId, Presence>();
+  private readonly latestStart = new Map<string, number>();
+  private declared = new Set<string>();
+  private entryInstances: readonly MemberId[] | undefined;
+  private selfListedAt: Millis = -Infinity;
+
+  /**
+   * @param absentMs least time between the first list without an instance and
+   *   the list that makes it gone. It has to be at least the lease: a leader
+   *   that is paused and then dropped has lost its lease by that time.
+   */
+  constructor(
+    private readonly self: MemberId,
+    private readonly dataCentre: string,
+    private readonly absentMs: Millis,
+  ) {}
+
+  /**
+   * Entry instances of the data centre in the newest list that contains this
+   * instance; undefined before the first such list.
+   */
+  get listed(): readonly MemberId[] | undefined {
+    return this.entryInstances;
+  }
+
+  /**
+   * Notes a list that was asked for at `sentAt`. An empty one, or one without
+   * this instance, tells nothing about other instances.
+   */
+  readList(instances: readonly Instance[], sentAt: Millis, now: Millis): void {
+    if (instances.length === 0) return;
+    const shown = this.shownEntries(instances);
+    if (!this.presences.has(this.self)) this.noteMembers([this.self], sentAt);
+    if (!shown.has(this.self)) {
+      this.noteAbsent(this.self, sentAt, now);
+      return;
+    }
+    this.entryInstances = [...shown];
+    this.selfListedAt = sentAt;
+    for (const member of this.presences.keys()) {
+      if (!shown.has(member)) this.noteAbsent(member, sentAt, now);
+    }
+    for (const member of shown) {
+      const presence = {wasListed: true, absentLists: 0, since: sentAt};
+      this.presences.set(member, presence);
+    }
+    this.forgetOldest();
+  }
+
+  /** Whether a list that was asked for since `time` shows this instance. */
+  isSelfListedSince(time: Millis): boolean {
+    return this.selfListedAt >= time;
+  }
+
+  /**
+   * Notes the members of a view that was read: from now on lists have to show
+   * anew that one of them is absent.
+   */
+  noteMembers(members: readonly MemberId[], now: Millis): void {
+    for (const member of members) {
+      this.noteStart(member);
+      const presence = this.presences.get(member);
+      // What this instance knows about itself is not affected by views.
+      if (member === this.self && presence) continue;
+      const wasListed = presence?.wasListed ?? false;
+      this.presences.set(member, {wasListed, absentLists: 0, since: now});
+    }
+  }
+
+  /** Notes that a process exists or existed: earlier starts have ended. */
+  noteStart(member: MemberId): void {
+    const {id, start} = memberParts(member);
+    if (Number.isNaN(start)) return;
+    const latest = this.latestStart.get(id);
+    if (latest === undefined || start > latest) {
+      this.latestStart.set(id, start);
+    }
+  }
+
+  /** Replaces the set of instances that tickets declare gone. */
+  declare(ids: readonly string[]): void {
+    this.declared = new Set(ids);
+  }
+
+  /** Whether the process has provably ended or is declared gone. */
+  isGone(member: MemberId, now: Millis): boolean {
+    if (this.isReplaced(member) || this.isDeclared(member)) return true;
+    const presence = this.presences.get(member);
+    if (!presence || presence.absentLists < ABSENT_LISTS) return false;
+    const least = presence.wasListed ? this.absentMs : UNLISTED_MS;
+    return now - presence.since >= least;
+  }
+
+  /**
+   * Whether this instance itself is treated as gone by others, now or soon.
+   * One list without it, or half the time of an unlisted member, is enough, so
+   * that it stops before others act on it.
+   */
+  isSelfDropped(now: Millis): boolean {
+    if (this.isReplaced(this.self) || this.isDeclared(this.self)) return true;
+    const presence = this.presences.get(this.self);
+    if (!presence || presence.absentLists === 0) return false;
+    return presence.wasListed || now - presence.since >= UNLISTED_MS / 2;
+  }
+
+  private shownEntries(instances: readonly Instance[]): Set<MemberId> {
+    const shown = new Set<MemberId>();
+    for (const instance of instances) {
+      if (instance.role !== InstanceRole.ENTRY) continue;
+      const member = memberId(instance.id, instance.start);
+      this.noteStart(member);
+      if (instance.dataCentre === this.dataCentre) shown.add(member);
+    }
+    return shown;
+  }
+
+  private noteAbsent(member: MemberId, sentAt: Millis, now: Millis): void {
+    const presence = this.presences.get(member);
+    if (!presence || sentAt < presence.since) return;
+    const isFirst = presence.absentLists === 0;
+    this.presences.set(member, {
+      wasListed: presence.wasListed,
+      absentLists: presence.absentLists + 1,
+      since: isFirst && presence.wasListed ? now : presence.since,
+    });
+  }
+
+  private forgetOldest(): void {
+    for (const [member, presence] of this.presences) {
+      if (this.presences.size <= MAX_PROCESSES) return;
+      if (presence.absentLists > 0) this.presences.delete(member);
+    }
+  }
+
+  private isReplaced(member: MemberId): boolean {
+    const {id, start} = memberParts(member);
+    return (this.latestStart.get(id) ?? start) > start;
+  }
+
+  private isDeclared(member: MemberId): boolean {
+    const {id, start} = memberParts(member);
+    if (this.declared.has(id)) return true;
+    for (const name of this.declared) {
+      const declared = memberParts(name);
+      if (declared.id === id && declared.start >= start) return true;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/common/routing/service_routes.ts
@@ -0,0 +1,184 @@
+import {Millis, MINUTE} from '../base/clock.js';
+import {ServiceConfiguration} from '../tickets/types.js';
+import {POLICIES, Policy} from './policies.js';
+import {Random} from './random.js';
+import {RetryBudget} from './retry_budget.js';
+import {ServiceTarget} from './service_target.js';
+import {TargetGroup} from './target_group.js';
+import {DEFAULT_EXTRA_DELAY_MS, RoutedRequest, RoutingState} from './types.js';
+
+/**
+ * Time over which the usual latency follows the local one. Far longer than a
+ * disturbance, so that a slow data centre is compared with its usual self.
+ */
+const BASELINE_MEMORY_MS: Millis = 5 * MINUTE;
+
+/** Latency to assume before anything was measured. */
+const UNKNOWN_LATENCY_MS: Millis = 1;
+
+/** Where the routes lead from. */
+export type Surroundings = Pick<RoutingState, 'dataCentre' | 'extraDelayMs'>;
+
+/** A target together with its group. */
+export interface Route {
+  readonly target: ServiceTarget;
+  readonly group: TargetGroup;
+}
+
+/** A target as operators see it. */
+export interface TargetView {
+  readonly target: string;
+  readonly dataCentre: string;
+  readonly inFlight: number;
+  readonly limit: number;
+  readonly ejected: boolean;
+}
+
+/** All targets of one service, with what is kept per service. */
+export class ServiceRoutes {
+  readonly budget = new RetryBudget();
+  private readonly groups = new Map<string, TargetGroup>();
+  private turn = 0;
+  /** Local latency in usual times. */
+  private baseline: Millis = UNKNOWN_LATENCY_MS;
+  private baselineAt: Millis | undefined;
+
+  constructor(
+    private currentConfiguration: ServiceConfiguration,
+    private surroundings: Surroundings,
+    private readonly random: Random,
+  ) {}
+
+  get configuration(): ServiceConfiguration {
+    return this.currentConfiguration;
+  }
+
+  /** Takes new settings and the live targets by data centre. */
+  update(
+    configuration: ServiceConfiguration,
+    targets: ReadonlyMap<string, readonly ServiceTarget[]>,
+    surroundings: Surroundings,
+    now: Millis,
+  ): void {
+    this.currentConfiguration = configuration;
+    this.surroundings = surroundings;
+    for (const dataCentre of targets.keys()) {
+      if (!this.groups.has(dataCentre)) {
+        this.groups.set(dataCentre, new TargetGroup(dataCentre));
+      }
+    }
+    for (const [dataCentre, group] of this.groups) {
+      group.update(targets.get(dataCentre) ?? [], now);
+    }
+  }
+
+  private get local(): TargetGroup | undefined {
+    return this.groups.get(this.surroundings.dataCentre);
+  }
+
+  /** Tells whether a target is passed over only because of its limit. */
+  anyFull(): boolean {
+    return [...this.groups.values()].some(group =>
+      group.targets.some(({health, record}) => record.full && !health.ejected),
+    );
+  }
+
+  /** Requests that the targets take from this instance. */
+  get capacity(): number {
+    let capacity = 0;
+    for (const {targets} of this.groups.values()) {
+      for (const {health, record} of targets) {
+        if (!health.ejected) capacity += record.limit;
+      }
+    }
+    return capacity;
+  }
+
+  describe(): TargetView[] {
+    return [...this.groups.values()].flatMap(({dataCentre, targets}) =>
+      targets.map(({record, health}) => ({
+        target: record.instance.id,
+        dataCentre,
+        inFlight: record.inFlight,
+        limit: record.limit,
+        ejected: health.ejected,
+      })),
+    );
+  }
+
+  /** Picks a target for the request, in this data centre if possible. */
+  pick(request: RoutedRequest, now: Millis): Route | undefined {
+    this.turn++;
+    this.followBaseline(now);
+    const local = this.local && this.pickIn(this.local, request, now);
+    if (local?.target.health.ejected) return local;
+    return this.pickRemote(request, local, now) ?? local;
+  }
+
+  /** Latency to expect of a target of the group that was not measured. */
+  usual(group: TargetGroup, now: Millis): Millis {
+    return group.medians(now, this.baseline).latency ?? this.baseline;
+  }
+
+  private pickIn(
+    group: TargetGroup,
+    request: RoutedRequest,
+    now: Millis,
+  ): Route | undefined {
+    const candidates = group.candidates(request, now, this.random);
+    if (candidates.length === 0) return undefined;
+    const resting = this.usual(group, now);
+    const context = {now, random: this.random, resting, turn: this.turn};
+    const policy: Policy = POLICIES[this.configuration.routing];
+    return {target: policy(candidates, context), group};
+  }
+
+  /** Picks in another data centre when none is local or the local is worse. */
+  private pickRemote(
+    request: RoutedRequest,
+    local: Route | undefined,
+    now: Millis,
+  ): Route | undefined {
+    const costs = [...this.groups.values()]
+      .filter(group => group !== this.local)
+      .map(group => {
+        const extra = this.extraDelay(group.dataCentre);
+        return {group, extra, cost: this.usual(group, now) + extra};
+      })
+      .sort((a, b) => a.cost - b.cost);
+    for (const {group, extra, cost} of costs) {
+      // The scores alone would send requests away under even load, because
+      // this instance sees only its own requests at the remote targets.
+      if (local && this.usual(local.group, now) <= cost) return undefined;
+      const remote = this.pickIn(group, request, now);
+      if (remote === undefined) continue;
+      if (local === undefined) return remote;
+      const gain = this.score(local, now) - this.score(remote, now);
+      return gain > extra ? remote : undefined;
+    }
+    return undefined;
+  }
+
+  private score({target, group}: Route, now: Millis): number {
+    return target.score(now, this.usual(group, now));
+  }
+
+  private extraDelay(dataCentre: string): Millis {
+    const extra = this.surroundings.extraDelayMs?.[dataCentre];
+    return extra ?? DEFAULT_EXTRA_DELAY_MS;
+  }
+
+  /**
+   * Moves the baseline towards the present local latency. Failures are left
+   * out: after an outage the targets must look as usual to be tried again.
+   */
+  private followBaseline(now: Millis): void {
+    const current = this.local?.medians(now, this.baseline).answers;
+    if (current === undefined) return;
+    // The first measurement has no earlier one to be weighed against.
+    const since = this.baselineAt ?? -Infinity;
+    const kept = Math.exp(-(now - since) / BASELINE_MEMORY_MS);
+    this.baseline = current + (this.baseline - current) * kept;
+    this.baselineAt = now;
+  }
+}
