Feed measured slowdowns and leaving targets to the leader and the peers

The reaction to interference had no input in the daemon, and a leaving target was known only to the instance that it told. Each instance now reports twice a second how much slower each worker answers than the median target of the same service, and which targets said that they leave. A worker drained by a ticket comes back when a later ticket says so; marking it in the router kept it out until it started again. 61 tests of the path and the routing pass.

--- a/src/common/routing/service_routes.ts
+++ b/src/common/routing/service_routes.ts
@@ -32,6 +32,8 @@
   readonly inFlight: number;
   readonly limit: number;
   readonly ejected: boolean;
+  /** Mean latency of whole answers; undefined with too few samples. */
+  readonly meanLatency: Millis | undefined;
 }
 
 /** All targets of one service, with what is kept per service. */
@@ -96,12 +98,13 @@
 
   describe(): TargetView[] {
     return [...this.groups.values()].flatMap(({dataCentre, targets}) =>
-      targets.map(({record, health}) => ({
+      targets.map(({record, health, meanLatency}) => ({
         target: record.instance.id,
         dataCentre,
         inFlight: record.inFlight,
         limit: record.limit,
         ejected: health.ejected,
+        meanLatency,
       })),
     );
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -39,6 +39,9 @@
 /** How long the balancer gets to see that an instance is not ready. */
 const UNREADY_MS: Millis = 1000;
 
+/** How often a leader takes in the slowdowns that it has seen itself. */
+const SLOWDOWN_PERIOD_MS: Millis = 500;
+
 const DRAIN_POLL_MS: Millis = 25;
 
 /** One entry instance: wires the services and owns their life. */
@@ -49,6 +52,7 @@
   private readonly startNumber = Date.now();
   private timer: NodeJS.Timeout | undefined;
   private draining = false;
+  private nextSlowdownsAt: Millis = 0;
 
   constructor(
     private readonly settings: Settings,
@@ -208,6 +212,7 @@
       clock: kernel.get('clock'),
       list: kernel.get('list'),
       metrics: kernel.get('metrics'),
+      workers: kernel.get('workers'),
       tickets: kernel.get('tickets'),
       dataCentre: kernel.get('dataCentre'),
     };
@@ -216,6 +221,11 @@
       'peerStates',
       new PeerStateService(mesh, () => this.peerState()),
     );
+    // One report of each instance every half second is what the leader needs.
+    peerStates.onState(({peer, state}) => {
+      if (peer.dataCentre !== settings.dataCentre) return;
+      parts.dataCentre.takeSlowdowns(state.slowdowns);
+    });
     const jobs = kernel.register(
       'jobs',
       new JobService(mesh, parts.dataCentre, peerStates, settings),
@@ -273,14 +283,20 @@
       ticketNumber: tickets.state.configuration.number,
       ticketAgeMs: tickets.ageMs,
       leads: this.kernel.get('dataCentre').leads?.epoch ?? null,
-      leaving: [],
+      leaving: this.kernel.get('routing').leavingTargets,
+      slowdowns: this.kernel.get('routing').slowdowns(),
       draining: this.draining,
     };
   }
 
   private tick(): void {
+    const dataCentre = this.kernel.get('dataCentre');
     this.kernel.get('tickets').tick();
-    this.kernel.get('dataCentre').tick();
+    dataCentre.tick();
+    const now = this.kernel.get('clock').now();
+    if (now < this.nextSlowdownsAt) return;
+    this.nextSlowdownsAt = now + SLOWDOWN_PERIOD_MS;
+    dataCentre.takeSlowdowns(this.kernel.get('routing').slowdowns());
   }
 
   private async waitUntil(reached: () => boolean, end: number): Promise<void> {
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -1,6 +1,6 @@
 import {ConsolaInstance} from 'consola';
 import {Either, Left} from 'purify-ts';
-import {Clock, Millis} from '../common/base/clock.js';
+import {Clock, Millis, SECOND} from '../common/base/clock.js';
 import {Disposable, DisposableStore} from '../common/base/disposable.js';
 import {Emitter, Event} from '../common/base/emitter.js';
 import {Instance, InstanceRole} from '../common/base/platform.js';
@@ -33,6 +33,7 @@
 import {Configuration} from '../common/tickets/types.js';
 import {ListRead} from '../node/instance_list_client.js';
 import {LogClient} from '../node/log_client.js';
+import {Slowdown} from '../node/peer_messages.js';
 import {PeerMesh} from '../node/peer_mesh.js';
 import {StreamChannel} from '../node/stream_channel.js';
 import {WorkerAction, WorkerClient} from '../node/worker_client.js';
@@ -45,6 +46,9 @@
   }
 }
 
+/** The means behind a slowdown cover about this much time before it is sent. */
+const SLOWDOWN_LAG_MS: Millis = SECOND;
+
 /**
  * Records that a job can have waiting during an outage of the log. A full
  * queue would lose the end of a job, so it holds them for every job.
@@ -232,6 +236,15 @@
     this.schedule({kind: 'configuration', configuration});
   }
 
+  /** Takes in measured slowdowns of workers; only a leader reacts to them. */
+  takeSlowdowns(slowdowns: readonly Slowdown[]): void {
+    if (this.leading === undefined) return;
+    const measuredAt = this.dependencies.clock.now() - SLOWDOWN_LAG_MS;
+    for (const {worker, slowdown} of slowdowns) {
+      this.schedule({kind: 'interference', worker, slowdown, measuredAt});
+    }
+  }
+
   tick(): void {
     this.lead({kind: 'tick'});
     this.schedule({kind: 'tick'});
--- a/src/daemon/peer_state_service.ts
+++ b/src/daemon/peer_state_service.ts
@@ -14,6 +14,12 @@
 /** How often an instance tells its peers its state. */
 const SEND_PERIOD_MS: Millis = SECOND / 2;
 
+/** A state with its sender. */
+export interface ReceivedState {
+  readonly peer: Peer;
+  readonly state: PeerState;
+}
+
 /** A peer with the last state it sent. */
 export interface KnownPeer {
   readonly peer: Peer;
@@ -25,8 +31,12 @@
   private readonly store = new DisposableStore();
   private readonly states = new Map<MemberId, PeerState>();
   private readonly leaving = this.store.add(new Emitter<string>());
+  private readonly received = this.store.add(new Emitter<ReceivedState>());
   private readonly timer: NodeJS.Timeout;
 
+  /** Fires with each state that a peer sent. */
+  readonly onState: Event<ReceivedState> = this.received.event;
+
   /** Fires when a peer says that a target is leaving. */
   readonly onTargetLeaving: Event<string> = this.leaving.event;
 
@@ -38,6 +48,7 @@
       mesh.onMessage(({peer, message}) => {
         if (message.kind !== 'state') return;
         this.states.set(peer.member, message);
+        this.received.fire({peer, state: message});
         for (const target of message.leaving) this.leaving.fire(target);
       }),
     );
--- a/src/daemon/routing_service.ts
+++ b/src/daemon/routing_service.ts
@@ -1,5 +1,5 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {Clock} from '../common/base/clock.js';
+import {Clock, Millis, MINUTE} from '../common/base/clock.js';
 import {Disposable, DisposableStore} from '../common/base/disposable.js';
 import {Instance, InstanceRole} from '../common/base/platform.js';
 import {Router} from '../common/routing/router.js';
@@ -7,7 +7,9 @@
 import {InstanceListClient} from '../node/instance_list_client.js';
 import {Metrics} from '../node/metrics.js';
 import {ClaimSource, RequestEndKind} from '../node/proxy_types.js';
+import {Slowdown} from '../node/peer_messages.js';
 import {ServiceProxy} from '../node/service_proxy.js';
+import {WorkerClient} from '../node/worker_client.js';
 import {PeerStateService} from './peer_state_service.js';
 import {TicketService} from './ticket_service.js';
 import {Settings} from './types.js';
@@ -18,6 +20,12 @@
   }
 }
 
+/** How long peers are told of a leaving target; the list lags less. */
+const LEAVING_TOLD_MS: Millis = MINUTE;
+
+/** Fewer targets with enough samples give no usable median. */
+const LEAST_TARGETS = 4;
+
 /** Parts that routing depends on. */
 export interface RoutingParts {
   readonly settings: Settings;
@@ -27,6 +35,7 @@
   readonly peerStates: PeerStateService;
   readonly claims: ClaimSource;
   readonly metrics: Metrics;
+  readonly workers: WorkerClient;
 }
 
 /**
@@ -36,6 +45,7 @@
 export class RoutingService implements Disposable {
   private readonly store = new DisposableStore();
   private readonly router = new Router(xoroshiro128plus(Date.now()));
+  private readonly leavingSince = new Map<string, Millis>();
   readonly proxy: ServiceProxy;
 
   constructor(private readonly parts: RoutingParts) {
@@ -61,28 +71,89 @@
     this.store.add(
       peerStates.onTargetLeaving(target => this.router.markLeaving(target)),
     );
+    this.store.add(
+      this.proxy.onTargetLeaving(({target}) => this.noteLeaving(target)),
+    );
+    this.store.add(
+      parts.workers.onMessage(message => {
+        if (message.kind !== 'worker-status' || !message.status.leaving) return;
+        this.router.markLeaving(message.worker);
+        this.noteLeaving(message.worker);
+      }),
+    );
     this.listenToProxy();
   }
 
   /** Reports each service as this instance routes it. */
   reports(): ServiceReport[] {
     const {services} = this.parts.tickets.state.configuration;
-    return Object.keys(services).map(service => ({
-      service,
-      targets: this.targets().filter(target =>
+    const targets = this.targets();
+    return Object.keys(services).map(service => {
+      const listed = targets.filter(target =>
         target.services.includes(service),
-      ).length,
-      ejected: 0,
-      leaving: 0,
-      inFlight: this.proxy.inFlight,
-      queued: 0,
-    }));
+      );
+      const live = this.router.describe(service);
+      return {
+        service,
+        targets: live.length,
+        ejected: live.filter(target => target.ejected).length,
+        leaving: listed.length - live.length,
+        inFlight: live.reduce((sum, target) => sum + target.inFlight, 0),
+        queued: this.proxy.waiting(service),
+      };
+    });
+  }
+
+  /** Targets that said lately that they leave, for the peers. */
+  get leavingTargets(): readonly string[] {
+    const now = this.parts.clock.now();
+    for (const [target, at] of this.leavingSince) {
+      if (now - at > LEAVING_TOLD_MS) this.leavingSince.delete(target);
+    }
+    return [...this.leavingSince.keys()];
+  }
+
+  /**
+   * How much slower each worker of this data centre answers than the median
+   * target of the same service, as this instance sees it.
+   */
+  slowdowns(): readonly Slowdown[] {
+    const {services} = this.parts.tickets.state.configuration;
+    const slowest = new Map<string, number>();
+    for (const service of Object.keys(services)) {
+      for (const {worker, slowdown} of this.slowdownsOf(service)) {
+        slowest.set(worker, Math.max(slowest.get(worker) ?? 0, slowdown));
+      }
+    }
+    return [...slowest].map(([worker, slowdown]) => ({worker, slowdown}));
   }
 
   dispose(): void {
     this.store.dispose();
   }
 
+  private slowdownsOf(service: string): Slowdown[] {
+    const {dataCentre} = this.parts.settings;
+    const measured = this.router
+      .describe(service)
+      .filter(target => target.dataCentre === dataCentre)
+      .flatMap(({target, meanLatency}) =>
+        meanLatency === undefined ? [] : [{worker: target, meanLatency}],
+      )
+      .sort((a, b) => a.meanLatency - b.meanLatency);
+    if (measured.length < LEAST_TARGETS) return [];
+    const usual = measured[Math.floor((measured.length - 1) / 2)].meanLatency;
+    if (usual <= 0) return [];
+    return measured.map(({worker, meanLatency}) => ({
+      worker,
+      slowdown: meanLatency / usual,
+    }));
+  }
+
+  private noteLeaving(target: string): void {
+    this.leavingSince.set(target, this.parts.clock.now());
+  }
+
   private listenToProxy(): void {
     const {metrics} = this.parts;
     this.store.add(
@@ -101,11 +172,19 @@
     );
   }
 
-  /** Workers of the list that serve requests. */
+  /**
+   * Workers of the list that serve requests. A worker that a ticket drains
+   * comes back when a later ticket says so; every other sign of leaving holds
+   * until the worker has started again.
+   */
   private targets(): readonly Instance[] {
-    return this.parts.list.instances.filter(
-      instance =>
-        instance.role === InstanceRole.WORKER && instance.services.length > 0,
+    const {list, tickets} = this.parts;
+    const {workers} = tickets.state.configuration;
+    const isDrained = (id: string) =>
+      Object.hasOwn(workers, id) && workers[id].state === 'leaving';
+    return list.instances.filter(
+      ({id, role, services}) =>
+        role === InstanceRole.WORKER && services.length > 0 && !isDrained(id),
     );
   }
 
@@ -129,8 +208,5 @@
         ]),
       ),
     });
-    for (const [id, {state}] of Object.entries(configuration.workers)) {
-      if (state === 'leaving') this.router.markLeaving(id);
-    }
   }
 }
--- a/src/node/peer_messages.ts
+++ b/src/node/peer_messages.ts
@@ -19,6 +19,12 @@
   readonly address: string;
 }
 
+/** How much slower a worker answers than the median target; 1 is usual. */
+export interface Slowdown {
+  readonly worker: string;
+  readonly slowdown: number;
+}
+
 /** What an instance tells its peers twice a second. */
 export interface PeerState {
   readonly kind: 'state';
@@ -30,6 +36,8 @@
   readonly leads: number | null;
   /** Targets that the sender knows to be leaving. */
   readonly leaving: readonly string[];
+  /** Slowdown of the workers of the sender's data centre, as it sees it. */
+  readonly slowdowns: readonly Slowdown[];
   /** The sender is shutting down. */
   readonly draining: boolean;
 }
@@ -136,6 +144,7 @@
     ticketAgeMs: z.number(),
     leads: z.number().nullable(),
     leaving: z.array(z.string()),
+    slowdowns: z.array(z.object({worker: z.string(), slowdown: z.number()})),
     draining: z.boolean(),
   }),
   z.object({kind: z.literal('leadership'), message: LEADERSHIP}),
