Check entries of batches and bound the bytes of a batch

A batch with an entry of a wrong shape would have reached the job table, and a batch of many large submissions would have been refused by the log on every repeat, which blocks the writer.

The reader now voids a batch with a malformed entry as a whole. The writer ends a batch before it exceeds 4 MiB of JSON. New tests cover gaps in the middle of a stream, arbitrary records, the batch rate, back-off and late answers, and a property test runs the writer against a log that loses and delays appends.

--- a/src/common/stream/data_centre_reader.test.ts
+++ b/src/common/stream/data_centre_reader.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import {DataCentreReader} from './data_centre_reader.js';
 import {DataCentreRecord} from './types.js';
 
@@ -81,4 +82,57 @@
     expect(kinds(reader, 72, view(65, 'c#1'))).toEqual(['view-void']);
     expect(kinds(reader, 73, view(71, 'b#1'))).toEqual(['view-in-force']);
   });
+
+  it('handles records that were dropped while it was behind', () => {
+    const reader = new DataCentreReader();
+    kinds(reader, 0, view(null, 'a#1'));
+    expect(kinds(reader, 50, view(40, 'b#1'))).toEqual(['view-in-force']);
+    expect(kinds(reader, 51, view(0, 'c#1'))).toEqual(['view-void']);
+    expect(kinds(reader, 52, view(50, 'c#1'))).toEqual(['view-in-force']);
+    expect(kinds(reader, 53, view(45, 'd#1'))).toEqual(['view-void']);
+  });
+
+  // An entry of a wrong shape would reach the job table.
+  it('voids a batch with a malformed entry as a whole', () => {
+    const reader = new DataCentreReader();
+    kinds(reader, 0, view(null, 'a#1'));
+    const good = {kind: 'cancelled', job: 'dc-1/x'};
+    const entries = [good, {kind: 'cancelled'}];
+    const record = {kind: 'batch', writer: 'a#1', sequence: 99, epoch: 0};
+    expect(kinds(reader, 1, {...record, entries})).toEqual(['malformed-void']);
+    expect(kinds(reader, 2, {...record, entries: [good]})).toEqual([
+      'batch-in-force',
+    ]);
+  });
+
+  it('voids a view whose leader is not a member', () => {
+    const reader = new DataCentreReader();
+    expect(kinds(reader, 0, view(null, 'a#1', ['b#1']))).toEqual([
+      'malformed-void',
+    ]);
+  });
+
+  it('never throws, whatever a record contains', () => {
+    const near = fc.record(
+      {
+        kind: fc.constantFrom('view', 'batch', '__proto__', 'x'),
+        writer: fc.oneof(fc.string(), fc.constant('__proto__')),
+        sequence: fc.oneof(fc.integer(), fc.double()),
+        base: fc.oneof(fc.integer(), fc.constant(null)),
+        leader: fc.string(),
+        members: fc.array(fc.string()),
+        epoch: fc.oneof(fc.integer(), fc.double()),
+        entries: fc.oneof(fc.array(fc.anything()), fc.anything()),
+      },
+      {requiredKeys: []},
+    );
+    const reader = new DataCentreReader();
+    let offset = 0;
+    fc.assert(
+      fc.property(fc.oneof(fc.anything(), near), data => {
+        expect(kinds(reader, offset++, data).length).toBeLessThan(2);
+      }),
+      {seed: 1, numRuns: 2000},
+    );
+  });
 });
--- a/src/common/stream/record_schema.ts
+++ b/src/common/stream/record_schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {jobRecord} from './job_record_schema.js';
 import {DataCentreRecord} from './types.js';
 
 const identity = {
@@ -24,10 +25,13 @@
   ...identity,
   kind: z.literal('batch'),
   epoch: offset,
-  entries: z.array(z.looseObject({kind: z.string()})),
+  entries: z.array(jobRecord),
 });
 
-const dataCentreRecord = z.union([viewRecord, batchRecord]);
+const dataCentreRecord = z.discriminatedUnion('kind', [
+  viewRecord,
+  batchRecord,
+]) satisfies z.ZodType<DataCentreRecord>;
 
 /** Result of checking a record: the record, or why it is malformed. */
 export type ParsedRecord =
@@ -37,9 +41,7 @@
 /** Checks the shape of a record of a stream `dc-<data centre>`. */
 export function parseDataCentreRecord(data: unknown): ParsedRecord {
   const result = dataCentreRecord.safeParse(data);
-  if (result.success) {
-    return {valid: true, record: result.data as DataCentreRecord};
-  }
+  if (result.success) return {valid: true, record: result.data};
   const issue = result.error.issues[0];
   return {valid: false, reason: `${issue.path.join('.')}: ${issue.message}`};
 }
--- /dev/null
+++ b/src/common/stream/record_writer.property.test.ts
@@ -0,0 +1,101 @@
+import fc from 'fast-check';
+import {Millis} from '../base/clock.js';
+import {RecordWriter, WriterAction} from './record_writer.js';
+import {SequenceTable} from './sequence_table.js';
+import {RecordIdentity} from './types.js';
+
+interface NumbersRecord extends RecordIdentity {
+  readonly entries: readonly number[];
+}
+
+/** What happens to one append. */
+const OUTCOMES = ['stored', 'answer-lost', 'lost', 'late'] as const;
+type Outcome = (typeof OUTCOMES)[number];
+
+const STEP_MS: Millis = 20;
+
+/** Time after which a late append is stored; long after it was given up. */
+const LATE_MS: Millis = 1000;
+
+/** A log that treats each append by the next outcome of a list. */
+class Run {
+  readonly log: NumbersRecord[] = [];
+  readonly confirmed: number[] = [];
+  private readonly late: Array<{at: Millis; record: NumbersRecord}> = [];
+  private position = 0;
+  private now: Millis = 0;
+  private readonly writer = new RecordWriter<NumbersRecord, number>(
+    'a#1',
+    entries => ({entries}),
+  );
+
+  constructor(private readonly outcomes: Outcome[]) {}
+
+  /** Enqueues one entry in each step, then runs until all are confirmed. */
+  run(count: number): void {
+    for (let step = 0; this.confirmed.length < count && step < 5000; step++) {
+      this.now += STEP_MS;
+      if (step < count) this.apply(this.writer.enqueue([step], this.now));
+      this.storeLate();
+      this.read();
+      this.apply(this.writer.tick(this.now));
+    }
+  }
+
+  private apply(actions: Iterable<WriterAction<NumbersRecord>>): void {
+    for (const action of actions) {
+      if (action.kind === 'append') this.append(action.record);
+      if (action.kind === 'confirmed') {
+        this.confirmed.push(...action.record.entries);
+      }
+    }
+  }
+
+  private append(record: NumbersRecord): void {
+    const outcome = this.outcomes.shift() ?? 'stored';
+    if (outcome === 'late') this.late.push({at: this.now + LATE_MS, record});
+    if (outcome === 'stored' || outcome === 'answer-lost') {
+      this.log.push(record);
+    }
+    this.apply(
+      outcome === 'stored'
+        ? this.writer.answered(this.log.length - 1, this.now)
+        : this.writer.failed(this.now),
+    );
+  }
+
+  private storeLate(): void {
+    while (this.late.length > 0 && this.late[0].at <= this.now) {
+      this.log.push(this.late.shift()!.record);
+    }
+  }
+
+  private read(): void {
+    while (this.position < this.log.length) {
+      this.apply(this.writer.read(this.log[this.position++], this.now));
+    }
+    this.apply(this.writer.caughtUp(this.now));
+  }
+}
+
+describe('RecordWriter with a log that fails', () => {
+  // A lost entry would lose a job; one that counts twice would run it twice.
+  it('puts every entry on the stream once and in order', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.constantFrom(...OUTCOMES), {maxLength: 25}),
+        fc.integer({min: 1, max: 60}),
+        (outcomes, count) => {
+          const run = new Run(outcomes);
+          run.run(count);
+          const expected = Array.from({length: count}, (unused, i) => i);
+          expect(run.confirmed).toEqual(expected);
+          const table = new SequenceTable();
+          const effective = run.log.filter(record => table.accept(record));
+          expect(effective.flatMap(record => record.entries)).toEqual(expected);
+        },
+      ),
+      {seed: 1, numRuns: 300},
+    );
+  });
+});
--- a/src/common/stream/record_writer.test.ts
+++ b/src/common/stream/record_writer.test.ts
@@ -70,4 +70,105 @@
     expect(appended(writer.enqueue(many.fill(ENTRY), 0))).toHaveLength(1);
     expect(() => appended(writer.enqueue(many, 0))).toThrow(QueueFull);
   });
+
+  it('sends at most 500 entries in a batch', () => {
+    const writer = newWriter();
+    const many = Array<Entry>(600).fill(ENTRY);
+    const [record] = appended(writer.enqueue(many, 0));
+    expect(record.entries).toHaveLength(500);
+    expect(writer.queued).toBe(100);
+  });
+
+  // The log refuses bodies that are too large, and would do so for ever.
+  it('ends a batch before it exceeds its bytes', () => {
+    const writer = newWriter();
+    const large: Entry = {...ENTRY, job: 'x'.repeat(3 * 1024 * 1024)};
+    const [first] = appended(writer.enqueue([ENTRY, large, large], 0));
+    expect(first.entries).toHaveLength(2);
+    expect(writer.queued).toBe(1);
+  });
+
+  // 15 data centres share a log that takes 300 appends per second.
+  it('sends at most 20 batches per second when it is busy', () => {
+    const writer = newWriter();
+    let sent = 0;
+    for (let now = 0; now < 10_000; now++) {
+      const actions = [...writer.enqueue([ENTRY], now), ...writer.tick(now)];
+      for (const record of appended(actions)) {
+        sent++;
+        expect(appended(writer.read(record, now))).toEqual([]);
+        expect(appended(writer.answered(sent, now))).toEqual([]);
+      }
+    }
+    expect(sent).toBeLessThanOrEqual(200);
+    expect(sent).toBeGreaterThan(90);
+  });
+
+  it('sends other records alone and before waiting entries', () => {
+    const writer = newWriter();
+    const [first] = appended(writer.enqueue([ENTRY], 0));
+    expect(appended(writer.enqueue([ENTRY], 1))).toEqual([]);
+    const body = {kind: 'batch', epoch: 9, entries: []} as const;
+    expect(appended(writer.enqueueRecord(body, 2))).toEqual([]);
+    expect(appended(writer.answered(0, 3))).toEqual([]);
+    expect(appended(writer.read(first, 4))).toMatchObject([{epoch: 9}]);
+  });
+
+  it('reports the log as unavailable after 2 s without confirmation', () => {
+    const writer = newWriter();
+    const [record] = appended(writer.enqueue([ENTRY], 0));
+    expect([...writer.answered(0, 10)]).toEqual([]);
+    expect([...writer.tick(2000)]).toEqual([]);
+    const lost = {kind: 'availability', available: false};
+    expect([...writer.tick(2001)]).toEqual([lost]);
+    expect([...writer.tick(2002)]).toEqual([]);
+    expect([...writer.read(record, 3000)]).toContainEqual({
+      kind: 'availability',
+      available: true,
+    });
+  });
+
+  it('waits longer after each failure, up to a bound', () => {
+    const writer = newWriter();
+    let now = 0;
+    expect(appended(writer.enqueue([ENTRY], now))).toHaveLength(1);
+    const waits: number[] = [];
+    for (let i = 0; i < 9; i++) {
+      const failedAt = now;
+      expect(appended(writer.failed(now))).toEqual([]);
+      expect(appended(writer.caughtUp(now))).toEqual([]);
+      while (appended(writer.tick(now)).length === 0) now += 10;
+      waits.push(now - failedAt);
+    }
+    expect(waits).toEqual([100, 200, 400, 800, 1600, 3200, 5000, 5000, 5000]);
+  });
+
+  // A reader that had reached the end before the failure proves nothing.
+  it('ignores an end of the stream that was reached before a failure', () => {
+    const writer = newWriter();
+    const [record] = appended(writer.enqueue([ENTRY], 0));
+    expect(appended(writer.caughtUp(10))).toEqual([]);
+    expect(appended(writer.failed(20))).toEqual([]);
+    expect(appended(writer.tick(5000))).toEqual([]);
+    expect(appended(writer.caughtUp(5001))).toEqual([record]);
+  });
+
+  it('does not take a late answer for the answer to the next append', () => {
+    const writer = newWriter();
+    const [first] = appended(writer.enqueue([ENTRY], 0));
+    expect(appended(writer.read(first, 10))).toEqual([]);
+    expect(appended(writer.enqueue([ENTRY], 100))).toEqual([]);
+    expect(appended(writer.failed(200))).toMatchObject([{sequence: 2}]);
+    expect(writer.available).toBe(true);
+  });
+
+  it('drops entries that were not sent, but not the sent ones', () => {
+    const writer = newWriter();
+    const [first] = appended(writer.enqueue([ENTRY], 0));
+    expect(appended(writer.enqueue([ENTRY], 1))).toEqual([]);
+    expect(writer.discardEntries()).toEqual([ENTRY]);
+    expect(appended(writer.answered(0, 2))).toEqual([]);
+    expect([...writer.read(first, 3)]).toHaveLength(1);
+    expect(appended(writer.tick(1000))).toEqual([]);
+  });
 });
--- a/src/common/stream/record_writer.ts
+++ b/src/common/stream/record_writer.ts
@@ -25,6 +25,11 @@
   /** Batches in the last second from which on the stream is busy. */
   readonly busyBatches: number;
   readonly maxBatchEntries: number;
+  /**
+   * Most JSON bytes of a batch with more than one entry. Bodies of 1 MiB are
+   * allowed, so a batch of many would exceed what a log accepts.
+   */
+  readonly maxBatchBytes: number;
   readonly maxQueuedEntries: number;
   /** A confirmation that takes longer means that the log is unavailable. */
   readonly confirmMs: Millis;
@@ -33,12 +38,13 @@
   readonly maxBackoffMs: Millis;
 }
 
-/** The figures of the design page, 3.2; the back-off is chosen here. */
+/** The figures of the design page, 3.2; bytes and back-off are chosen here. */
 export const DEFAULT_WRITER_LIMITS: WriterLimits = {
   batchMs: 25,
   busyBatchMs: 100,
   busyBatches: 10,
   maxBatchEntries: 500,
+  maxBatchBytes: 4 * 1024 * 1024,
   maxQueuedEntries: 10_000,
   confirmMs: 2000,
   backoffMs: 100,
@@ -227,7 +233,18 @@
     if (record) return record;
     if (this.entries.length === 0 || !this.rate.allows(now)) return undefined;
     this.rate.sent(now);
-    return this.build(this.entries.splice(0, this.limits.maxBatchEntries));
+    return this.build(this.entries.splice(0, this.batchLength()));
+  }
+
+  private batchLength(): number {
+    const {maxBatchEntries, maxBatchBytes} = this.limits;
+    const most = Math.min(this.entries.length, maxBatchEntries);
+    let bytes = 0;
+    for (let length = 0; length < most; length++) {
+      bytes += Buffer.byteLength(JSON.stringify(this.entries[length]));
+      if (bytes > maxBatchBytes && length > 0) return length;
+    }
+    return most;
   }
 
   private backoff(): Millis {
