Keep room for views in the writer and bound the table of starts

Reading the code showed that a full queue of job entries refused a view record as well, so a leader could not change its view just when the log was slow, and that the table of start numbers grew with every new instance id.

Entries and other records now have a bound each, the table forgets the oldest ids, and the types say that messages of other data centres must not be passed on.

--- a/src/common/leadership/gone_table.ts
+++ b/src/common/leadership/gone_table.ts
@@ -110,8 +110,12 @@
     const {id, start} = memberParts(member);
     if (Number.isNaN(start)) return;
     const latest = this.latestStart.get(id);
-    if (latest === undefined || start > latest) {
-      this.latestStart.set(id, start);
+    if (latest !== undefined && start <= latest) return;
+    this.latestStart.set(id, start);
+    if (this.latestStart.size <= MAX_PROCESSES) return;
+    for (const oldest of this.latestStart.keys()) {
+      this.latestStart.delete(oldest);
+      return;
     }
   }
 
--- a/src/common/leadership/leadership.ts
+++ b/src/common/leadership/leadership.ts
@@ -36,8 +36,9 @@
  * data centre has `mayAct` true at any time, as long as clocks differ by less
  * than `driftFraction` and the instance list drops no process that runs.
  *
- * Needs a `tick` several times in each `renewMs`. Yielded actions have to be
- * carried out in order; they may be late.
+ * Needs a `tick` several times in each `renewMs`; without inputs for a lease
+ * the process counts as paused. The generator of `handle` has to be run to its
+ * end, and its actions carried out in order; they may be late.
  */
 export class Leadership {
   private readonly state: LeadershipState;
--- a/src/common/leadership/leadership_state.ts
+++ b/src/common/leadership/leadership_state.ts
@@ -108,7 +108,8 @@
     const own = view.leader === this.self;
     this.view = view;
     this.viewReadAt = now;
-    this.ownViewProposedAt = (own && this.pending?.proposedAt) || -Infinity;
+    const proposedAt = own ? this.pending?.proposedAt : undefined;
+    this.ownViewProposedAt = proposedAt ?? -Infinity;
     // A pending view that is not this one has an old base, so it is void.
     this.pending = undefined;
     this.consents.clear();
--- a/src/common/leadership/types.ts
+++ b/src/common/leadership/types.ts
@@ -2,15 +2,24 @@
 import {Instance} from '../base/platform.js';
 import {Epoch, MemberId, View, ViewRecord} from '../stream/types.js';
 
-/** Messages between entry instances of one data centre. */
+/**
+ * Messages between entry instances of one data centre. The caller passes on no
+ * messages of other data centres: epochs of different streams may be equal.
+ */
 export type LeadershipPeerMessage =
   | {readonly kind: 'grant-request'; epoch: Epoch; nonce: number}
   | {readonly kind: 'grant'; epoch: Epoch; nonce: number}
   /** Asks the leader of the view of `epoch` to add the sender to it. */
   | {readonly kind: 'join'; epoch: Epoch}
-  /** Asks a member to give up the view of `epoch`; null asks about any view. */
+  /**
+   * Asks a member to give up the view of `epoch`. Null asks whether the
+   * receiver holds any view.
+   */
   | {readonly kind: 'consent-request'; epoch: Epoch | null}
-  /** The sender holds no part in the view of `epoch` from now on. */
+  /**
+   * The sender takes no part in the view of `epoch` from now on. With null it
+   * holds no view; which of several new instances leads is decided by the log.
+   */
   | {readonly kind: 'consent'; epoch: Epoch | null}
   /** The sender holds this view; answers a consent request in its place. */
   | {readonly kind: 'view-held'; view: View}
@@ -22,7 +31,7 @@
   | {readonly kind: 'tick'}
   /** A view record was read and won its base. */
   | {readonly kind: 'view-read'; view: View}
-  /** A view record of this writer was read and is void. */
+  /** A view record that this instance wrote was read and is void. */
   | {readonly kind: 'view-void'; record: ViewRecord}
   /**
    * The reader has reached the end of the stream with the answer to a request
@@ -36,7 +45,10 @@
       readonly from: MemberId;
       readonly message: LeadershipPeerMessage;
     }
-  /** A peer link to `member` was opened: earlier starts of its id have ended. */
+  /**
+   * A peer link to `member`, of the same data centre, was opened: earlier
+   * starts of its id have ended.
+   */
   | {readonly kind: 'peer-up'; readonly member: MemberId}
   | {readonly kind: 'peer-down'; readonly member: MemberId}
   /** A newer instance list was read, with a request sent at `sentAt`. */
--- a/src/common/stream/record_writer.test.ts
+++ b/src/common/stream/record_writer.test.ts
@@ -69,6 +69,9 @@
     const many = Array<Entry>(DEFAULT_WRITER_LIMITS.maxQueuedEntries);
     expect(appended(writer.enqueue(many.fill(ENTRY), 0))).toHaveLength(1);
     expect(() => appended(writer.enqueue(many, 0))).toThrow(QueueFull);
+    // A view has to get through when the jobs fill their queue.
+    const body = {kind: 'batch', epoch: 0, entries: []} as const;
+    expect(() => appended(writer.enqueueRecord(body, 0))).not.toThrow();
   });
 
   it('sends at most 500 entries in a batch', () => {
--- a/src/common/stream/record_writer.ts
+++ b/src/common/stream/record_writer.ts
@@ -30,6 +30,7 @@
    * allowed, so a batch of many would exceed what a log accepts.
    */
   readonly maxBatchBytes: number;
+  /** For entries and for other records each: a view needs no room of jobs. */
   readonly maxQueuedEntries: number;
   /** A confirmation that takes longer means that the log is unavailable. */
   readonly confirmMs: Millis;
@@ -115,7 +116,7 @@
    * @throws QueueFull when there is no room for all of them.
    */
   *enqueue(entries: readonly E[], now: Millis): Generator<WriterAction<T>> {
-    this.checkRoom(entries.length);
+    this.checkRoom(this.entries.length + entries.length);
     this.entries.push(...entries);
     yield* this.send(now);
   }
@@ -126,7 +127,7 @@
    * @throws QueueFull when there is no room for it.
    */
   *enqueueRecord(body: Body<T>, now: Millis): Generator<WriterAction<T>> {
-    this.checkRoom(1);
+    this.checkRoom(this.records.length + 1);
     this.records.push(body);
     yield* this.send(now);
   }
@@ -196,7 +197,7 @@
   }
 
   private checkRoom(count: number): void {
-    if (this.queued + count > this.limits.maxQueuedEntries) {
+    if (count > this.limits.maxQueuedEntries) {
       throw new QueueFull(this.limits.maxQueuedEntries);
     }
   }
