Add the capacity benchmark with the scheduler's slopes

The design page states a two-year size, and no figure said whether one scheduler can carry it. The sub-command capacity drives the scheduler core with workers and a log in memory and fits a line through the processor time at four or more sizes.

--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,45 @@
+import {writeFileSync} from 'node:fs';
+import {loadavg} from 'node:os';
+import {Curve, Measurement, formatCurve, measure} from './capacity_measure.js';
+import {SCHEDULER_MEASUREMENTS} from './capacity_scheduler.js';
+
+/** Options of the capacity benchmark. */
+export interface CapacityOptions {
+  /** File for the figures as JSON. */
+  readonly json: string | undefined;
+  /** Parts to run; all when empty. */
+  readonly parts: readonly string[];
+}
+
+/** The parts of the benchmark by name. */
+const PARTS: Readonly<Record<string, readonly Measurement[]>> = {
+  scheduler: SCHEDULER_MEASUREMENTS,
+};
+
+/** Measures the slopes of docs/CAPACITY.md and prints them as tables. */
+export async function runCapacityBenchmark(
+  options: CapacityOptions,
+): Promise<void> {
+  const names = options.parts.length > 0 ? options.parts : Object.keys(PARTS);
+  const unknown = names.find(name => !Object.hasOwn(PARTS, name));
+  if (unknown !== undefined) {
+    throw new Error(
+      `Unknown part "${unknown}". Known: ${Object.keys(PARTS).join(', ')}.`,
+    );
+  }
+  const startedAt = Date.now();
+  const results: Record<string, Curve[]> = {};
+  for (const name of names) {
+    console.log(`## ${name}, load average ${loadavg()[0].toFixed(1)}\n`);
+    results[name] = [];
+    for (const measurement of PARTS[name]) {
+      const curve = await measure(measurement);
+      results[name].push(curve);
+      console.log(formatCurve(curve));
+    }
+  }
+  console.log(`Took ${((Date.now() - startedAt) / 1000).toFixed(1)} s.`);
+  if (options.json !== undefined) {
+    writeFileSync(options.json, JSON.stringify(results, undefined, 2));
+  }
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import meow from 'meow';
+import {runCapacityBenchmark} from './capacity.js';
 import {EntryBenchmarkOptions, runEntryBenchmark} from './entry.js';
 
 const cli = meow(
@@ -7,18 +8,21 @@
     $ npm run bench -- <command> [options]
 
   Commands
-    entry   added latency and throughput of the request path on loopback
+    entry     added latency and throughput of the request path on loopback
+    capacity  slopes of processor time, memory and bytes by size
 
   Options
     --json FILE        write the figures to FILE as JSON
     --seconds N        measuring time of each step (default 2)
     --concurrency N,…  requests at the same time (default 1,4,16,64,256,512)
+    --part NAME,…      parts of the capacity benchmark (default all)
 `,
   {
     importMeta: import.meta,
     flags: {
       json: {type: 'string'},
       seconds: {type: 'number', default: 2},
+      part: {type: 'string', default: ''},
       concurrency: {type: 'string', default: '1,4,16,64,256,512'},
     },
   },
@@ -48,11 +52,18 @@
 /** The benchmarks by name. */
 const COMMANDS: Readonly<Record<string, () => Promise<void>>> = {
   entry: () => runEntryBenchmark(entryOptions()),
+  capacity: () =>
+    runCapacityBenchmark({
+      json: cli.flags.json,
+      parts: cli.flags.part.split(',').filter(part => part !== ''),
+    }),
 };
 
 const [name = ''] = cli.input;
 if (!Object.hasOwn(COMMANDS, name)) {
-  console.error(`Unknown benchmark "${name}". Known: entry.`);
+  console.error(
+    `Unknown benchmark "${name}". Known: ${Object.keys(COMMANDS).join(', ')}.`,
+  );
   process.exitCode = 2;
 } else {
   try {
--- /dev/null
+++ b/bench/scheduler_rig.ts
@@ -0,0 +1,292 @@
+import {
+  Instance,
+  InstanceRole,
+  InstanceState,
+  TaskState,
+  TaskStatus,
+} from '../src/common/base/platform.js';
+import {Size} from '../src/common/base/size.js';
+import {Scheduler} from '../src/common/jobs/scheduler.js';
+import {
+  JobRecord,
+  SchedulerAction,
+  SchedulerMessage,
+  Submission,
+} from '../src/common/jobs/types.js';
+import {EMPTY_CONFIGURATION, Urgency} from '../src/common/tickets/types.js';
+import {ProcessorMeter} from './capacity_measure.js';
+
+/** Teams of the two-year size. */
+const TEAMS = 150;
+
+/** Size of a worker of the first user, see the design page, 1.1. */
+const WORKER: Size = {processors: 64, memoryMb: 250_000, accelerators: 0};
+
+/** Lets 64 tasks run on a worker. */
+const TASK: Size = {processors: 1, memoryMb: 2000, accelerators: 0};
+
+const AMPLE: Size = {processors: 1e6, memoryMb: 1e12, accelerators: 0};
+const WORKERS_PER_RACK = 11;
+const TICK_MS = 25;
+const EPOCH = 1;
+const UNIX_MS = 1.7e12;
+
+/** A worker of the data centre in memory. */
+interface WorkerState {
+  readonly id: string;
+  readonly tasks: Map<string, TaskStatus & {readonly endsAt: number}>;
+}
+
+/** Options of a rig. */
+export interface RigOptions {
+  readonly workers: number;
+  readonly runMs: number;
+  /** Quota of each team in processors; ample by default. */
+  readonly teamProcessors?: number;
+  readonly idempotent?: boolean;
+}
+
+/** Builds the entry of a worker in the instance list. */
+export function workerInstance(index: number): Instance {
+  return {
+    id: `worker-${index}`,
+    role: InstanceRole.WORKER,
+    start: 1,
+    dataCentre: 'north',
+    rack: `rack-${Math.floor(index / WORKERS_PER_RACK)}`,
+    host: '127.0.0.1',
+    port: 9000,
+    peerPort: 0,
+    state: InstanceState.LIVE,
+    capacity: WORKER,
+    services: [],
+    slots: 8,
+    connections: 64,
+  };
+}
+
+/** Builds a submission of the form that the two users' jobs have. */
+export function submission(
+  index: number,
+  runMs: number,
+  idempotent = true,
+): Submission {
+  return {
+    key: `2026-12-04-nesting-${index}`,
+    jobClass: 'nesting',
+    team: `team-${index % TEAMS}`,
+    urgency: Urgency.NORMAL,
+    size: TASK,
+    runMs,
+    idempotent,
+    payload: {pattern: `pattern-${index}`, fabric: 'wool-140cm', pieces: 24},
+  };
+}
+
+/**
+ * Drives a scheduler that leads, with workers and a log in memory. Only the
+ * time inside the scheduler is metered; what the workers and the log do is not.
+ */
+export class SchedulerRig {
+  readonly meter = new ProcessorMeter();
+  readonly scheduler: Scheduler;
+  starts = 0;
+  ends = 0;
+  polls = 0;
+  /** Entries and bytes that were appended. */
+  records = 0;
+  recordBytes = 0;
+  checkpoints = 0;
+  checkpointBytes = 0;
+  refusals = 0;
+  private now = 1000;
+  private submitted = 0;
+  private offset = EPOCH;
+  private readonly workers = new Map<string, WorkerState>();
+  private batches: JobRecord[][] = [];
+  private polled = new Set<string>();
+
+  constructor(private readonly options: RigOptions) {
+    this.scheduler = new Scheduler(
+      {mayAct: () => true, leaseUntil: now => now + 3000},
+      {dataCentre: 'north', queueLimit: 1e6},
+    );
+    const instances = Array.from({length: options.workers}, (unused, i) =>
+      workerInstance(i),
+    );
+    for (const {id} of instances) this.workers.set(id, {id, tasks: new Map()});
+    const processors = options.teamProcessors;
+    const quota = processors === undefined ? AMPLE : {...AMPLE, processors};
+    const teams = Object.fromEntries(
+      Array.from({length: TEAMS}, (unused, i) => [
+        `team-${i}`,
+        {quota, weight: 1},
+      ]),
+    );
+    this.send({kind: 'log', available: true});
+    this.send({
+      kind: 'configuration',
+      configuration: {...EMPTY_CONFIGURATION, number: 1, teams},
+    });
+    this.send({kind: 'instances', instances});
+    this.send({kind: 'lead', epoch: EPOCH});
+    this.step();
+    this.step();
+  }
+
+  /** Submits `count` jobs in one go. */
+  submit(count: number): void {
+    const {runMs, idempotent} = this.options;
+    const messages: SchedulerMessage[] = [];
+    for (let i = 0; i < count; i++) {
+      const index = this.submitted++;
+      messages.push({
+        kind: 'submit',
+        request: String(index),
+        submission: submission(index, runMs, idempotent),
+      });
+    }
+    this.sendAll(messages);
+  }
+
+  /** One tick, then the statuses that were asked for, then the batches. */
+  step(): void {
+    this.now += TICK_MS;
+    this.send({kind: 'tick'});
+    const polled = [...this.polled];
+    this.polled.clear();
+    this.sendAll(polled.map(id => this.statusOf(id)));
+    this.readBack();
+  }
+
+  /** Hands in the batches that were appended, without a tick. */
+  readBack(): void {
+    const batches = this.batches;
+    this.batches = [];
+    this.sendAll(batches.map(entries => this.batchRead(entries)));
+  }
+
+  /** Steps through `ms` milliseconds of simulated time. */
+  advance(ms: number, eachStep: () => void = () => undefined): void {
+    for (let passed = 0; passed < ms; passed += TICK_MS) {
+      eachStep();
+      this.step();
+    }
+  }
+
+  /** Hands in a message again that the instance list client sends each second. */
+  sendList(): void {
+    const instances = [...this.workers.keys()].map((unused, i) =>
+      workerInstance(i),
+    );
+    this.send({kind: 'instances', instances});
+  }
+
+  private statusOf(id: string): SchedulerMessage {
+    const worker = this.workers.get(id)!;
+    const tasks = [...worker.tasks.values()].map(task => ({
+      ...task,
+      state: task.endsAt <= this.now ? TaskState.FINISHED : TaskState.RUNNING,
+    }));
+    return {
+      kind: 'worker-status',
+      worker: id,
+      status: {id, nowMs: this.now, leaving: false, tasks},
+      sentAt: this.now,
+      receivedAt: this.now,
+    };
+  }
+
+  private batchRead(entries: JobRecord[]): SchedulerMessage {
+    return {
+      kind: 'batch-read',
+      offset: ++this.offset,
+      // A reader gets what the log stored, never the writer's own objects.
+      batch: {
+        kind: 'batch',
+        writer: 'north-entry-1#1',
+        sequence: this.offset,
+        epoch: EPOCH,
+        entries: JSON.parse(JSON.stringify(entries)) as JobRecord[],
+      },
+      own: true,
+    };
+  }
+
+  private send(message: SchedulerMessage): void {
+    this.sendAll([message]);
+  }
+
+  private sendAll(messages: readonly SchedulerMessage[]): void {
+    if (messages.length === 0) return;
+    const {scheduler, now} = this;
+    const actions = this.meter.run(() => {
+      const done: SchedulerAction[] = [];
+      for (const message of messages) {
+        for (const action of scheduler.handle(message, now, UNIX_MS + now)) {
+          done.push(action);
+        }
+      }
+      return done;
+    });
+    for (const action of actions) this.carryOut(action);
+  }
+
+  private carryOut(action: SchedulerAction): void {
+    switch (action.kind) {
+      case 'append':
+        this.append([...action.entries]);
+        break;
+      case 'start':
+        this.startTask(action);
+        break;
+      case 'poll':
+        this.polls++;
+        this.polled.add(action.worker);
+        break;
+      case 'forget-task':
+        this.workers.get(action.worker)?.tasks.delete(action.task);
+        break;
+      case 'job-ended':
+        this.ends++;
+        break;
+      case 'answer':
+        if (action.answer.isLeft()) this.refusals++;
+        break;
+      case 'violation':
+        throw new Error(`The rig broke the rule ${action.rule}.`);
+    }
+  }
+
+  private append(entries: JobRecord[]): void {
+    const bytes = Buffer.byteLength(JSON.stringify(entries));
+    if (entries[0].kind === 'checkpoint') {
+      if (entries[0].part === 0) this.checkpoints++;
+      this.checkpointBytes += bytes;
+    } else {
+      this.records += entries.length;
+      this.recordBytes += bytes;
+    }
+    this.batches.push(entries);
+  }
+
+  private startTask(
+    action: Extract<SchedulerAction, {readonly kind: 'start'}>,
+  ): void {
+    this.starts++;
+    const {task, worker, start} = action;
+    this.workers.get(worker)?.tasks.set(task, {
+      task,
+      job: start.job,
+      kind: start.kind,
+      state: TaskState.RUNNING,
+      leaseUntilMs: start.leaseUntilMs,
+      size: start.size,
+      usage: start.size,
+      progress: 0.5,
+      checkpoint: 0,
+      endsAt: this.now + start.runMs,
+    });
+    this.polled.add(worker);
+  }
+}
