--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -51,7 +51,10 @@
   private readonly operators: JsonServer;
   private readonly startNumber = Date.now();
   private timer: NodeJS.Timeout | undefined;
+  /** Not ready any more: shutting down, or drained by a ticket. */
   private draining = false;
+  private stopping = false;
+  private left: Promise<void> | undefined;
   private nextSlowdownsAt: Millis = 0;
 
   constructor(
@@ -92,17 +95,10 @@
    * lead over, and waits for requests in flight up to `drainMs`.
    */
   async stop(): Promise<void> {
-    if (this.draining) return;
-    this.draining = true;
+    if (this.stopping) return;
+    this.stopping = true;
     const end = Date.now() + this.settings.timeouts.drainMs;
-    const dataCentre = this.kernel.get('dataCentre');
-    this.logger.withTag('daemon').info('The daemon is draining.');
-    this.kernel.get('peerStates').send();
-    dataCentre.drain();
-    await this.waitUntil(() => false, Date.now() + UNREADY_MS);
-    await this.waitUntil(() => dataCentre.settled, end);
-    // A start that may still take effect would meet the next leader's survey.
-    if (dataCentre.settled) dataCentre.handOver();
+    await this.leave();
     const closed = this.callers.close();
     const proxy = this.kernel.get('routing').proxy;
     await this.waitUntil(() => proxy.inFlight === 0, end);
@@ -114,6 +110,28 @@
     this.logger.withTag('daemon').info('The daemon has stopped.');
   }
 
+  /**
+   * Takes this instance out of use: it says that it is not ready and hands the
+   * lead over. It goes on serving what reaches it until the process ends.
+   */
+  private leave(): Promise<void> {
+    this.left ??= this.drain();
+    return this.left;
+  }
+
+  private async drain(): Promise<void> {
+    this.draining = true;
+    const end = Date.now() + this.settings.timeouts.drainMs;
+    const dataCentre = this.kernel.get('dataCentre');
+    this.logger.withTag('daemon').info('The daemon is draining.');
+    this.kernel.get('peerStates').send();
+    dataCentre.drain();
+    await this.waitUntil(() => false, Date.now() + UNREADY_MS);
+    await this.waitUntil(() => dataCentre.settled, end);
+    // A start that may still take effect would meet the next leader's survey.
+    if (dataCentre.settled) dataCentre.handOver();
+  }
+
   /** Frees everything at once; requests in flight are cut. */
   dispose(): void {
     clearInterval(this.timer);
@@ -197,9 +215,11 @@
       }),
     );
     kernel.get('list').onList(read => dataCentre.takeList(read));
-    tickets.state.onChange(configuration =>
-      dataCentre.takeConfiguration(configuration),
-    );
+    tickets.state.onChange(configuration => {
+      dataCentre.takeConfiguration(configuration);
+      const own = configuration.instances[settings.instance];
+      if (own?.state === 'leaving') void this.leave();
+    });
     const metrics = kernel.get('metrics');
     dataCentre.onJobEnd(job => metrics.jobsEnded.inc({state: job.state}));
   }
--- a/src/daemon/ticket_service.ts
+++ b/src/daemon/ticket_service.ts
@@ -136,7 +136,7 @@
 
   /** Time since the end of the stream was last known. */
   get ageMs(): Millis {
-    return this.clock.now() - this.channel.lastCaughtUpAt;
+    return Math.round(this.clock.now() - this.channel.lastCaughtUpAt);
   }
 
   report(): TicketReport {
