Compose leadership, stream and scheduler in a seeded soak

The cores were proved apart, each against a stand-in of the others. The soak runs them together with fake workers under random faults in simulated time and judges by the workers' ledger.

--- a/src/common/leadership/testing/simulated_process.ts
+++ b/src/common/leadership/testing/simulated_process.ts
@@ -5,10 +5,11 @@
   DataCentreReader,
 } from '../../stream/data_centre_reader.js';
 import {RecordWriter, WriterAction} from '../../stream/record_writer.js';
-import {DataCentreRecord, MemberId} from '../../stream/types.js';
+import {DataCentreRecord, MemberId, View} from '../../stream/types.js';
 import {Leadership} from '../leadership.js';
 import {LeadershipAction, LeadershipMessage} from '../types.js';
 import {DATA_CENTRE} from './instance_for.js';
+import {ProcessApplication} from './process_application.js';
 import type {LogAnswer, World} from './world.js';
 
 const TICK_MS: Millis = 50;
@@ -29,12 +30,15 @@
   private readAnswered = true;
   private logAvailable = true;
   private jobs = 0;
+  private leading: View | undefined;
+  private readonly application: ProcessApplication | undefined;
 
   constructor(
     private readonly world: World,
     readonly id: string,
     readonly member: MemberId,
     private readonly rate: number,
+    application?: (process: SimulatedProcess) => ProcessApplication,
   ) {
     this.clockStart = world.between(0, 1e6);
     this.core = new Leadership({
@@ -44,9 +48,30 @@
     });
     this.writer = new RecordWriter(member, entries => ({
       kind: 'batch',
-      epoch: this.core.view?.epoch ?? 0,
+      epoch: (this.leading ?? this.core.view)?.epoch ?? 0,
       entries,
     }));
+    this.application = application?.(this);
+    this.application?.log(true);
+  }
+
+  /** End of the lease on the process's clock. */
+  leaseUntil(now: Millis): Millis {
+    return this.core.leaseUntil(now);
+  }
+
+  mayActAt(now: Millis): boolean {
+    return this.core.mayAct(now);
+  }
+
+  /** Appends entries of the application. */
+  append(entries: readonly JobRecord[]): void {
+    this.write(this.writer.enqueue(entries, this.now));
+  }
+
+  /** Runs `run` after `delay` of true time, or when a pause ends. */
+  later(delay: Millis, run: () => void): void {
+    this.world.queue.after(delay, () => this.deliver(run));
   }
 
   /** The process's own clock. */
@@ -113,8 +138,22 @@
         `${this.member} ${action.kind} ${action.view?.epoch} ` +
           `(${action.view?.leader})`,
       );
-      if (action.kind === 'follow') this.writer.discardEntries();
+      this.changeRole(action);
+    }
+  }
+
+  private changeRole(
+    action: Extract<LeadershipAction, {kind: 'lead' | 'follow'}>,
+  ): void {
+    if (action.kind === 'follow') {
+      this.leading = undefined;
+      this.writer.discardEntries();
+      this.application?.follow();
+      return;
     }
+    this.leading = action.view;
+    if (!action.continued) this.writer.discardEntries();
+    this.application?.lead(action.view, action.continued);
   }
 
   private write(actions: Iterable<WriterAction<DataCentreRecord>>): void {
@@ -137,7 +176,9 @@
     this.give({kind: 'tick'});
     this.write(this.writer.tick(this.now));
     this.reportLog();
-    if (this.mayAct && this.writer.queued < 3) {
+    if (this.application !== undefined) {
+      this.application.tick();
+    } else if (this.mayAct && this.writer.queued < 3) {
       const job = `${this.member}/${this.jobs++}`;
       const entry = {kind: 'cancelled', timeMs: 0, job} as const;
       this.write(this.writer.enqueue([entry], this.now));
@@ -173,6 +214,9 @@
     }
     if (event.kind === 'batch-in-force') this.batches.push(event.offset);
     const own = event.record.writer === this.member;
+    if (event.kind === 'batch-in-force') {
+      this.application?.batch(event.offset, event.record, own);
+    }
     if (event.kind === 'view-void' && own) {
       this.give({kind: 'view-void', record: event.record});
     }
@@ -184,6 +228,7 @@
     if (available === this.logAvailable) return;
     this.logAvailable = available;
     this.give({kind: 'log', available});
+    this.application?.log(available);
   }
 
   private list(): void {
--- a/src/common/leadership/testing/world.ts
+++ b/src/common/leadership/testing/world.ts
@@ -8,6 +8,7 @@
 import {Conditions} from './conditions.js';
 import {EventQueue} from './event_queue.js';
 import {instanceFor} from './instance_for.js';
+import {ProcessApplication} from './process_application.js';
 import {SimulatedProcess} from './simulated_process.js';
 
 /** How long a writer waits for the answer to an append. */
@@ -43,7 +44,16 @@
   private readonly starts = new Map<string, number>();
   private readonly generator;
 
-  constructor(seed: number) {
+  /**
+   * @param application makes what runs in each process; without it a leader
+   *   appends batches without a meaning.
+   */
+  constructor(
+    seed: number,
+    private readonly application?: (
+      process: SimulatedProcess,
+    ) => ProcessApplication,
+  ) {
     this.generator = xoroshiro128plus(seed);
   }
 
@@ -69,7 +79,13 @@
     this.starts.set(id, start);
     const member = memberId(id, start);
     const rate = this.between(1 - RATE_SPREAD, 1 + RATE_SPREAD);
-    const process = new SimulatedProcess(this, id, member, rate);
+    const process = new SimulatedProcess(
+      this,
+      id,
+      member,
+      rate,
+      this.application,
+    );
     this.note(`start ${member} rate ${rate.toFixed(4)}`);
     for (const other of this.processes.values()) {
       this.linkUp(process, other);
--- /dev/null
+++ b/tests/soak_application.ts
@@ -0,0 +1,182 @@
+import {Either} from 'purify-ts';
+import {Millis} from '../src/common/base/clock.js';
+import {Refusal} from '../src/common/base/refusal.js';
+import {FakeWorker} from '../src/common/jobs/fake_worker.test_support.js';
+import {Scheduler} from '../src/common/jobs/scheduler.js';
+import {
+  SchedulerAction,
+  SchedulerAnswer,
+  SchedulerMessage,
+} from '../src/common/jobs/types.js';
+import {ProcessApplication} from '../src/common/leadership/testing/process_application.js';
+import {SimulatedProcess} from '../src/common/leadership/testing/simulated_process.js';
+import {World} from '../src/common/leadership/testing/world.js';
+import {BatchRecord, Offset, View} from '../src/common/stream/types.js';
+import {EMPTY_CONFIGURATION} from '../src/common/tickets/types.js';
+
+export const DATA_CENTRE = 'dc-1';
+
+/** Few, so that a run has several checkpoints. */
+const CHECKPOINT_RECORDS = 30;
+
+/** Time after which an unanswered call to a worker is given up. */
+const CALL_TIMEOUT_MS: Millis = 800;
+
+const LIST_MS: Millis = 1000;
+
+const LOST_ANSWERS = 0.1;
+const LATE_MESSAGES = 0.05;
+
+const QUOTA = {processors: 100, memoryMb: 100_000, accelerators: 10};
+
+export type Answer = Either<Refusal, SchedulerAnswer>;
+
+type WorkerAction = Exclude<
+  SchedulerAction,
+  {kind: 'append' | 'answer' | 'violation' | 'job-ended'}
+>;
+
+/** A scheduler on top of the leadership of a simulated process. */
+export class SoakApplication implements ProcessApplication {
+  readonly scheduler: Scheduler;
+  readonly violations: string[] = [];
+  private readonly answers = new Map<string, (answer: Answer) => void>();
+  private nextListAt: Millis = -Infinity;
+
+  constructor(
+    private readonly process: SimulatedProcess,
+    private readonly world: World,
+    private readonly workers: ReadonlyMap<string, FakeWorker>,
+  ) {
+    this.scheduler = new Scheduler(
+      {
+        mayAct: now => process.mayActAt(now),
+        leaseUntil: now => process.leaseUntil(now),
+      },
+      {dataCentre: DATA_CENTRE, checkpointRecords: CHECKPOINT_RECORDS},
+    );
+    const teams = {team: {quota: QUOTA, weight: 1}};
+    const configuration = {...EMPTY_CONFIGURATION, number: 1, teams};
+    this.send({kind: 'configuration', configuration});
+  }
+
+  lead(view: View, continued: boolean): void {
+    this.send({kind: 'lead', epoch: view.epoch, continued});
+  }
+
+  follow(): void {
+    this.send({kind: 'follow'});
+  }
+
+  batch(offset: Offset, batch: BatchRecord, own: boolean): void {
+    this.send({kind: 'batch-read', offset, batch, own});
+  }
+
+  log(available: boolean): void {
+    this.send({kind: 'log', available});
+  }
+
+  tick(): void {
+    if (this.world.time >= this.nextListAt) {
+      this.nextListAt = this.world.time + LIST_MS;
+      const instances = [...this.workers.values()].map(worker => ({
+        ...worker.instance,
+        dataCentre: DATA_CENTRE,
+      }));
+      this.send({kind: 'instances', instances});
+    }
+    this.send({kind: 'tick'});
+  }
+
+  /** Sends a caller's request. */
+  ask(
+    request: string,
+    message: SchedulerMessage,
+    answer: (answer: Answer) => void,
+  ): void {
+    this.answers.set(request, answer);
+    this.process.later(0, () => this.send(message));
+  }
+
+  private send(message: SchedulerMessage): void {
+    const actions = this.scheduler.handle(
+      message,
+      this.process.now,
+      this.world.time,
+    );
+    for (const action of actions) this.act(action);
+  }
+
+  private act(action: SchedulerAction): void {
+    if (action.kind === 'append') {
+      this.process.append(action.entries);
+    } else if (action.kind === 'answer') {
+      this.answers.get(action.request)?.(action.answer);
+      this.answers.delete(action.request);
+    } else if (action.kind === 'violation') {
+      this.violations.push(`${action.rule} ${action.worker} ${action.task}`);
+    } else if (action.kind !== 'job-ended') {
+      this.call(action);
+    }
+  }
+
+  /** Calls a worker; the request and the answer take time or are lost. */
+  private call(action: WorkerAction): void {
+    const {world, process} = this;
+    const sentAt = process.now;
+    const worker = this.workers.get(action.worker);
+    world.queue.after(this.latency(), () => {
+      const message =
+        worker !== undefined && worker.isReachable
+          ? this.carryOut(action, worker, sentAt)
+          : undefined;
+      if (message === undefined || world.random() < LOST_ANSWERS) {
+        process.later(CALL_TIMEOUT_MS, () =>
+          this.send({kind: 'worker-unreachable', worker: action.worker}),
+        );
+        return;
+      }
+      process.later(this.latency(), () => this.send(message()));
+    });
+  }
+
+  private carryOut(
+    action: WorkerAction,
+    worker: FakeWorker,
+    sentAt: Millis,
+  ): () => SchedulerMessage {
+    const now = this.world.time;
+    const {id} = worker;
+    if (action.kind === 'start') {
+      const {task} = action;
+      if (!worker.startTask(task, action.start, now)) {
+        return () => ({kind: 'start-refused', worker: id, task});
+      }
+    } else if (action.kind === 'poll') {
+      worker.renew(action.leases, now);
+    } else if (action.kind === 'stop-task') {
+      worker.stop(action.task, now);
+    } else if (action.kind === 'forget-task') {
+      worker.forget(action.task, now);
+    } else if (action.kind === 'checkpoint-task') {
+      worker.checkpoint(action.task, now);
+    } else {
+      worker.throttle(action.task, action.share, now);
+    }
+    const status = worker.status(now);
+    return () => ({
+      kind: 'worker-status',
+      worker: id,
+      status,
+      sentAt,
+      receivedAt: this.process.now,
+    });
+  }
+
+  private latency(): Millis {
+    const {world} = this;
+    return world.random() < LATE_MESSAGES
+      ? world.between(50, 5000)
+      : world.between(0.5, 8);
+  }
+}
