Add a Promela model of the ownership protocol

Change: spec/ownership.pml models views, grants, takeover, joining, hand-over and the lease fence on starts, with mutations selected by -D flags.

--- /dev/null
+++ b/spec/ownership.pml
@@ -0,0 +1,320 @@
+/*
+ * Ownership of the workers of one data centre: views, grants, takeover
+ * (docs/design.md 3.1), hand-over (3.7) and the fence on late starts (3.1).
+ *
+ * Three instances: 0 leads the first view {0, 1}, 1 is a member and 2 is a
+ * newcomer; -DTHREE_MEMBERS starts with {0, 1, 2}. Pauses, slow links, lost
+ * messages and an unreachable log need no transitions of their own: no step
+ * has a deadline, and time may pass before any of them.
+ *
+ * Time is a tick that decrements all counters. A member counts LEASE ticks.
+ * The leader's clock, and the worker's clock after it, lose DRIFT ticks during
+ * a lease; the leader subtracts ALLOWANCE ticks from what it counts.
+ *
+ * Only views that won are stored, so the stream is a chain: the base of view
+ * k is view k - 1. An append that is in flight stays in flight until a view
+ * with its base exists. This covers a lost answer, a second append with the
+ * same sequence, and an append that arrives after its writer has ended.
+ *
+ * Mutations are selected by -D flags; docs/MODEL.md lists them.
+ */
+
+#ifndef LEASE
+#define LEASE 2
+#endif
+#ifndef VIEWS
+#define VIEWS 3
+#endif
+#define DRIFT 1
+#ifdef NO_DRIFT_ALLOWANCE
+#define ALLOWANCE 0
+#else
+#define ALLOWANCE 1
+#endif
+#define COUNTED (LEASE + DRIFT - ALLOWANCE)
+
+#define BIT(m) (1 << (m))
+
+/* The stream: view k has a leader, a set of members, and the number of
+   changes of leader up to it. `cur` is the view in force. */
+byte cur = 0;
+byte viewLeader[VIEWS];
+byte viewMembers[VIEWS];
+byte viewTerm[VIEWS];
+
+/* Each instance: the last view that it has read, and its own append. A process
+   resigns when it shuts down, so it never leads again. */
+byte known[3];
+bool pending[3];
+byte pendingMembers[3];
+bool resigned[3];
+byte resignTo[3];
+
+/* The instance list has dropped the instance; its process has ended. */
+bool gone[3];
+byte goneWait[3];
+
+/* A member's own promise, in ticks. */
+byte promise[3];
+
+/* Ticks that leader i still counts of member m's grant, at 3 * i + m. */
+byte grantLeft[9];
+
+/* One start that is on its way to the worker, and the latest survey. */
+bool startSent;
+byte startFrom;
+byte startTerm;
+byte startLeft;
+byte surveyTerm;
+
+#define MEMBERS(i) viewMembers[known[i]]
+#define LEADS(i) (!gone[i] && viewLeader[known[i]] == i && !resigned[i])
+#ifdef NO_UNION
+#define NEEDED(i) MEMBERS(i)
+#else
+#define NEEDED(i) (MEMBERS(i) | pendingMembers[i])
+#endif
+#ifdef GONE_NEEDS_NO_GRANT
+#define EXEMPT(m) gone[m]
+#else
+#define EXEMPT(m) false
+#endif
+#define GRANTED(i, m) \
+  ((m) == (i) || !(NEEDED(i) & BIT(m)) || EXEMPT(m) || grantLeft[3*(i)+(m)] > 0)
+#define MAY_ACT(i) \
+  (LEADS(i) && GRANTED(i, 0) && GRANTED(i, 1) && GRANTED(i, 2))
+
+inline clearGrants(w) {
+  grantLeft[3*w] = 0; grantLeft[3*w+1] = 0; grantLeft[3*w+2] = 0
+}
+
+/* Sends the append of a view that follows the last view read. */
+#define CAN_APPEND(i) (!gone[i] && !pending[i] && known[i] < VIEWS - 1)
+
+inline append(w, set) {
+  pending[w] = true;
+  pendingMembers[w] = set
+}
+
+/* Reads one record. Grants survive a view of the same leader, because the
+   promise of a member does not depend on the view. */
+inline read(w) {
+  known[w]++;
+  pending[w] = false;
+  pendingMembers[w] = 0;
+#ifdef RESIGN_ENDS_WITH_VIEW
+  resigned[w] = false;
+#endif
+  resignTo[w] = 0;
+  if
+  :: viewLeader[known[w]] == w && viewLeader[known[w] - 1] == w -> skip
+  :: else -> clearGrants(w)
+  fi;
+#ifndef NO_WAIT_AFTER_JOIN
+  /* The leader may still hold a lease from before this member's grant was
+     needed, so the member waits as if it had granted just now. */
+  if
+  :: (MEMBERS(w) & BIT(w)) && !(viewMembers[known[w] - 1] & BIT(w)) &&
+     viewLeader[known[w]] != w -> promise[w] = LEASE
+  :: else -> skip
+  fi
+#endif
+}
+
+/* The member answers only a leader of the view that it has read itself, and
+   never while its own takeover is undecided. Request and grant are one step:
+   a delay of either only shortens what the leader counts, because it counts
+   from the time of the request. */
+#ifdef GRANT_DURING_TAKEOVER
+#define UNDECIDED(m) false
+#else
+#define UNDECIDED(m) pending[m]
+#endif
+#ifdef GRANT_ANY_EPOCH
+#define SAME_VIEW(i, m) true
+#else
+#define SAME_VIEW(i, m) (known[m] == known[i] && viewLeader[known[m]] == (i))
+#endif
+#define CAN_GRANT(i, m) \
+  (LEADS(i) && (m) != (i) && (NEEDED(i) & BIT(m)) && !gone[m] && \
+   SAME_VIEW(i, m) && !UNDECIDED(m))
+
+inline grant(w, p) {
+  grantLeft[3*w+p] = COUNTED;
+  promise[p] = LEASE
+}
+
+#ifdef NO_WAIT_FOR_OWN_GRANT
+#define PROMISE_OVER(m) true
+#else
+#define PROMISE_OVER(m) (promise[m] == 0)
+#endif
+
+#ifdef NO_WAIT_AFTER_GONE
+#define ENDED(m) gone[m]
+#else
+#define ENDED(m) (gone[m] && goneWait[m] == 0)
+#endif
+#define ALL_ENDED(set) \
+  ((!((set) & 1) || ENDED(0)) && (!((set) & 2) || ENDED(1)) && \
+   (!((set) & 4) || ENDED(2)))
+
+#define MIN_GRANT(i, m, best) \
+  if \
+  :: (NEEDED(i) & BIT(m)) && !EXEMPT(m) && grantLeft[3*i+m] < best -> \
+     best = grantLeft[3*i+m] \
+  :: else -> skip \
+  fi
+
+#ifdef RESIGN_WITH_OPEN_STARTS
+#define STARTS_SETTLED(i) true
+#else
+#define STARTS_SETTLED(i) !(startSent && startFrom == (i) && startLeft > 0)
+#endif
+
+proctype Instance(byte i) {
+  byte a = (i + 1) % 3;
+  byte b = (i + 2) % 3;
+  do
+  /* Reading the stream. */
+  :: d_step { !gone[i] && known[i] < cur -> read(i) }
+
+  /* Leader: grants. */
+  :: d_step { CAN_GRANT(i, a) -> grant(i, a) }
+  :: d_step { CAN_GRANT(i, b) -> grant(i, b) }
+
+  /* Member: takeover. */
+  :: d_step { CAN_APPEND(i) && (MEMBERS(i) & BIT(i)) &&
+       viewLeader[known[i]] != i && PROMISE_OVER(i) ->
+     append(i, MEMBERS(i) & ~BIT(viewLeader[known[i]])) }
+
+  /* Leader: adds or removes a member. */
+  :: d_step { LEADS(i) && CAN_APPEND(i) && !gone[a] ->
+     append(i, MEMBERS(i) | BIT(a)) }
+  :: d_step { LEADS(i) && CAN_APPEND(i) && !gone[b] ->
+     append(i, MEMBERS(i) | BIT(b)) }
+  :: d_step { LEADS(i) && CAN_APPEND(i) && (MEMBERS(i) & BIT(a)) ->
+     append(i, MEMBERS(i) & ~BIT(a)) }
+  :: d_step { LEADS(i) && CAN_APPEND(i) && (MEMBERS(i) & BIT(b)) ->
+     append(i, MEMBERS(i) & ~BIT(b)) }
+
+  /* Newcomer: creates a view when every member of the last one has ended. */
+  :: d_step { CAN_APPEND(i) && !(MEMBERS(i) & BIT(i)) &&
+       ALL_ENDED(MEMBERS(i)) -> append(i, BIT(i)) }
+
+  /* Leader: starts a task. */
+  :: d_step { MAY_ACT(i) && !startSent ->
+     startSent = true; startFrom = i; startTerm = viewTerm[known[i]];
+     startLeft = COUNTED;
+     MIN_GRANT(i, a, startLeft);
+     MIN_GRANT(i, b, startLeft) }
+
+  /* Leader: survey of the worker. */
+  :: d_step { LEADS(i) && viewTerm[known[i]] > surveyTerm ->
+     surveyTerm = viewTerm[known[i]] }
+
+  /* Leader: hands over to a member, which releases its promise. */
+  :: d_step { MAY_ACT(i) && (MEMBERS(i) & BIT(a)) && STARTS_SETTLED(i) ->
+     resigned[i] = true; resignTo[i] = BIT(a) }
+  :: d_step { MAY_ACT(i) && (MEMBERS(i) & BIT(b)) && STARTS_SETTLED(i) ->
+     resigned[i] = true; resignTo[i] = BIT(b) }
+  :: d_step { !gone[i] && known[a] == known[i] && (resignTo[a] & BIT(i)) ->
+     promise[i] = 0; resignTo[a] = 0 }
+  :: d_step { !gone[i] && known[b] == known[i] && (resignTo[b] & BIT(i)) ->
+     promise[i] = 0; resignTo[b] = 0 }
+  od
+}
+
+/* The log service puts an append at an offset, or never does. */
+#ifdef NO_BASE_CHECK
+#define WINS(i) (pending[i] && cur < VIEWS - 1)
+#else
+#define WINS(i) (pending[i] && known[i] == cur)
+#endif
+
+inline land(w) {
+  cur++;
+  viewLeader[cur] = w;
+  viewMembers[cur] = pendingMembers[w];
+  viewTerm[cur] = viewTerm[cur - 1] + (viewLeader[cur - 1] != w)
+}
+
+proctype Log() {
+  do
+  :: d_step { WINS(0) -> land(0) }
+  :: d_step { WINS(1) -> land(1) }
+  :: d_step { WINS(2) -> land(2) }
+  od
+}
+
+#define COUNT(x) if :: x > 0 -> x-- :: else fi
+
+proctype Clock() {
+  do
+  :: d_step { true ->
+     COUNT(promise[0]); COUNT(promise[1]); COUNT(promise[2]);
+     COUNT(goneWait[0]); COUNT(goneWait[1]); COUNT(goneWait[2]);
+     COUNT(grantLeft[1]); COUNT(grantLeft[2]); COUNT(grantLeft[3]);
+     COUNT(grantLeft[5]); COUNT(grantLeft[6]); COUNT(grantLeft[7]);
+     COUNT(startLeft) }
+  od
+}
+
+/* The worker runs a start only while its lease is in the future. */
+#ifdef NO_FENCE
+#define IN_FUTURE true
+#else
+#define IN_FUTURE (startLeft > 0)
+#endif
+
+inline dropStart() {
+  startSent = false; startFrom = 0; startTerm = 0; startLeft = 0
+}
+
+proctype Worker() {
+  do
+  :: d_step { startSent && IN_FUTURE ->
+     assert(startTerm >= surveyTerm);
+     dropStart() }
+  :: d_step { startSent && !IN_FUTURE -> dropStart() }
+  od
+}
+
+inline drop(w) {
+  gone[w] = true; goneWait[w] = LEASE; clearGrants(w);
+  resigned[w] = false; promise[w] = 0
+}
+
+/* The instance list drops an instance after its process has ended. Before
+   that, an ended process is the same as one that is paused. */
+proctype Platform() {
+  do
+  :: d_step { !gone[0] -> drop(0) }
+  :: d_step { !gone[1] -> drop(1) }
+  :: d_step { !gone[2] -> drop(2) }
+  od
+}
+
+/* Two instances that may act at the same time. */
+active proctype TwoLeaders() {
+end:
+  atomic {
+    (MAY_ACT(0) && MAY_ACT(1)) || (MAY_ACT(0) && MAY_ACT(2)) ||
+    (MAY_ACT(1) && MAY_ACT(2)) -> assert(false)
+  }
+}
+
+init {
+  atomic {
+    viewLeader[0] = 0;
+    viewTerm[0] = 1;
+    surveyTerm = 1;
+#ifdef THREE_MEMBERS
+    viewMembers[0] = 7;
+#else
+    viewMembers[0] = 3;
+#endif
+    run Instance(0); run Instance(1); run Instance(2);
+    run Log(); run Clock(); run Worker(); run Platform()
+  }
+}
