--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -54,6 +54,10 @@
 bool gone[3];
 byte goneWait[3];
 
+/* The process has ended after a goodbye; one more than the view that it named,
+   or 0. */
+byte goodbye[3];
+
 /* A member's own promise, in ticks. */
 byte promise[3];
 
@@ -68,19 +72,24 @@
 byte surveyTerm;
 
 #define MEMBERS(i) viewMembers[known[i]]
-#define LEADS(i) (!gone[i] && viewLeader[known[i]] == i && !resigned[i])
+#define RUNS(i) (!gone[i] && goodbye[i] == 0)
+#define LEADS(i) (RUNS(i) && viewLeader[known[i]] == i && !resigned[i])
 #ifdef NO_UNION
 #define NEEDED(i) MEMBERS(i)
 #else
 #define NEEDED(i) (MEMBERS(i) | pendingMembers[i])
 #endif
+/* A member that says goodbye never takes over, so its goodbye counts as a
+   grant without end for a leader of the same view. */
 #ifdef GONE_NEEDS_NO_GRANT
-#define EXEMPT(m) gone[m]
+#define EXEMPT(i, m) gone[m]
+#elif defined(GOODBYE_WITHOUT_EPOCH)
+#define EXEMPT(i, m) (goodbye[m] > 0)
 #else
-#define EXEMPT(m) false
+#define EXEMPT(i, m) (goodbye[m] == known[i] + 1)
 #endif
 #define GRANTED(i, m) \
-  ((m) == (i) || !(NEEDED(i) & BIT(m)) || EXEMPT(m) || grantLeft[3*(i)+(m)] > 0)
+  ((m) == (i) || !(NEEDED(i) & BIT(m)) || EXEMPT(i, m) || grantLeft[3*(i)+(m)] > 0)
 #define MAY_ACT(i) \
   (LEADS(i) && GRANTED(i, 0) && GRANTED(i, 1) && GRANTED(i, 2))
 
@@ -89,7 +98,7 @@
 }
 
 /* Sends the append of a view that follows the last view read. */
-#define CAN_APPEND(i) (!gone[i] && !pending[i] && known[i] < VIEWS - 1)
+#define CAN_APPEND(i) (RUNS(i) && !pending[i] && known[i] < VIEWS - 1)
 
 inline append(w, set) {
   pending[w] = true;
@@ -136,7 +145,7 @@
 #define SAME_VIEW(i, m) (known[m] == known[i] && viewLeader[known[m]] == (i))
 #endif
 #define CAN_GRANT(i, m) \
-  (LEADS(i) && (m) != (i) && (NEEDED(i) & BIT(m)) && !gone[m] && \
+  (LEADS(i) && (m) != (i) && (NEEDED(i) & BIT(m)) && RUNS(m) && \
    SAME_VIEW(i, m) && !UNDECIDED(m))
 
 inline grant(w, p) {
@@ -161,7 +170,7 @@
 
 #define MIN_GRANT(i, m, best) \
   if \
-  :: (NEEDED(i) & BIT(m)) && !EXEMPT(m) && grantLeft[3*i+m] < best -> \
+  :: (NEEDED(i) & BIT(m)) && !EXEMPT(i, m) && grantLeft[3*i+m] < best -> \
      best = grantLeft[3*i+m] \
   :: else -> skip \
   fi
@@ -172,12 +181,18 @@
 #define STARTS_SETTLED(i) !(startSent && startFrom == (i) && startLeft > 0)
 #endif
 
+#ifdef GOODBYE_DURING_TAKEOVER
+#define GOODBYE_READY(m) true
+#else
+#define GOODBYE_READY(m) !pending[m]
+#endif
+
 proctype Instance(byte i) {
   byte a = (i + 1) % 3;
   byte b = (i + 2) % 3;
   do
   /* Reading the stream. */
-  :: d_step { !gone[i] && known[i] < cur -> read(i) }
+  :: d_step { RUNS(i) && known[i] < cur -> read(i) }
 
   /* Leader: grants. */
   :: d_step { CAN_GRANT(i, a) -> grant(i, a) }
@@ -189,9 +204,9 @@
      append(i, MEMBERS(i) & ~BIT(viewLeader[known[i]])) }
 
   /* Leader: adds or removes a member. */
-  :: d_step { LEADS(i) && CAN_APPEND(i) && !gone[a] ->
+  :: d_step { LEADS(i) && CAN_APPEND(i) && RUNS(a) ->
      append(i, MEMBERS(i) | BIT(a)) }
-  :: d_step { LEADS(i) && CAN_APPEND(i) && !gone[b] ->
+  :: d_step { LEADS(i) && CAN_APPEND(i) && RUNS(b) ->
      append(i, MEMBERS(i) | BIT(b)) }
   :: d_step { LEADS(i) && CAN_APPEND(i) && (MEMBERS(i) & BIT(a)) ->
      append(i, MEMBERS(i) & ~BIT(a)) }
@@ -202,6 +217,7 @@
   :: d_step { CAN_APPEND(i) && !(MEMBERS(i) & BIT(i)) &&
        ALL_ENDED(MEMBERS(i)) -> append(i, BIT(i)) }
 
+#ifdef STARTS
   /* Leader: starts a task. */
   :: d_step { MAY_ACT(i) && !startSent ->
      startSent = true; startFrom = i; startTerm = viewTerm[known[i]];
@@ -212,16 +228,21 @@
   /* Leader: survey of the worker. */
   :: d_step { LEADS(i) && viewTerm[known[i]] > surveyTerm ->
      surveyTerm = viewTerm[known[i]] }
+#endif
 
   /* Leader: hands over to a member, which releases its promise. */
   :: d_step { MAY_ACT(i) && (MEMBERS(i) & BIT(a)) && STARTS_SETTLED(i) ->
      resigned[i] = true; resignTo[i] = BIT(a) }
   :: d_step { MAY_ACT(i) && (MEMBERS(i) & BIT(b)) && STARTS_SETTLED(i) ->
      resigned[i] = true; resignTo[i] = BIT(b) }
-  :: d_step { !gone[i] && known[a] == known[i] && (resignTo[a] & BIT(i)) ->
+  :: d_step { RUNS(i) && known[a] == known[i] && (resignTo[a] & BIT(i)) ->
      promise[i] = 0; resignTo[a] = 0 }
-  :: d_step { !gone[i] && known[b] == known[i] && (resignTo[b] & BIT(i)) ->
+  :: d_step { RUNS(i) && known[b] == known[i] && (resignTo[b] & BIT(i)) ->
      promise[i] = 0; resignTo[b] = 0 }
+
+  /* Member: ends after a goodbye. */
+  :: d_step { RUNS(i) && viewLeader[known[i]] != i && GOODBYE_READY(i) ->
+     goodbye[i] = known[i] + 1 }
   od
 }
 
@@ -296,6 +317,7 @@
 }
 
 /* Two instances that may act at the same time. */
+#ifndef STARTS
 active proctype TwoLeaders() {
 end:
   atomic {
@@ -303,6 +325,7 @@
     (MAY_ACT(1) && MAY_ACT(2)) -> assert(false)
   }
 }
+#endif
 
 init {
   atomic {
