--- /dev/null
+++ b/src/node/instance_list_client.ts
@@ -0,0 +1,115 @@
+import {z} from 'zod';
+import {Clock, Millis, SECOND} from '../common/base/clock.js';
+import {Disposable} from '../common/base/disposable.js';
+import {Emitter, Event} from '../common/base/emitter.js';
+import {
+  Instance,
+  InstanceRole,
+  InstanceState,
+} from '../common/base/platform.js';
+import {PlatformClient} from './platform_client.js';
+
+const AMOUNT = z.number().nonnegative();
+
+const INSTANCE = z.object({
+  id: z.string().min(1),
+  role: z.enum([InstanceRole.ENTRY, InstanceRole.WORKER]),
+  start: z.number(),
+  dataCentre: z.string(),
+  rack: z.string(),
+  host: z.string(),
+  port: z.number().int(),
+  peerPort: z.number().int(),
+  state: z.enum([InstanceState.LIVE, InstanceState.LEAVING]),
+  capacity: z.object({
+    processors: AMOUNT,
+    memoryMb: AMOUNT,
+    accelerators: AMOUNT,
+  }),
+  services: z.array(z.string()),
+  slots: z.number().int().nonnegative(),
+  connections: z.number().int().nonnegative(),
+});
+
+const LIST = z.object({
+  version: z.number(),
+  instances: z.array(z.unknown()),
+});
+
+const POLL_MS: Millis = SECOND;
+const TIMEOUT_MS: Millis = 2 * SECOND;
+
+/** A list that was read. */
+export interface ListRead {
+  readonly instances: readonly Instance[];
+  /** Local time at which the poll was sent. */
+  readonly sentAt: Millis;
+}
+
+/**
+ * Polls the platform's instance list. An empty list is taken for a fault: the
+ * last list that was not empty is kept. Entries that are malformed are left
+ * out and counted.
+ */
+export class InstanceListClient implements Disposable {
+  private readonly emitter = new Emitter<ListRead>();
+  private timer: NodeJS.Timeout | undefined;
+  private disposed = false;
+  private latest: readonly Instance[] = [];
+  private malformedCount = 0;
+
+  /** Fires on every answered poll with a list that is not empty. */
+  readonly onList: Event<ListRead> = this.emitter.event;
+
+  constructor(
+    private readonly client: PlatformClient,
+    private readonly baseUrl: string,
+    private readonly clock: Clock,
+  ) {}
+
+  /** The last list that was not empty. */
+  get instances(): readonly Instance[] {
+    return this.latest;
+  }
+
+  /** Entries left out of the last list. */
+  get malformed(): number {
+    return this.malformedCount;
+  }
+
+  start(): void {
+    void this.poll();
+  }
+
+  dispose(): void {
+    this.disposed = true;
+    clearTimeout(this.timer);
+    this.emitter.dispose();
+  }
+
+  private async poll(): Promise<void> {
+    const sentAt = this.clock.now();
+    const answer = await this.client.call(
+      'GET',
+      `${this.baseUrl}/instances`,
+      undefined,
+      TIMEOUT_MS,
+    );
+    if (this.disposed) return;
+    answer.ifRight(({body}) => this.take(body, sentAt));
+    this.timer = setTimeout(() => void this.poll(), POLL_MS);
+  }
+
+  private take(body: unknown, sentAt: Millis): void {
+    const list = LIST.safeParse(body);
+    if (!list.success) return;
+    const parsed = list.data.instances.map(entry => INSTANCE.safeParse(entry));
+    const instances = parsed.flatMap(entry =>
+      entry.success ? [entry.data] : [],
+    );
+    this.malformedCount = parsed.length - instances.length;
+    if (instances.length === 0) return;
+    this.latest = instances;
+    this.emitter.fire({instances, sentAt});
+  }
+}
