Run all checks of the ownership model with one command

Change: spec/check.sh builds and runs each search and each mutation, two at once, and fails on an error, an incomplete search, a mutation that passes, or a missing tool. ownership.pml has consent in place of goodbye, a leader that has to hear it, and flags that split the searches.

--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,153 @@
+#!/usr/bin/env bash
+# Checks the Promela models of this folder and their mutations with spin.
+#
+# Usage: spec/check.sh [word]
+# With a word, only the checks whose name contains it are run.
+#
+# A model must have no error in a complete search. A mutation must be rejected
+# by the property that it names: `safety` is an assertion or a deadlock,
+# `liveness` an acceptance cycle. Prints one line for each check.
+set -euo pipefail
+
+readonly PARALLEL=2       # searches at once
+readonly MEMORY_MB=1900   # limit of one search; two stay below 4 GB
+readonly DEPTH=200000     # limit of the search stack, in steps
+readonly SEARCH_SECONDS=60 # limit of one search
+
+spec=$(cd "${BASH_SOURCE[0]%/*}" && pwd)
+only=${1:-}
+
+for tool in spin gcc; do
+  if ! command -v "$tool" >/dev/null 2>&1; then
+    echo "$tool is missing. Install it with: apt-get install spin gcc libc6-dev" >&2
+    exit 2
+  fi
+done
+
+work=$(mktemp -d)
+cleanup() {
+  local pids
+  pids=$(jobs -p)
+  # shellcheck disable=SC2086
+  if [[ -n $pids ]]; then kill $pids 2>/dev/null || true; wait 2>/dev/null || true; fi
+  rm -rf "$work"
+}
+trap cleanup EXIT
+trap 'exit 130' INT TERM
+
+# search KIND DIRECTORY MODEL FLAG...: builds and runs one search in DIRECTORY.
+search() {
+  local kind=$1 dir=$2 model=$3
+  shift 3
+  # Most time of a mutation is the compilation.
+  local level=-O2
+  [[ $expected == accepted ]] || level=-O1
+  local compile=("$level" -DCOLLAPSE "-DMEMLIM=$MEMORY_MB") run=("-m$DEPTH" -n)
+  if [[ $kind == liveness ]]; then
+    # Weak fairness of 8 processes at most.
+    compile+=(-DNFAIR=3)
+    run+=(-a -f)
+  else
+    compile+=(-DSAFETY)
+  fi
+  cd "$dir"
+  spin "$@" -a "$spec/$model" >spin.out 2>&1 || return 1
+  gcc "${compile[@]}" -w -o pan pan.c >gcc.out 2>&1 || return 1
+  timeout "$SEARCH_SECONDS" ./pan "${run[@]}" >pan.out 2>&1 || return 1
+}
+
+# check EXPECTED KIND NAME MODEL FLAG...: runs a search and prints its verdict.
+check() {
+  local expected=$1 kind=$2 name=$3 model=$4
+  shift 4
+  local dir="$work/$name" verdict=failed reason='' states errors
+  mkdir -p "$dir"
+  if ! (search "$kind" "$dir" "$model" "$@"); then
+    reason="the search did not end: $(cat "$dir"/*.out 2>/dev/null | tail -n 1)"
+  fi
+  local out="$dir/pan.out"
+  states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$out" 2>/dev/null || true)
+  errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$out" 2>/dev/null || true)
+  if [[ -z $reason ]]; then
+    if [[ -z $errors || -z $states ]]; then
+      reason='the search printed no result'
+    elif [[ $expected == accepted ]]; then
+      if grep -qE 'max search depth|memory limit|out of memory|not completed' "$out"; then
+        reason='the search was not complete'
+      elif [[ $errors != 0 ]]; then
+        reason="error: $(grep -m1 '^pan:1:' "$out" || true)"
+      fi
+    elif [[ $errors == 0 ]]; then
+      reason='no error was found'
+    elif [[ $kind == safety ]] && ! grep -qE '^pan:1: (assertion violated|invalid end state)' "$out"; then
+      reason="another error: $(grep -m1 '^pan:1:' "$out" || true)"
+    elif [[ $kind == liveness ]] && ! grep -q '^pan:1: acceptance cycle' "$out"; then
+      reason="another error: $(grep -m1 '^pan:1:' "$out" || true)"
+    fi
+  fi
+  [[ -n $reason ]] || verdict=passed
+  rm -rf "$dir"
+  printf '%-6s %-8s %-52s %10s states%s\n' "$verdict" "$expected" "$name" \
+    "${states:-0}" "${reason:+  ($reason)}" | tee -a "$work/results"
+}
+
+running=0
+queued=0
+# queue EXPECTED KIND NAME MODEL FLAG...: runs the check when a place is free.
+queue() {
+  [[ $3 == *"$only"* ]] || return 0
+  if ((running == PARALLEL)); then
+    wait -n || true
+    running=$((running - 1))
+  fi
+  check "$@" &
+  running=$((running + 1))
+  queued=$((queued + 1))
+}
+
+# model NAME KIND MODEL FLAG...: a search that must be complete without error.
+model() {
+  queue accepted "$2" "$1" "${@:3}"
+}
+
+# mutation KIND MODEL NAME FLAG...: the model with -DNAME must be rejected.
+mutation() {
+  queue rejected "$1" "${2%.pml}/$3" "$2" "-D$3" "${@:4}"
+}
+
+touch "$work/results"
+
+# Ownership (docs/design.md 3.1, 3.7). Consents, hand-overs and the worker each
+# multiply the states, so they are combined in separate searches.
+own=ownership.pml
+model ownership/lead safety $own -DCONSENTERS=0
+model ownership/starts safety $own -DSTARTS -DCONSENTERS=0
+model ownership/lead-three-members safety $own -DTHREE_MEMBERS -DCONSENTERS=0
+model ownership/lead-consent safety $own -DNO_RESIGN -DCONSENTERS=3
+model ownership/starts-consent-of-leader safety $own -DSTARTS -DNO_RESIGN -DCONSENTERS=1
+model ownership/starts-consent-of-member safety $own -DSTARTS -DNO_RESIGN -DCONSENTERS=2
+model ownership/starts-consent-no-ends safety $own -DSTARTS -DNO_RESIGN -DNO_DROP
+
+mutation safety $own NO_DRIFT_ALLOWANCE -DCONSENTERS=0
+mutation safety $own NO_UNION -DCONSENTERS=0
+mutation safety $own GONE_NEEDS_NO_GRANT -DCONSENTERS=0
+mutation safety $own RESIGN_ENDS_WITH_VIEW -DCONSENTERS=0
+mutation safety $own GRANT_DURING_TAKEOVER -DCONSENTERS=0
+mutation safety $own GRANT_ANY_EPOCH -DCONSENTERS=0
+mutation safety $own NO_WAIT_FOR_OWN_GRANT -DCONSENTERS=0
+mutation safety $own NO_BASE_CHECK -DCONSENTERS=0
+mutation safety $own NO_FENCE -DSTARTS -DCONSENTERS=0
+mutation safety $own NO_WAIT_AFTER_JOIN -DSTARTS -DCONSENTERS=0
+mutation safety $own NO_WAIT_AFTER_OUT -DSTARTS -DCONSENTERS=0
+mutation safety $own RESIGN_WITH_OPEN_STARTS -DSTARTS -DCONSENTERS=0
+mutation safety $own CONSENT_DURING_TAKEOVER -DNO_RESIGN -DCONSENTERS=3
+mutation safety $own CONSENT_WITHOUT_EPOCH -DNO_RESIGN -DCONSENTERS=3
+mutation safety $own OUT_WITHOUT_EPOCH -DNO_RESIGN -DCONSENTERS=3
+mutation safety $own CONSENT_KEEPS_MEMBER -DSTARTS -DNO_RESIGN -DCONSENTERS=3
+
+wait
+passed=$(grep -c '^passed' "$work/results" || true)
+# A check that ended without a line has failed.
+failed=$((queued - passed))
+echo "$passed passed, $failed failed"
+((failed == 0 && passed > 0))
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -52,11 +52,16 @@
 
 /* The instance list has dropped the instance; its process has ended. */
 bool gone[3];
-byte goneWait[3];
 
-/* The process has ended after a goodbye; one more than the view that it named,
-   or 0. */
-byte goodbye[3];
+/* The instance has given up its part in a view: one more than that view, or 0.
+   It runs on and may join or create a later view. */
+byte consent[3];
+
+/* Members whose consent a leader has heard in the view that it knows. */
+byte heard[3];
+
+/* Ticks that a newcomer still waits since the instance ended or consented. */
+byte outWait[3];
 
 /* A member's own promise, in ticks. */
 byte promise[3];
@@ -72,24 +77,41 @@
 byte surveyTerm;
 
 #define MEMBERS(i) viewMembers[known[i]]
-#define RUNS(i) (!gone[i] && goodbye[i] == 0)
-#define LEADS(i) (RUNS(i) && viewLeader[known[i]] == i && !resigned[i])
+#define RUNS(i) (!gone[i])
+#define TAKES_PART(i) (RUNS(i) && consent[i] <= known[i])
+#define LEADS(i) (TAKES_PART(i) && viewLeader[known[i]] == i && !resigned[i])
 #ifdef NO_UNION
-#define NEEDED(i) MEMBERS(i)
+#define PENDING(i) 0
 #else
-#define NEEDED(i) (MEMBERS(i) | pendingMembers[i])
+#define PENDING(i) pendingMembers[i]
 #endif
-/* A member that says goodbye never takes over, so its goodbye counts as a
-   grant without end for a leader of the same view. */
+#define NEEDED(i) (MEMBERS(i) | PENDING(i))
+/* A member that consented never takes over in that view, so its consent counts
+   as a grant without end for a leader of the same view. */
 #ifdef GONE_NEEDS_NO_GRANT
 #define EXEMPT(i, m) gone[m]
-#elif defined(GOODBYE_WITHOUT_EPOCH)
-#define EXEMPT(i, m) (goodbye[m] > 0)
 #else
-#define EXEMPT(i, m) (goodbye[m] == known[i] + 1)
+#define EXEMPT(i, m) (heard[i] & BIT(m))
+#endif
+#ifdef CONSENT_WITHOUT_EPOCH
+#define CAN_HEAR(i, m) (LEADS(i) && consent[m] > 0 && !(heard[i] & BIT(m)))
+#else
+#define CAN_HEAR(i, m) \
+  (LEADS(i) && consent[m] == known[i] + 1 && !(heard[i] & BIT(m)))
+#endif
+/* The next view leaves out each member whose consent was heard: the member has
+   made no promise for the time in which its grant was not needed, so it has to
+   join again and wait. */
+#ifdef CONSENT_KEEPS_MEMBER
+#define KEPT(i) MEMBERS(i)
+#else
+#define KEPT(i) (MEMBERS(i) & ~heard[i])
 #endif
+/* A consent gives up the part in the current view, not in a pending one. */
+#define NEEDS_GRANT(i, m) \
+  ((PENDING(i) & BIT(m)) || ((MEMBERS(i) & BIT(m)) && !EXEMPT(i, m)))
 #define GRANTED(i, m) \
-  ((m) == (i) || !(NEEDED(i) & BIT(m)) || EXEMPT(i, m) || grantLeft[3*(i)+(m)] > 0)
+  ((m) == (i) || !NEEDS_GRANT(i, m) || grantLeft[3*(i)+(m)] > 0)
 #define MAY_ACT(i) \
   (LEADS(i) && GRANTED(i, 0) && GRANTED(i, 1) && GRANTED(i, 2))
 
@@ -100,6 +122,12 @@
 /* Sends the append of a view that follows the last view read. */
 #define CAN_APPEND(i) (RUNS(i) && !pending[i] && known[i] < VIEWS - 1)
 
+#ifdef CONSENT_KEEPS_MEMBER
+#define CAN_ADD(i, m) RUNS(m)
+#else
+#define CAN_ADD(i, m) (RUNS(m) && !(heard[i] & BIT(m)))
+#endif
+
 inline append(w, set) {
   pending[w] = true;
   pendingMembers[w] = set
@@ -111,6 +139,7 @@
   known[w]++;
   pending[w] = false;
   pendingMembers[w] = 0;
+  heard[w] = 0;
 #ifdef RESIGN_ENDS_WITH_VIEW
   resigned[w] = false;
 #endif
@@ -145,7 +174,7 @@
 #define SAME_VIEW(i, m) (known[m] == known[i] && viewLeader[known[m]] == (i))
 #endif
 #define CAN_GRANT(i, m) \
-  (LEADS(i) && (m) != (i) && (NEEDED(i) & BIT(m)) && RUNS(m) && \
+  (LEADS(i) && (m) != (i) && (NEEDED(i) & BIT(m)) && TAKES_PART(m) && \
    SAME_VIEW(i, m) && !UNDECIDED(m))
 
 inline grant(w, p) {
@@ -159,18 +188,22 @@
 #define PROMISE_OVER(m) (promise[m] == 0)
 #endif
 
-#ifdef NO_WAIT_AFTER_GONE
-#define ENDED(m) gone[m]
+#ifdef NO_WAIT_AFTER_OUT
+#define WAITED(m) true
 #else
-#define ENDED(m) (gone[m] && goneWait[m] == 0)
+#define WAITED(m) (outWait[m] == 0)
 #endif
-#define ALL_ENDED(set) \
-  ((!((set) & 1) || ENDED(0)) && (!((set) & 2) || ENDED(1)) && \
-   (!((set) & 4) || ENDED(2)))
+#ifdef OUT_WITHOUT_EPOCH
+#define CONSENTED(i, m) (consent[m] > 0)
+#else
+#define CONSENTED(i, m) (consent[m] == known[i] + 1)
+#endif
+#define OUT(i, m) \
+  (!(MEMBERS(i) & BIT(m)) || ((gone[m] || CONSENTED(i, m)) && WAITED(m)))
 
 #define MIN_GRANT(i, m, best) \
   if \
-  :: (NEEDED(i) & BIT(m)) && !EXEMPT(i, m) && grantLeft[3*i+m] < best -> \
+  :: NEEDS_GRANT(i, m) && grantLeft[3*i+m] < best -> \
      best = grantLeft[3*i+m] \
   :: else -> skip \
   fi
@@ -181,10 +214,26 @@
 #define STARTS_SETTLED(i) !(startSent && startFrom == (i) && startLeft > 0)
 #endif
 
-#ifdef GOODBYE_DURING_TAKEOVER
-#define GOODBYE_READY(m) true
+#ifdef CONSENT_DURING_TAKEOVER
+#define CONSENT_READY(m) true
 #else
-#define GOODBYE_READY(m) !pending[m]
+#define CONSENT_READY(m) !pending[m]
+#endif
+
+/* Smaller builds leave out hand-overs, ends of processes, or the consents of
+   some instances. */
+#ifdef NO_RESIGN
+#define RESIGNS false
+#else
+#define RESIGNS true
+#endif
+#ifdef NO_DROP
+#define DROPS false
+#else
+#define DROPS true
+#endif
+#ifndef CONSENTERS
+#define CONSENTERS 7
 #endif
 
 proctype Instance(byte i) {
@@ -199,23 +248,25 @@
   :: d_step { CAN_GRANT(i, b) -> grant(i, b) }
 
   /* Member: takeover. */
-  :: d_step { CAN_APPEND(i) && (MEMBERS(i) & BIT(i)) &&
+  :: d_step { CAN_APPEND(i) && TAKES_PART(i) && (MEMBERS(i) & BIT(i)) &&
        viewLeader[known[i]] != i && PROMISE_OVER(i) ->
      append(i, MEMBERS(i) & ~BIT(viewLeader[known[i]])) }
 
   /* Leader: adds or removes a member. */
-  :: d_step { LEADS(i) && CAN_APPEND(i) && RUNS(a) ->
-     append(i, MEMBERS(i) | BIT(a)) }
-  :: d_step { LEADS(i) && CAN_APPEND(i) && RUNS(b) ->
-     append(i, MEMBERS(i) | BIT(b)) }
+  :: d_step { LEADS(i) && CAN_APPEND(i) && CAN_ADD(i, a) ->
+     append(i, KEPT(i) | BIT(a)) }
+  :: d_step { LEADS(i) && CAN_APPEND(i) && CAN_ADD(i, b) ->
+     append(i, KEPT(i) | BIT(b)) }
   :: d_step { LEADS(i) && CAN_APPEND(i) && (MEMBERS(i) & BIT(a)) ->
-     append(i, MEMBERS(i) & ~BIT(a)) }
+     append(i, KEPT(i) & ~BIT(a)) }
   :: d_step { LEADS(i) && CAN_APPEND(i) && (MEMBERS(i) & BIT(b)) ->
-     append(i, MEMBERS(i) & ~BIT(b)) }
+     append(i, KEPT(i) & ~BIT(b)) }
 
-  /* Newcomer: creates a view when every member of the last one has ended. */
-  :: d_step { CAN_APPEND(i) && !(MEMBERS(i) & BIT(i)) &&
-       ALL_ENDED(MEMBERS(i)) -> append(i, BIT(i)) }
+  /* Newcomer: creates a view when every member of the last one has ended or
+     consented, itself included. */
+  :: d_step { CAN_APPEND(i) && !resigned[i] &&
+       (consent[i] > known[i] || !(MEMBERS(i) & BIT(i))) &&
+       OUT(i, 0) && OUT(i, 1) && OUT(i, 2) -> append(i, BIT(i)) }
 
 #ifdef STARTS
   /* Leader: starts a task. */
@@ -231,18 +282,24 @@
 #endif
 
   /* Leader: hands over to a member, which releases its promise. */
-  :: d_step { MAY_ACT(i) && (MEMBERS(i) & BIT(a)) && STARTS_SETTLED(i) ->
+  :: d_step { RESIGNS && TAKES_PART(i) && viewLeader[known[i]] == i &&
+       (MEMBERS(i) & BIT(a)) && STARTS_SETTLED(i) ->
      resigned[i] = true; resignTo[i] = BIT(a) }
-  :: d_step { MAY_ACT(i) && (MEMBERS(i) & BIT(b)) && STARTS_SETTLED(i) ->
+  :: d_step { RESIGNS && TAKES_PART(i) && viewLeader[known[i]] == i &&
+       (MEMBERS(i) & BIT(b)) && STARTS_SETTLED(i) ->
      resigned[i] = true; resignTo[i] = BIT(b) }
   :: d_step { RUNS(i) && known[a] == known[i] && (resignTo[a] & BIT(i)) ->
      promise[i] = 0; resignTo[a] = 0 }
   :: d_step { RUNS(i) && known[b] == known[i] && (resignTo[b] & BIT(i)) ->
      promise[i] = 0; resignTo[b] = 0 }
 
-  /* Member: ends after a goodbye. */
-  :: d_step { RUNS(i) && viewLeader[known[i]] != i && GOODBYE_READY(i) ->
-     goodbye[i] = known[i] + 1 }
+  /* Gives up its part in the view: at a shutdown, after a pause, or dropped
+     from the list. A leader may have starts on the way. */
+  :: d_step { (CONSENTERS & BIT(i)) && TAKES_PART(i) && CONSENT_READY(i) ->
+     consent[i] = known[i] + 1; outWait[i] = LEASE; heard[i] = 0;
+     clearGrants(i) }
+  :: d_step { CAN_HEAR(i, a) -> heard[i] = heard[i] | BIT(a) }
+  :: d_step { CAN_HEAR(i, b) -> heard[i] = heard[i] | BIT(b) }
   od
 }
 
@@ -274,7 +331,7 @@
   do
   :: d_step { true ->
      COUNT(promise[0]); COUNT(promise[1]); COUNT(promise[2]);
-     COUNT(goneWait[0]); COUNT(goneWait[1]); COUNT(goneWait[2]);
+     COUNT(outWait[0]); COUNT(outWait[1]); COUNT(outWait[2]);
      COUNT(grantLeft[1]); COUNT(grantLeft[2]); COUNT(grantLeft[3]);
      COUNT(grantLeft[5]); COUNT(grantLeft[6]); COUNT(grantLeft[7]);
      COUNT(startLeft) }
@@ -302,7 +359,12 @@
 }
 
 inline drop(w) {
-  gone[w] = true; goneWait[w] = LEASE; clearGrants(w);
+  /* The wait since a consent in its last view goes on. */
+  if
+  :: consent[w] > known[w] -> skip
+  :: else -> outWait[w] = LEASE
+  fi;
+  gone[w] = true; heard[w] = 0; clearGrants(w);
   resigned[w] = false; promise[w] = 0
 }
 
@@ -310,9 +372,9 @@
    that, an ended process is the same as one that is paused. */
 proctype Platform() {
   do
-  :: d_step { !gone[0] -> drop(0) }
-  :: d_step { !gone[1] -> drop(1) }
-  :: d_step { !gone[2] -> drop(2) }
+  :: d_step { DROPS && !gone[0] -> drop(0) }
+  :: d_step { DROPS && !gone[1] -> drop(1) }
+  :: d_step { DROPS && !gone[2] -> drop(2) }
   od
 }
 
