Check readers that start after dropped records in the simulation

Whether a reader agrees with the others when old records are gone was tested by hand-written records only. The property test now reads each simulated log again from every view record up to the last one in force and compares the view and its batches with the fold over the whole log.

--- a/src/common/leadership/leadership.simulation.test.ts
+++ b/src/common/leadership/leadership.simulation.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import {HOUR, Millis} from '../base/clock.js';
+import {DataCentreReader} from '../stream/data_centre_reader.js';
 import {View} from '../stream/types.js';
 import {Fault, faults, schedule} from './testing/faults.js';
 import {World} from './testing/world.js';
@@ -58,6 +59,18 @@
   return {view, batches};
 }
 
+/** Reads the log from an offset on, as if earlier records were dropped. */
+function readFrom(world: World, start: number) {
+  const reader = new DataCentreReader();
+  const batches: number[] = [];
+  for (const stored of world.log.slice(start)) {
+    for (const event of reader.read(stored)) {
+      if (event.kind === 'batch-in-force') batches.push(event.offset);
+    }
+  }
+  return {view: reader.view, batches};
+}
+
 describe('Leadership in a simulated data centre', () => {
   it.each([1, 2, 3])('has one leader at a time under faults (%d)', seed => {
     fc.assert(
@@ -78,6 +91,17 @@
             expect(process.reader.view).toEqual(view);
             expect(process.batches).toEqual(batches);
           }
+          const {view, batches} = fold(world, world.log.length);
+          const epoch = view?.epoch ?? 0;
+          const current = batches.filter(offset => offset > epoch);
+          // A reader that starts late agrees if the last view is kept.
+          for (const {offset: start, data} of world.log) {
+            if (data.kind !== 'view' || start > epoch) continue;
+            const late = readFrom(world, start);
+            expect(late.view).toEqual(view);
+            const kept = late.batches.filter(offset => offset > epoch);
+            expect(kept).toEqual(current);
+          }
         },
       ),
       {seed, numRuns: 40, endOnFailure: true},
