Measure state, links and daemons in the capacity benchmark

The scheduler's slopes alone do not tell what an entry instance costs. The part state measures the job table, checkpoints, streams, tickets and the router, the part links real sockets on loopback, and the part daemons real processes.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -1,7 +1,10 @@
 import {writeFileSync} from 'node:fs';
 import {loadavg} from 'node:os';
 import {Curve, Measurement, formatCurve, measure} from './capacity_measure.js';
+import {idleCurves, ticketCurve} from './capacity_daemons.js';
+import {LINK_MEASUREMENTS} from './capacity_links.js';
 import {SCHEDULER_MEASUREMENTS} from './capacity_scheduler.js';
+import {STATE_MEASUREMENTS} from './capacity_state.js';
 
 /** Options of the capacity benchmark. */
 export interface CapacityOptions {
@@ -11,9 +14,23 @@
   readonly parts: readonly string[];
 }
 
+async function* measureAll(
+  measurements: readonly Measurement[],
+): AsyncGenerator<Curve> {
+  for (const measurement of measurements) yield measure(measurement);
+}
+
+async function* daemonCurves(): AsyncGenerator<Curve> {
+  yield ticketCurve();
+  yield* await idleCurves();
+}
+
 /** The parts of the benchmark by name. */
-const PARTS: Readonly<Record<string, readonly Measurement[]>> = {
-  scheduler: SCHEDULER_MEASUREMENTS,
+const PARTS: Readonly<Record<string, () => AsyncGenerator<Curve>>> = {
+  scheduler: () => measureAll(SCHEDULER_MEASUREMENTS),
+  state: () => measureAll(STATE_MEASUREMENTS),
+  links: () => measureAll(LINK_MEASUREMENTS),
+  daemons: daemonCurves,
 };
 
 /** Measures the slopes of docs/CAPACITY.md and prints them as tables. */
@@ -32,8 +49,7 @@
   for (const name of names) {
     console.log(`## ${name}, load average ${loadavg()[0].toFixed(1)}\n`);
     results[name] = [];
-    for (const measurement of PARTS[name]) {
-      const curve = await measure(measurement);
+    for await (const curve of PARTS[name]()) {
       results[name].push(curve);
       console.log(formatCurve(curve));
     }
--- /dev/null
+++ b/bench/capacity_daemons.ts
@@ -0,0 +1,187 @@
+import {readFileSync} from 'node:fs';
+import {performance} from 'node:perf_hooks';
+import {Deployment, DeploymentPlan, Entry} from '../test_support/deployment.js';
+import {call, eventually, sleep} from '../test_support/http.js';
+import {Curve, REPETITIONS, lineOf} from './capacity_measure.js';
+import {WorkerHost} from './worker_host.js';
+
+const PLAN: DeploymentPlan = {
+  dataCentres: ['north'],
+  entriesPerDataCentre: 2,
+  workersPerDataCentre: 0,
+  workerCapacity: {processors: 64, memoryMb: 250_000, accelerators: 0},
+  services: [],
+  basePort: 0,
+};
+
+/** Time for a new set of instances or workers to settle. */
+const SETTLE_MS = 2500;
+
+const IDLE_WINDOW_MS = 2000;
+
+/** Processor ticks a second in /proc, see proc(5). */
+const TICKS_PER_SECOND = 100;
+
+async function waitUntilReady(entry: Entry): Promise<void> {
+  await eventually(`${entry.id} is ready`, async () => {
+    const {status} = await call(`${entry.callerUrl}/ready`);
+    return status === 200 ? true : undefined;
+  });
+}
+
+/** Notes when each instance says that a ticket is in force. */
+class TicketTimes {
+  private readonly times = new Map<number, Map<string, number>>();
+
+  take(entry: string, line: string): void {
+    if (!line.includes('A ticket is in force.')) return;
+    const {number} = JSON.parse(line) as {number: number};
+    const seen = this.times.get(number) ?? new Map<string, number>();
+    seen.set(entry, performance.now());
+    this.times.set(number, seen);
+  }
+
+  /** When the last of `count` instances had the ticket. */
+  inForceAt(number: number, count: number): number | undefined {
+    const seen = this.times.get(number);
+    if (seen === undefined || seen.size < count) return undefined;
+    return Math.max(...seen.values());
+  }
+}
+
+/** Time from sending a ticket until it is in force at every instance. */
+async function ticketMillis(
+  entry: Entry,
+  count: number,
+  number: number,
+  times: TicketTimes,
+): Promise<number> {
+  const sentAt = performance.now();
+  const answer = await call(`${entry.operatorUrl}/v1/tickets`, {
+    method: 'POST',
+    body: JSON.stringify({
+      number,
+      base: number - 1,
+      author: 'capacity',
+      changes: {workers: {[`worker-${number}`]: {state: 'leaving'}}},
+    }),
+  });
+  if (answer.status >= 300) throw new Error(`Refused: ${answer.text}`);
+  const end = await eventually(`ticket ${number} is in force`, () =>
+    times.inForceAt(number, count),
+  );
+  return end - sentAt;
+}
+
+/** Tickets in force everywhere, by the number of instances. */
+export async function ticketCurve(): Promise<Curve> {
+  const times = new TicketTimes();
+  const deployment = new Deployment(
+    {...PLAN, dataCentres: ['north', 'south'], entriesPerDataCentre: 1},
+    (entry, line) => times.take(entry, line),
+  );
+  const points = [];
+  let number = 0;
+  try {
+    await deployment.start();
+    for (const size of [2, 4, 8, 12]) {
+      while (deployment.entries.length < size) {
+        const index = deployment.entries.length;
+        await deployment.addEntry(index % 2 ? 'south' : 'north', index + 1);
+      }
+      for (const entry of deployment.entries) await waitUntilReady(entry);
+      await sleep(SETTLE_MS);
+      const values: number[] = [];
+      for (let i = 0; i < REPETITIONS; i++) {
+        const entry = deployment.entries[i % size];
+        values.push(await ticketMillis(entry, size, ++number, times));
+      }
+      points.push({size, values});
+    }
+  } finally {
+    await deployment.stop();
+  }
+  return lineOf(
+    'Tickets, from sending until in force at all instances',
+    'instances in 2 data centres',
+    'ms',
+    points,
+  );
+}
+
+interface Usage {
+  readonly residentMb: number;
+  readonly processorMs: number;
+}
+
+/** Resident size and processor time of a process, see proc(5). */
+function usageOf(pid: number): Usage {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const resident = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) / 1024;
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  // The name of the program may hold spaces; the fields after it do not.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  return {
+    residentMb: resident,
+    processorMs: (ticks * 1000) / TICKS_PER_SECOND,
+  };
+}
+
+async function leaderOf(entries: readonly Entry[]): Promise<Entry> {
+  return eventually('an instance leads', async () => {
+    const {json} = await call(`${entries[0].operatorUrl}/v1/status`);
+    const {leader} = json as {leader: string | null};
+    return entries.find(({id}) => leader?.startsWith(`${id}#`));
+  });
+}
+
+/** Idle daemons by the number of workers: the leader and the other member. */
+export async function idleCurves(): Promise<Curve[]> {
+  const deployment = new Deployment(PLAN);
+  const host = await WorkerHost.start(267);
+  const figures = new Map<string, Array<{size: number; values: number[]}>>();
+  const add = (name: string, size: number, value: number) => {
+    const points = figures.get(name) ?? [];
+    figures.set(name, points);
+    const point = points.find(known => known.size === size);
+    if (point === undefined) points.push({size, values: [value]});
+    else point.values.push(value);
+  };
+  try {
+    await deployment.start();
+    for (const entry of deployment.entries) await waitUntilReady(entry);
+    const leader = await leaderOf(deployment.entries);
+    let listed = 0;
+    for (const size of [0, 100, 200, 267]) {
+      for (; listed < size; listed++) {
+        deployment.list.put(host.instances[listed]);
+      }
+      await sleep(SETTLE_MS);
+      for (let i = 0; i < REPETITIONS; i++) {
+        const before = deployment.entries.map(e => usageOf(e.process!.pid!));
+        const startedAt = performance.now();
+        await sleep(IDLE_WINDOW_MS);
+        const windowMs = performance.now() - startedAt;
+        for (const [index, entry] of deployment.entries.entries()) {
+          const after = usageOf(entry.process!.pid!);
+          const role = entry === leader ? 'leader' : 'member';
+          const ms = after.processorMs - before[index].processorMs;
+          add(`Idle ${role}, % of a core`, size, (100 * ms) / windowMs);
+          add(`Idle ${role}, resident MB`, size, after.residentMb);
+        }
+      }
+    }
+  } finally {
+    await deployment.stop();
+    host.stop();
+  }
+  return [...figures].map(([name, points]) =>
+    lineOf(
+      `${name.split(',')[0]} with 1 other instance`,
+      'workers without tasks',
+      name.split(', ')[1],
+      points,
+    ),
+  );
+}
--- /dev/null
+++ b/bench/capacity_links.ts
@@ -0,0 +1,269 @@
+import {connect} from 'node:net';
+import {pack} from 'msgpackr';
+import {Instance} from '../src/common/base/platform.js';
+import {SchedulerMessage} from '../src/common/jobs/types.js';
+import {PeerState} from '../src/node/peer_messages.js';
+import {PeerMesh} from '../src/node/peer_mesh.js';
+import {PlatformClient} from '../src/node/platform_client.js';
+import {SystemClock} from '../src/node/system_clock.js';
+import {WorkerClient} from '../src/node/worker_client.js';
+import {eventually, sleep} from '../test_support/http.js';
+import {Measurement, processorMicros} from './capacity_measure.js';
+import {WorkerHost} from './worker_host.js';
+
+const HOST = '127.0.0.1';
+
+/** States a second that each instance sends to each peer. */
+const STATES_PER_SECOND = 2;
+
+const STATE: PeerState = {
+  kind: 'state',
+  ticketNumber: 164_250,
+  ticketAgeMs: 1234.567,
+  leads: 123_456,
+  leaving: [],
+  draining: false,
+};
+
+const clock = new SystemClock();
+
+/** Opens `count` meshes with links between all of them. */
+async function openMeshes(count: number): Promise<PeerMesh[]> {
+  const meshes: PeerMesh[] = [];
+  const addresses: Array<{id: string; host: string; port: number}> = [];
+  for (let i = 0; i < count; i++) {
+    const instance = `entry-${String(i).padStart(2, '0')}`;
+    const hello = {
+      kind: 'hello',
+      version: 1,
+      instance,
+      start: 1,
+      dataCentre: `dc-${i % 15}`,
+      address: `${HOST}:0-${i}`,
+    } as const;
+    const mesh = new PeerMesh(hello, clock);
+    const port = await mesh.listen(0, HOST);
+    addresses.push({id: instance, host: HOST, port});
+    meshes.push(mesh);
+  }
+  for (const mesh of meshes) mesh.setAddresses(addresses);
+  await eventually('all links are open', () =>
+    meshes.every(mesh => mesh.peers.length === count - 1) ? true : undefined,
+  );
+  return meshes;
+}
+
+/** Processor time of one instance for the states of one second. */
+async function meshMillis(count: number): Promise<number> {
+  const meshes = await openMeshes(count);
+  let received = 0;
+  for (const mesh of meshes) mesh.onMessage(() => received++);
+  const before = processorMicros();
+  for (let i = 0; i < STATES_PER_SECOND; i++) {
+    for (const mesh of meshes) mesh.broadcast(STATE);
+    await sleep(1000 / STATES_PER_SECOND);
+  }
+  const micros = processorMicros() - before;
+  for (const mesh of meshes) mesh.dispose();
+  const wanted = STATES_PER_SECOND * count * (count - 1);
+  if (received !== wanted) {
+    throw new Error(`${received} of ${wanted} states arrived.`);
+  }
+  return micros / 1000 / count;
+}
+
+/** Processor time to send, carry and check `count` states on one link. */
+async function linkMillis(count: number): Promise<number> {
+  const [a, b] = await openMeshes(2);
+  let received = 0;
+  b.onMessage(() => received++);
+  const before = processorMicros();
+  for (let i = 0; i < count; i++) a.broadcast(STATE);
+  await eventually('all states arrived', () =>
+    received === count ? true : undefined,
+  );
+  const micros = processorMicros() - before;
+  a.dispose();
+  b.dispose();
+  return micros / 1000;
+}
+
+/** Bytes of a state with its frame, by the targets that it names. */
+function stateBytes(leaving: number): number {
+  const names = Array.from({length: leaving}, (unused, i) => `worker-${i}`);
+  const length = pack({...STATE, leaving: names}).length;
+  // Header of 2 bytes, 4 from 126 bytes on (RFC 6455); the mask is not counted.
+  return length + (length < 126 ? 2 : 4);
+}
+
+/** Workers with tasks, and a client that polls them. */
+class PollRig {
+  private readonly platform = new PlatformClient();
+  private readonly client = new WorkerClient(this.platform, clock);
+  private statuses = 0;
+  private tasks = 0;
+  private leases: Readonly<Record<string, number>> = {};
+
+  constructor(private readonly host: WorkerHost) {
+    this.client.onMessage((message: SchedulerMessage) => {
+      if (message.kind !== 'worker-status') return;
+      this.statuses++;
+      this.tasks += message.status.tasks.length;
+    });
+  }
+
+  /** Starts tasks up to `tasks` on each of the first `workers`. */
+  async fill(workers: number, tasks: number): Promise<void> {
+    const until = Date.now() + 3_600_000;
+    const names = Array.from({length: tasks}, (unused, i) => taskName(i));
+    const have = Object.keys(this.leases).length;
+    for (const name of names.slice(have)) {
+      await this.each(workers, worker => this.start(worker, name, until));
+    }
+    this.leases = Object.fromEntries(names.map(name => [name, until]));
+  }
+
+  /** Processor time of this process to poll `workers` once. */
+  async pollMicros(workers: number): Promise<number> {
+    this.statuses = 0;
+    this.tasks = 0;
+    const before = processorMicros();
+    await this.each(workers, worker =>
+      this.client.send(worker, {
+        kind: 'poll',
+        worker: worker.id,
+        leases: this.leases,
+      }),
+    );
+    const micros = processorMicros() - before;
+    const wanted = workers * Object.keys(this.leases).length;
+    if (this.statuses !== workers || this.tasks !== wanted) {
+      throw new Error('A poll was not answered with its tasks.');
+    }
+    return micros;
+  }
+
+  /** Bytes of an answer and of its request, as they are on the connection. */
+  pollBytes(): Promise<number> {
+    const body = JSON.stringify({leases: this.leases});
+    const {host, port} = this.host.instances[0];
+    const request =
+      `POST /leases HTTP/1.1\r\nhost: ${host}:${port}\r\n` +
+      'connection: close\r\ncontent-type: application/json\r\n' +
+      `content-length: ${body.length}\r\n\r\n${body}`;
+    return new Promise((resolve, reject) => {
+      const socket = connect(port, host, () => socket.write(request));
+      socket.on('data', () => undefined);
+      socket.on('error', reject);
+      socket.on('end', () => resolve(socket.bytesRead + socket.bytesWritten));
+    });
+  }
+
+  dispose(): void {
+    this.platform.dispose();
+  }
+
+  private start(worker: Instance, task: string, leaseUntilMs: number) {
+    return this.client.send(worker, {
+      kind: 'start',
+      worker: worker.id,
+      task,
+      start: {
+        job: task.slice(0, task.lastIndexOf('.')),
+        kind: 'nesting',
+        size: {processors: 1, memoryMb: 2000, accelerators: 0},
+        runMs: 3_600_000,
+        leaseUntilMs,
+        checkpoint: 0,
+      },
+    });
+  }
+
+  private async each(
+    workers: number,
+    action: (worker: Instance) => Promise<void>,
+  ): Promise<void> {
+    await Promise.all(this.host.instances.slice(0, workers).map(action));
+  }
+}
+
+function taskName(index: number): string {
+  return `north/${index.toString(16).padStart(32, '0')}.1234-${index}`;
+}
+
+/** Runs `work` with a fresh host and client. */
+async function withWorkers<T>(
+  workers: number,
+  tasks: number,
+  work: (rig: PollRig) => Promise<T>,
+): Promise<T> {
+  const host = await WorkerHost.start(workers);
+  const rig = new PollRig(host);
+  try {
+    await rig.fill(workers, tasks);
+    return await work(rig);
+  } finally {
+    rig.dispose();
+    host.stop();
+  }
+}
+
+const POLL_ROUNDS = 5;
+
+/** Processor time to poll `workers` workers with `tasks` tasks once. */
+function pollMillis(workers: number, tasks: number): Promise<number> {
+  return withWorkers(workers, tasks, async rig => {
+    await rig.pollMicros(workers);
+    let micros = 0;
+    for (let i = 0; i < POLL_ROUNDS; i++) {
+      micros += await rig.pollMicros(workers);
+    }
+    return micros / 1000 / POLL_ROUNDS;
+  });
+}
+
+/** Figures of the links, over real sockets on loopback. */
+export const LINK_MEASUREMENTS: readonly Measurement[] = [
+  {
+    name: 'Peer links, one link',
+    sizeUnit: 'states',
+    unit: 'ms of processor time, both ends',
+    sizes: [2000, 4000, 8000, 16_000],
+    run: linkMillis,
+  },
+  {
+    name: 'Peer links, all instances',
+    sizeUnit: 'instances, 2 states/s to each peer',
+    unit: 'ms of processor time a second and instance',
+    sizes: [4, 12, 24, 45],
+    run: meshMillis,
+  },
+  {
+    name: 'Peer links, bytes of a state',
+    sizeUnit: 'leaving targets named',
+    unit: 'bytes',
+    sizes: [0, 5, 10, 20],
+    run: stateBytes,
+  },
+  {
+    name: 'Worker link, one poll with renewal of each lease',
+    sizeUnit: 'tasks a worker',
+    unit: 'bytes, both directions',
+    sizes: [0, 4, 8, 12, 24],
+    run: tasks => withWorkers(1, tasks, rig => rig.pollBytes()),
+  },
+  {
+    name: 'Worker link, polls of all workers',
+    sizeUnit: 'workers, 12 tasks each',
+    unit: 'ms of processor time a second',
+    sizes: [67, 133, 200, 267],
+    run: workers => pollMillis(workers, 12),
+  },
+  {
+    name: 'Worker link, polls of 133 workers',
+    sizeUnit: 'tasks a worker',
+    unit: 'ms of processor time a second',
+    sizes: [0, 4, 8, 12, 24],
+    run: tasks => pollMillis(133, tasks),
+  },
+];
--- a/bench/capacity_measure.ts
+++ b/bench/capacity_measure.ts
@@ -53,6 +53,17 @@
   return {slope, intercept: my - slope * mx, r2};
 }
 
+/** Builds a curve from its points. */
+export function lineOf(
+  name: string,
+  sizeUnit: string,
+  unit: string,
+  points: readonly Point[],
+): Curve {
+  const line = fitLine(points);
+  return {name, sizeUnit, unit, points, ...line, loadAverage: loadavg()[0]};
+}
+
 /** One figure that is measured at several sizes. */
 export interface Measurement {
   readonly name: string;
@@ -81,8 +92,7 @@
     }
   }
   const points = sizes.map((size, i) => ({size, values: values[i]}));
-  const line = fitLine(points);
-  return {name, sizeUnit, unit, points, ...line, loadAverage: loadavg()[0]};
+  return lineOf(name, sizeUnit, unit, points);
 }
 
 /** Processor time of this process in microseconds, all threads. */
--- /dev/null
+++ b/bench/capacity_state.ts
@@ -0,0 +1,389 @@
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {checkpointParts} from '../src/common/jobs/checkpoint_parts.js';
+import {JobTable} from '../src/common/jobs/job_table.js';
+import {JobRecord} from '../src/common/jobs/types.js';
+import {Router} from '../src/common/routing/router.js';
+import {
+  REQUEST,
+  stateOf,
+  targets,
+} from '../src/common/routing/routing_fixture.test_support.js';
+import {AttemptOutcome, Choice} from '../src/common/routing/types.js';
+import {DataCentreReader} from '../src/common/stream/data_centre_reader.js';
+import {
+  RecordWriter,
+  WriterAction,
+} from '../src/common/stream/record_writer.js';
+import {DataCentreRecord} from '../src/common/stream/types.js';
+import {TicketState} from '../src/common/tickets/ticket_state.js';
+import {Measurement, ProcessorMeter, heapBytes} from './capacity_measure.js';
+import {submission} from './scheduler_rig.js';
+
+const UNIX_MS = 1.7e12;
+const SECOND = 1000;
+
+/** Records of an idempotent job from its submission to its end. */
+function jobRecords(index: number): JobRecord[] {
+  const job = `north/${index.toString(16).padStart(32, '0')}`;
+  const timeMs = UNIX_MS + index;
+  return [
+    {kind: 'submitted', job, submission: submission(index, 500), timeMs},
+    {
+      kind: 'ended',
+      job,
+      task: `${job}.1-${index}`,
+      outcome: 'finished',
+      result: `result of ${job}`,
+      timeMs,
+    },
+  ];
+}
+
+/** A copy as a reader of the stream gets it, sharing nothing. */
+function copyOf<T>(value: T): T {
+  return JSON.parse(JSON.stringify(value)) as T;
+}
+
+function tableOf(jobs: number, ended: number): JobTable {
+  const table = new JobTable();
+  for (let i = 0; i < jobs; i++) {
+    const records = copyOf(jobRecords(i));
+    table.apply(records[0]);
+    if (i < ended) table.apply(records[1]);
+  }
+  return table;
+}
+
+/** Heap bytes of a job table; `buried` jobs have only their tombstone left. */
+function tableBytes(jobs: number, buried: boolean): number {
+  const before = heapBytes();
+  const table = tableOf(jobs, buried ? jobs : 0);
+  if (buried) table.prune(UNIX_MS + 2 * 3600 * SECOND);
+  const bytes = heapBytes() - before;
+  const kept = [...(buried ? table.allTombstones() : table.allJobs())].length;
+  if (kept !== jobs) throw new Error('The table does not hold the jobs.');
+  return bytes;
+}
+
+/** Bytes of a checkpoint of the job table. */
+function checkpointBytes(jobs: number, buried: boolean): number {
+  const table = tableOf(jobs, jobs);
+  if (buried) table.prune(UNIX_MS + 2 * 3600 * SECOND);
+  return checkpointParts(table).reduce(
+    (sum, part) => sum + Buffer.byteLength(JSON.stringify(part)),
+    0,
+  );
+}
+
+/** Processor time of writing a checkpoint: copy, parts and JSON. */
+function checkpointMillis(jobs: number): number {
+  const table = tableOf(jobs, jobs);
+  table.prune(UNIX_MS + 2 * 3600 * SECOND);
+  const meter = new ProcessorMeter();
+  const bytes = meter.run(() => {
+    let sum = 0;
+    for (const part of checkpointParts(table.clone())) {
+      sum += JSON.stringify(part).length;
+    }
+    return sum;
+  });
+  if (bytes === 0) throw new Error('The checkpoint is empty.');
+  return meter.micros / 1000;
+}
+
+/** Processor time to read the records of `jobs` jobs in batches of 100. */
+function readMillis(jobs: number): number {
+  const pages: string[] = [];
+  const view = {
+    kind: 'view',
+    base: null,
+    leader: 'a#1',
+    members: ['a#1'],
+    writer: 'a#1',
+    sequence: 1,
+  };
+  pages.push(JSON.stringify({offset: 0, timeMs: UNIX_MS, data: view}));
+  for (let i = 0; i < jobs; i += 50) {
+    const offset = pages.length;
+    const entries = Array.from({length: 50}, (unused, j) =>
+      jobRecords(i + j),
+    ).flat();
+    const data = {
+      kind: 'batch',
+      epoch: 0,
+      entries,
+      writer: 'a#1',
+      sequence: offset + 1,
+    };
+    pages.push(JSON.stringify({offset, timeMs: UNIX_MS, data}));
+  }
+  const reader = new DataCentreReader();
+  const table = new JobTable();
+  const meter = new ProcessorMeter();
+  meter.run(() => {
+    for (const page of pages) {
+      for (const event of reader.read(JSON.parse(page))) {
+        if (event.kind === 'batch-in-force') table.applyBatch(event.record);
+      }
+    }
+  });
+  if ([...table.allJobs()].length !== jobs) {
+    throw new Error('Jobs are missing.');
+  }
+  return meter.micros / 1000;
+}
+
+/** The log's answers of a writer run: time to append and to read back. */
+const LOG_MS = 10;
+
+/** What a writer does under a load of entries on a simulated clock. */
+function runWriter(perSecond: number): {appends: number; waiting: number} {
+  const writer = new RecordWriter<DataCentreRecord, JobRecord>(
+    'a#1',
+    entries => ({kind: 'batch', epoch: 0, entries}),
+    {
+      batchMs: 25,
+      busyBatchMs: 100,
+      busyBatches: 10,
+      maxBatchEntries: 500,
+      maxQueuedEntries: 1e6,
+      confirmMs: 2000,
+      backoffMs: 100,
+      maxBackoffMs: 5000,
+    },
+  );
+  const due: Array<{at: number; record: DataCentreRecord}> = [];
+  let appends = 0;
+  const take = (
+    actions: Iterable<WriterAction<DataCentreRecord>>,
+    now: number,
+  ) => {
+    for (const action of actions) {
+      if (action.kind !== 'append') continue;
+      appends++;
+      due.push({at: now + LOG_MS, record: action.record});
+    }
+  };
+  const entry = jobRecords(1)[1];
+  let credit = 0;
+  for (let now = 0; now < 10 * SECOND; now++) {
+    while (due.length > 0 && due[0].at <= now) {
+      const {record} = due.shift()!;
+      take(writer.answered(0, now), now);
+      take(writer.read(record, now), now);
+    }
+    credit += perSecond / SECOND;
+    const count = Math.floor(credit);
+    credit -= count;
+    if (count > 0) take(writer.enqueue(Array(count).fill(entry), now), now);
+    if (now % 25 === 0) take(writer.tick(now), now);
+  }
+  return {appends: appends / 10, waiting: writer.queued};
+}
+
+/** Processor time of `choose` and `finish`. */
+function routeMicros(count: number): number {
+  const router = new Router(xoroshiro128plus(1));
+  router.update(stateOf(targets(count)), 0);
+  const rounds = 20_000;
+  const inFlight: Choice[] = [];
+  const meter = new ProcessorMeter();
+  meter.run(() => {
+    for (let i = 0; i < rounds; i++) {
+      const now = 20_000 + i;
+      router.choose(REQUEST, now).ifRight(choice => inFlight.push(choice));
+      const oldest = inFlight.length > 16 ? inFlight.shift() : undefined;
+      if (oldest) router.finish(oldest, AttemptOutcome.SUCCEEDED, now);
+    }
+  });
+  if (inFlight.length < 16) throw new Error('Requests were refused.');
+  return meter.micros / rounds;
+}
+
+/** Processor time to take in an instance list. */
+function listMillis(count: number): number {
+  const router = new Router(xoroshiro128plus(1));
+  const state = stateOf(targets(count));
+  router.update(state, 0);
+  const rounds = 10;
+  const meter = new ProcessorMeter();
+  meter.run(() => {
+    for (let i = 1; i <= rounds; i++) router.update(state, i * SECOND);
+  });
+  return meter.micros / 1000 / rounds;
+}
+
+const SIZE = {processors: 64, memoryMb: 256_000, accelerators: 0};
+
+/** Tickets as records: the first makes `workers` workers and 150 teams. */
+function ticketRecords(tickets: number, workers: number): string[] {
+  const teams = Object.fromEntries(
+    Array.from({length: 150}, (unused, i) => [
+      `team-${i}`,
+      {quota: SIZE, weight: 1},
+    ]),
+  );
+  const all = Object.fromEntries(
+    Array.from({length: workers}, (unused, i) => [
+      `worker-${i}`,
+      {state: 'live'},
+    ]),
+  );
+  return Array.from({length: tickets}, (unused, i) => {
+    const name = `worker-${i % workers}`;
+    const changes =
+      i === 0
+        ? {teams, workers: all}
+        : {workers: {[name]: {state: i % 2 ? 'leaving' : 'live'}}};
+    const ticket = {number: i + 1, base: i, author: 'operator-7', changes};
+    return JSON.stringify({
+      offset: i,
+      timeMs: UNIX_MS + i,
+      data: {kind: 'ticket', writer: 'a#1', sequence: i + 1, ticket},
+    });
+  });
+}
+
+/** Processor time to read tickets one at a time, as the daemon does. */
+function ticketMillis(tickets: number, workers: number): number {
+  const records = ticketRecords(tickets, workers);
+  const state = new TicketState();
+  const meter = new ProcessorMeter();
+  meter.run(() => {
+    for (const record of records) state.apply(JSON.parse(record));
+  });
+  if (state.configuration.number !== tickets) {
+    throw new Error('Not all tickets were accepted.');
+  }
+  return meter.micros / 1000;
+}
+
+/** The same tickets in pages of 500, as the log hands them out. */
+function ticketPageMillis(tickets: number, workers: number): number {
+  const records = ticketRecords(tickets, workers);
+  const state = new TicketState();
+  const meter = new ProcessorMeter();
+  meter.run(() => {
+    for (let i = 0; i < records.length; i += 500) {
+      const page = records.slice(i, i + 500);
+      state.applyAll(page.map(record => JSON.parse(record)));
+    }
+  });
+  if (state.configuration.number !== tickets) {
+    throw new Error('Not all tickets were accepted.');
+  }
+  return meter.micros / 1000;
+}
+
+/** Bytes of a checkpoint of the ticket state with a full audit trail. */
+function ticketCheckpointBytes(workers: number): number {
+  const state = new TicketState();
+  state.applyAll(
+    ticketRecords(1100, workers).map(record => JSON.parse(record)),
+  );
+  return Buffer.byteLength(JSON.stringify(state.snapshot()));
+}
+
+const JOB_COUNTS = [4000, 8000, 16_000, 32_000, 64_000];
+
+/** Figures of the other cores. */
+export const STATE_MEASUREMENTS: readonly Measurement[] = [
+  {
+    name: 'Job table, jobs with their views',
+    sizeUnit: 'jobs',
+    unit: 'bytes of heap',
+    sizes: JOB_COUNTS.slice(0, 4),
+    run: jobs => tableBytes(jobs, false),
+  },
+  {
+    name: 'Job table, ended jobs of which a tombstone is left',
+    sizeUnit: 'jobs',
+    unit: 'bytes of heap',
+    sizes: JOB_COUNTS,
+    run: jobs => tableBytes(jobs, true),
+  },
+  {
+    name: 'Checkpoint of the job table, views',
+    sizeUnit: 'jobs',
+    unit: 'bytes',
+    sizes: JOB_COUNTS.slice(0, 4),
+    run: jobs => checkpointBytes(jobs, false),
+  },
+  {
+    name: 'Checkpoint of the job table, tombstones',
+    sizeUnit: 'ended jobs',
+    unit: 'bytes',
+    sizes: JOB_COUNTS.slice(0, 4),
+    run: jobs => checkpointBytes(jobs, true),
+  },
+  {
+    name: 'Writing a checkpoint of tombstones',
+    sizeUnit: 'ended jobs',
+    unit: 'ms of processor time',
+    sizes: JOB_COUNTS,
+    run: checkpointMillis,
+  },
+  {
+    name: 'Reading the stream of a data centre',
+    sizeUnit: 'jobs, 2 records each',
+    unit: 'ms of processor time',
+    sizes: [1000, 2000, 4000, 8000, 16_000],
+    run: readMillis,
+  },
+  {
+    name: 'Writer, appends (log answers after 10 ms)',
+    sizeUnit: 'records/s',
+    unit: 'appends/s',
+    sizes: [10, 100, 1600, 3200, 4800, 6400],
+    run: rate => runWriter(rate).appends,
+  },
+  {
+    name: 'Writer, records that wait after 10 s (log answers after 10 ms)',
+    sizeUnit: 'records/s',
+    unit: 'records',
+    sizes: [1600, 3200, 4800, 5600, 6400],
+    run: rate => runWriter(rate).waiting,
+  },
+  {
+    name: 'Router, one choice with its end',
+    sizeUnit: 'targets of the service',
+    unit: 'µs of processor time',
+    sizes: [30, 67, 133, 267],
+    run: routeMicros,
+  },
+  {
+    name: 'Router, one instance list',
+    sizeUnit: 'targets',
+    unit: 'ms of processor time',
+    sizes: [267, 1000, 2000, 4000],
+    run: listMillis,
+  },
+  {
+    name: 'Ticket state, tickets one at a time',
+    sizeUnit: 'tickets, 4,000 workers in the state',
+    unit: 'ms of processor time',
+    sizes: [100, 200, 400, 800],
+    run: tickets => ticketMillis(tickets, 4000),
+  },
+  {
+    name: 'Ticket state, 200 tickets one at a time',
+    sizeUnit: 'workers in the state',
+    unit: 'ms of processor time',
+    sizes: [250, 500, 1000, 2000, 4000],
+    run: workers => ticketMillis(200, workers),
+  },
+  {
+    name: 'Ticket state, tickets in pages of 500',
+    sizeUnit: 'tickets, 4,000 workers in the state',
+    unit: 'ms of processor time',
+    sizes: [500, 1000, 2300, 4600],
+    run: tickets => ticketPageMillis(tickets, 4000),
+  },
+  {
+    name: 'Ticket state, checkpoint with 1,000 audit entries',
+    sizeUnit: 'workers in the state, 150 teams',
+    unit: 'bytes',
+    sizes: [500, 1000, 2000, 4000],
+    run: ticketCheckpointBytes,
+  },
+];
--- /dev/null
+++ b/bench/worker_host.ts
@@ -0,0 +1,32 @@
+import {ChildProcess, spawn} from 'node:child_process';
+import {join} from 'node:path';
+import {createInterface} from 'node:readline';
+import {Instance} from '../src/common/base/platform.js';
+
+const PROGRAM = join('dist', 'bench', 'capacity_worker_host.js');
+
+/** A process with stand-ins of workers. */
+export class WorkerHost {
+  private constructor(
+    private readonly child: ChildProcess,
+    /** Entries of the workers in the instance list. */
+    readonly instances: readonly Instance[],
+  ) {}
+
+  /** Starts a process with `count` workers. */
+  static async start(count: number): Promise<WorkerHost> {
+    const child = spawn(process.execPath, [PROGRAM, String(count)], {
+      stdio: ['pipe', 'pipe', 'inherit'],
+    });
+    const lines = createInterface({input: child.stdout});
+    for await (const line of lines) {
+      return new WorkerHost(child, JSON.parse(line) as Instance[]);
+    }
+    throw new Error('The host of the workers ended before it was ready.');
+  }
+
+  /** Ends the process. */
+  stop(): void {
+    this.child.kill('SIGKILL');
+  }
+}
