--- a/bench/capacity_links.ts
+++ b/bench/capacity_links.ts
@@ -29,6 +29,11 @@
   ticketAgeMs: 1234.567,
   leads: 123_456,
   leaving: [],
+  // A fifth of the 267 workers of a data centre serve requests.
+  slowdowns: Array.from({length: 53}, (unusedValue, i) => ({
+    worker: `hamilton-worker-${i}`,
+    slowdown: 1.0123,
+  })),
   draining: false,
 };
 
--- a/bench/capacity_state.ts
+++ b/bench/capacity_state.ts
@@ -11,6 +11,7 @@
 import {AttemptOutcome, Choice} from '../src/common/routing/types.js';
 import {DataCentreReader} from '../src/common/stream/data_centre_reader.js';
 import {
+  DEFAULT_WRITER_LIMITS,
   RecordWriter,
   WriterAction,
 } from '../src/common/stream/record_writer.js';
@@ -141,16 +142,7 @@
   const writer = new RecordWriter<DataCentreRecord, JobRecord>(
     'a#1',
     entries => ({kind: 'batch', epoch: 0, entries}),
-    {
-      batchMs: 25,
-      busyBatchMs: 100,
-      busyBatches: 10,
-      maxBatchEntries: 500,
-      maxQueuedEntries: 1e6,
-      confirmMs: 2000,
-      backoffMs: 100,
-      maxBackoffMs: 5000,
-    },
+    {...DEFAULT_WRITER_LIMITS, maxQueuedEntries: 1e6},
   );
   const due: Array<{at: number; record: DataCentreRecord}> = [];
   let appends = 0;
