Measure the cost of the instance list on an idle daemon

Every instance reads the list of all workers each second, which the other figures leave out. Workers of another data centre are listed, so that nothing but the list is added.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -4,6 +4,7 @@
 import {
   START_MEASUREMENTS,
   idleCurves,
+  listCurves,
   ticketCurve,
 } from './capacity_daemons.js';
 import {LINK_MEASUREMENTS, workerLinkCurves} from './capacity_links.js';
@@ -34,12 +35,17 @@
   yield* await workerLinkCurves();
 }
 
+async function* instanceListCurves(): AsyncGenerator<Curve> {
+  yield* await listCurves();
+}
+
 /** The parts of the benchmark by name, those that take longest first. */
 const PARTS: Readonly<Record<string, () => AsyncGenerator<Curve>>> = {
   daemons: daemonCurves,
   links: linkCurves,
   state: () => measureAll(STATE_MEASUREMENTS),
   scheduler: () => measureAll(SCHEDULER_MEASUREMENTS),
+  list: instanceListCurves,
   start: () => measureAll(START_MEASUREMENTS),
 };
 
--- a/bench/capacity_daemons.ts
+++ b/bench/capacity_daemons.ts
@@ -1,9 +1,11 @@
 import {readFileSync} from 'node:fs';
 import {performance} from 'node:perf_hooks';
+import {Instance} from '../src/common/base/platform.js';
 import {Deployment, DeploymentPlan, Entry} from '../test_support/deployment.js';
 import {call, eventually, sleep} from '../test_support/http.js';
 import {Curve, Measurement, REPETITIONS, lineOf} from './capacity_measure.js';
 import {ticketRecords} from './capacity_state.js';
+import {workerInstance} from './scheduler_rig.js';
 import {WorkerHost} from './worker_host.js';
 
 const PLAN: DeploymentPlan = {
@@ -139,56 +141,107 @@
   });
 }
 
+/** Collects points by the name of the figure. */
+class Figures {
+  private readonly points = new Map<string, Map<number, number[]>>();
+
+  add(name: string, size: number, value: number): void {
+    const sizes = this.points.get(name) ?? new Map<number, number[]>();
+    this.points.set(name, sizes);
+    sizes.set(size, [...(sizes.get(size) ?? []), value]);
+  }
+
+  /** The curves; a name is followed by a comma and its unit. */
+  curves(sizeUnit: string): Curve[] {
+    return [...this.points].map(([title, sizes]) => {
+      const cut = title.lastIndexOf(', ');
+      const [name, unit] = [title.slice(0, cut), title.slice(cut + 2)];
+      const points = [...sizes].map(([size, values]) => ({size, values}));
+      return lineOf(name, sizeUnit, unit, points);
+    });
+  }
+}
+
+/** Measures idle daemons some times; `roleOf` names each. */
+async function measureIdle(
+  entries: readonly Entry[],
+  roleOf: (entry: Entry) => string,
+  size: number,
+  figures: Figures,
+): Promise<void> {
+  for (let i = 0; i < REPETITIONS; i++) {
+    const before = entries.map(entry => usageOf(entry.process!.pid!));
+    const startedAt = performance.now();
+    await sleep(IDLE_WINDOW_MS);
+    const windowMs = performance.now() - startedAt;
+    for (const [index, entry] of entries.entries()) {
+      const after = usageOf(entry.process!.pid!);
+      const ms = after.processorMs - before[index].processorMs;
+      const role = roleOf(entry);
+      figures.add(
+        `${role} processor, % of a core`,
+        size,
+        (100 * ms) / windowMs,
+      );
+      figures.add(`${role} resident size, MB`, size, after.residentMb);
+    }
+  }
+}
+
 /** Idle daemons by the number of workers: the leader and the other member. */
 export async function idleCurves(): Promise<Curve[]> {
   const deployment = new Deployment(PLAN);
   const host = await WorkerHost.start(267);
-  const figures = new Map<string, Array<{size: number; values: number[]}>>();
-  const add = (name: string, size: number, value: number) => {
-    const points = figures.get(name) ?? [];
-    figures.set(name, points);
-    const point = points.find(known => known.size === size);
-    if (point === undefined) points.push({size, values: [value]});
-    else point.values.push(value);
-  };
+  const figures = new Figures();
   try {
     await deployment.start();
-    for (const entry of deployment.entries) await waitUntilReady(entry);
+    const {entries} = deployment;
+    for (const entry of entries) await waitUntilReady(entry);
     // The start of a process takes more than its idle time.
     await sleep(2 * SETTLE_MS);
-    const leader = await leaderOf(deployment.entries);
+    const leader = await leaderOf(entries);
+    const roleOf = (entry: Entry) =>
+      entry === leader ? 'Idle leader,' : 'Idle member,';
     let listed = 0;
     for (const size of [0, 100, 200, 267]) {
       for (; listed < size; listed++) {
         deployment.list.put(host.instances[listed]);
       }
       await sleep(SETTLE_MS);
-      for (let i = 0; i < REPETITIONS; i++) {
-        const before = deployment.entries.map(e => usageOf(e.process!.pid!));
-        const startedAt = performance.now();
-        await sleep(IDLE_WINDOW_MS);
-        const windowMs = performance.now() - startedAt;
-        for (const [index, entry] of deployment.entries.entries()) {
-          const after = usageOf(entry.process!.pid!);
-          const role = entry === leader ? 'leader' : 'member';
-          const ms = after.processorMs - before[index].processorMs;
-          add(`Idle ${role}, % of a core`, size, (100 * ms) / windowMs);
-          add(`Idle ${role}, resident MB`, size, after.residentMb);
-        }
-      }
+      await measureIdle(entries, roleOf, size, figures);
     }
   } finally {
     await deployment.stop();
     host.stop();
   }
-  return [...figures].map(([name, points]) =>
-    lineOf(
-      `${name.split(',')[0]} with 1 other instance`,
-      'workers without tasks',
-      name.split(', ')[1],
-      points,
-    ),
-  );
+  return figures.curves('workers without tasks in the data centre');
+}
+
+/** An idle daemon by the workers that the list shows elsewhere. */
+export async function listCurves(): Promise<Curve[]> {
+  const deployment = new Deployment({...PLAN, entriesPerDataCentre: 1});
+  const figures = new Figures();
+  const listed: Instance[] = [];
+  try {
+    await deployment.start();
+    const {entries} = deployment;
+    for (const entry of entries) await waitUntilReady(entry);
+    await sleep(2 * SETTLE_MS);
+    for (const size of [500, 1000, 2000, 4000]) {
+      while (listed.length < size) {
+        const instance = workerInstance(listed.length);
+        listed.push({...instance, dataCentre: 'south'});
+        deployment.list.put(listed[listed.length - 1]);
+      }
+      await sleep(SETTLE_MS);
+      await measureIdle(entries, () => 'Listed workers,', size, figures);
+      const bytes = Buffer.byteLength(JSON.stringify(listed));
+      figures.add('Listed workers, bytes of the list, bytes', size, bytes);
+    }
+  } finally {
+    await deployment.stop();
+  }
+  return figures.curves('workers listed in other data centres');
 }
 
 /** Workers that the tickets name: all of the two-year size. */
