--- a/bench/capacity_scheduler.ts
+++ b/bench/capacity_scheduler.ts
@@ -92,9 +92,9 @@
   return (rig.meter.micros - before) / 1000;
 }
 
-/** Bytes of the records of `count` idempotent jobs; no checkpoints. */
-function recordBytes(count: number): number {
-  const rig = new SchedulerRig({workers: WORKERS, runMs: 500});
+/** Bytes of the records of `count` jobs; no checkpoints. */
+function recordBytes(count: number, idempotent: boolean): number {
+  const rig = new SchedulerRig({workers: WORKERS, runMs: 500, idempotent});
   rig.advance(SECOND, () => rig.submit(count / 40));
   rig.advance(2 * SECOND);
   expectCount('ends', rig.ends, count);
@@ -203,6 +203,13 @@
     sizeUnit: 'jobs',
     unit: 'bytes, checkpoints not counted',
     sizes: RATES,
-    run: recordBytes,
+    run: count => recordBytes(count, true),
+  },
+  {
+    name: 'Records of non-idempotent jobs in the stream of a data centre',
+    sizeUnit: 'jobs',
+    unit: 'bytes, checkpoints not counted',
+    sizes: RATES,
+    run: count => recordBytes(count, false),
   },
 ];
