Add a policy benchmark under a simulated clock

What changed: the command `policy` drives Router, Admission and Scheduler over the same seeded requests and jobs under default, no-batch, round-robin without admission, first-fit, no reaction and an oracle, at seven offered loads and in a total outage. Workers are processor sharing with an interference matrix.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,7 @@
 import meow from 'meow';
 import {EntryBenchmarkOptions, runEntryBenchmark} from './entry.js';
+import {PolicyBenchmarkOptions, runPolicyBenchmark} from './policy.js';
+import {WORKLOADS} from './policy_workloads.js';
 
 const cli = meow(
   `
@@ -8,11 +10,15 @@
 
   Commands
     entry   added latency and throughput of the request path on loopback
+    policy  policies against baselines under a simulated clock
 
   Options
     --json FILE        write the figures to FILE as JSON
     --seconds N        measuring time of each step (default 2)
     --concurrency N,…  requests at the same time (default 1,4,16,64,256,512)
+    --seeds N          runs of each policy (default 10)
+    --workload NAME    tuapapa or lienzo (default tuapapa)
+    --svg FILE         not available: no plot library is installed
 `,
   {
     importMeta: import.meta,
@@ -20,6 +26,9 @@
       json: {type: 'string'},
       seconds: {type: 'number', default: 2},
       concurrency: {type: 'string', default: '1,4,16,64,256,512'},
+      seeds: {type: 'number', default: 10},
+      workload: {type: 'string', default: 'tuapapa'},
+      svg: {type: 'string'},
     },
   },
 );
@@ -45,14 +54,32 @@
   return {json, stepMs: seconds * 1000, concurrency: levels};
 }
 
+/** Most seeds, so that a run ends within the hour. */
+const MAX_SEEDS = 100;
+
+function policyOptions(): PolicyBenchmarkOptions {
+  const {json, seeds, workload, svg} = cli.flags;
+  if (!(Number.isInteger(seeds) && seeds > 0 && seeds <= MAX_SEEDS)) {
+    throw new Error(`--seeds needs a whole number from 1 to ${MAX_SEEDS}.`);
+  }
+  if (!Object.hasOwn(WORKLOADS, workload)) {
+    const known = Object.keys(WORKLOADS).join(' or ');
+    throw new Error(`--workload needs ${known}.`);
+  }
+  return {json, svg, seeds, workload: WORKLOADS[workload]};
+}
+
 /** The benchmarks by name. */
 const COMMANDS: Readonly<Record<string, () => Promise<void>>> = {
   entry: () => runEntryBenchmark(entryOptions()),
+  policy: () => runPolicyBenchmark(policyOptions()),
 };
 
 const [name = ''] = cli.input;
 if (!Object.hasOwn(COMMANDS, name)) {
-  console.error(`Unknown benchmark "${name}". Known: entry.`);
+  console.error(
+    `Unknown benchmark "${name}". Known: ${Object.keys(COMMANDS).join(', ')}.`,
+  );
   process.exitCode = 2;
 } else {
   try {
--- /dev/null
+++ b/bench/policy.ts
@@ -0,0 +1,149 @@
+import {writeFile} from 'node:fs/promises';
+import {COMBINATIONS} from './policy_combinations.js';
+import {Figures, PolicySimulation} from './policy_simulation.js';
+import {Spread, formatSpread, spreadOf} from './policy_statistics.js';
+import {TARGETS, Target} from './policy_targets.js';
+import {Workload} from './policy_workloads.js';
+
+/** Options of the benchmark `policy`. */
+export interface PolicyBenchmarkOptions {
+  /** File for the figures. */
+  readonly json?: string;
+  /** File for plots; no library for them is installed. */
+  readonly svg?: string;
+  readonly seeds: number;
+  readonly workload: Workload;
+}
+
+/** Offered loads of the saturation runs, as parts of the slots. */
+const LOADS = [0.5, 0.7, 0.9, 1, 1.2, 1.5, 2];
+
+const OUTAGES = ['refused', 'broken'] as const;
+
+/** Figures of one seed; all runs share the seed's requests and jobs. */
+export interface SeedFigures {
+  readonly seed: number;
+  readonly combinations: Readonly<Record<string, Figures>>;
+  /** Under `default`, by offered load. */
+  readonly loads: ReadonlyArray<{readonly load: number; figures: Figures}>;
+  /** Attempts for each offered request in a total outage, by its kind. */
+  readonly attempts: Readonly<Record<string, number>>;
+}
+
+function runSeed(workload: Workload, seed: number): SeedFigures {
+  const run = (changes: Partial<Workload>, name = 'default') =>
+    new PolicySimulation(
+      {...workload, ...changes},
+      COMBINATIONS[name],
+      seed,
+    ).run();
+  const combinations = Object.fromEntries(
+    Object.keys(COMBINATIONS).map(name => [name, run({}, name)]),
+  );
+  const loads = LOADS.map(load => ({load, figures: run({load})}));
+  const attempts = Object.fromEntries(
+    OUTAGES.map(outage => {
+      const figures = run({outage, warmUpMs: 0});
+      return [outage, figures.attempts / figures.attemptedRequests];
+    }),
+  );
+  return {seed, combinations, loads, attempts};
+}
+
+type Column = readonly [title: string, pick: (figures: Figures) => number];
+
+const COLUMNS: readonly Column[] = [
+  ['p50 ms', ({p50Ms}) => p50Ms],
+  ['p99 ms', ({p99Ms}) => p99Ms],
+  ['p999 ms', ({p999Ms}) => p999Ms],
+  ['goodput /s', ({goodput}) => goodput],
+  ['refused', ({refused}) => refused],
+  ['late', ({late}) => late],
+  ['failed', ({failed}) => failed],
+  ['batch core-s/s', ({batchThroughput}) => batchThroughput],
+  ['evictions', ({evictions}) => evictions],
+  ['work lost core-s', ({workLost}) => workLost],
+  ['Jain', ({fairness}) => fairness],
+];
+
+/** A table in Markdown, so that it can be put into the documentation. */
+function markdown(head: readonly string[], rows: readonly string[][]): string {
+  const line = (cells: readonly string[]) => `| ${cells.join(' | ')} |`;
+  return [head, head.map(() => '---'), ...rows].map(line).join('\n');
+}
+
+function row(name: string, runs: readonly Figures[]): string[] {
+  return [
+    name,
+    ...COLUMNS.map(([, pick]) => formatSpread(spreadOf(runs.map(pick)))),
+  ];
+}
+
+function targetRow(target: Target, spread: Spread): string[] {
+  const reached = target.reached(spread.median) ? 'reached' : 'missed';
+  return [target.name, target.bound, formatSpread(spread), reached];
+}
+
+/**
+ * Runs every combination of policies over the same requests and jobs, prints
+ * medians and ranges over the seeds, and compares them with the targets.
+ */
+export async function runPolicyBenchmark(
+  options: PolicyBenchmarkOptions,
+): Promise<void> {
+  const {workload, json, svg} = options;
+  if (svg !== undefined) {
+    throw new Error(
+      '--svg is not available: no plot library is installed. Use --json.',
+    );
+  }
+  const runs: SeedFigures[] = [];
+  for (let seed = 1; seed <= options.seeds; seed++) {
+    runs.push(runSeed(workload, seed));
+    console.error(`Seed ${seed} of ${options.seeds} is done.`);
+  }
+  const titles = COLUMNS.map(([title]) => title);
+  console.log(
+    markdown(
+      [`${workload.name} at load ${workload.load}`, ...titles],
+      Object.keys(COMBINATIONS).map(name =>
+        row(
+          name,
+          runs.map(({combinations}) => combinations[name]),
+        ),
+      ),
+    ),
+  );
+  console.log(
+    '\n' +
+      markdown(
+        ['default at load', ...titles],
+        LOADS.map((load, i) =>
+          row(
+            String(load),
+            runs.map(({loads}) => loads[i].figures),
+          ),
+        ),
+      ),
+  );
+  const targets = TARGETS.map(target => ({
+    target,
+    spread: spreadOf(runs.map(target.figure)),
+  }));
+  console.log(
+    '\n' +
+      markdown(
+        ['target', 'bound', 'measured', 'median'],
+        targets.map(({target, spread}) => targetRow(target, spread)),
+      ),
+  );
+  if (json !== undefined) {
+    const figures = {
+      benchmark: 'policy',
+      node: process.version,
+      workload,
+      runs,
+    };
+    await writeFile(json, JSON.stringify(figures, null, 2) + '\n');
+  }
+}
--- /dev/null
+++ b/bench/policy_batch.ts
@@ -0,0 +1,158 @@
+import {Millis} from '../src/common/base/clock.js';
+import {Instance} from '../src/common/base/platform.js';
+import {Scheduler} from '../src/common/jobs/scheduler.js';
+import {Simulation} from '../src/common/jobs/simulation.test_support.js';
+import {
+  JobState,
+  JobView,
+  SchedulerAction,
+  SchedulerMessage,
+  Submission,
+} from '../src/common/jobs/types.js';
+import {Configuration} from '../src/common/tickets/types.js';
+import {Combination} from './policy_combinations.js';
+import {Slowdown} from './policy_entry.js';
+import {SimulatedWorker} from './policy_worker.js';
+
+/** Starts the batch jobs of one data centre. */
+export interface BatchDriver {
+  submit(submission: Submission): void;
+  observe(instances: readonly Instance[]): void;
+  measure(slowdowns: readonly Slowdown[], measuredAt: Millis): void;
+  taskEnded(worker: SimulatedWorker, job: string): void;
+  /** Evictions of all jobs so far. */
+  readonly evictions: number;
+}
+
+const TICK_MS: Millis = 50;
+
+/** From the append of a record to its reading. */
+const LOG_MS: Millis = 5;
+
+/** One way to a worker. */
+const CALL_MS: Millis = 1;
+
+type Call = Exclude<
+  SchedulerAction,
+  {kind: 'append' | 'answer' | 'violation' | 'job-ended'}
+>;
+
+/** The real scheduler with a log that loses nothing and a lease without end. */
+export class SchedulerDriver implements BatchDriver {
+  private readonly scheduler: Scheduler;
+  private offset = 0;
+
+  constructor(
+    private readonly simulation: Simulation,
+    dataCentre: string,
+    private readonly workers: ReadonlyMap<string, SimulatedWorker>,
+    {placement, reaction}: Combination,
+    configuration: Configuration,
+  ) {
+    this.scheduler = new Scheduler(
+      {mayAct: () => true, leaseUntil: now => now + 3000},
+      {dataCentre, placement, reaction},
+    );
+    this.send({kind: 'configuration', configuration});
+    this.send({kind: 'log', available: true});
+    this.send({kind: 'lead', epoch: 0});
+    simulation.every(TICK_MS, () => this.send({kind: 'tick'}));
+  }
+
+  get evictions(): number {
+    let evictions = 0;
+    for (const job of this.scheduler.allJobs()) {
+      evictions += job.evictions + (job.state === JobState.EVICTING ? 1 : 0);
+    }
+    return evictions;
+  }
+
+  get jobs(): Iterable<JobView> {
+    return this.scheduler.allJobs();
+  }
+
+  submit(submission: Submission): void {
+    this.send({kind: 'submit', request: submission.key, submission});
+  }
+
+  observe(instances: readonly Instance[]): void {
+    this.send({kind: 'instances', instances});
+  }
+
+  measure(slowdowns: readonly Slowdown[], measuredAt: Millis): void {
+    for (const {worker, slowdown} of slowdowns) {
+      this.send({kind: 'interference', worker, slowdown, measuredAt});
+    }
+  }
+
+  taskEnded(): void {
+    // The scheduler learns of it by its polls.
+  }
+
+  private send(message: SchedulerMessage): void {
+    const {now} = this.simulation;
+    for (const action of [...this.scheduler.handle(message, now)]) {
+      this.act(action);
+    }
+  }
+
+  private act(action: SchedulerAction): void {
+    if (action.kind === 'append') {
+      const offset = ++this.offset;
+      const {entries} = action;
+      const batch = {
+        kind: 'batch',
+        writer: 'a#1',
+        sequence: offset,
+        epoch: 0,
+        entries,
+      } as const;
+      this.simulation.after(LOG_MS, () =>
+        this.send({kind: 'batch-read', offset, batch, own: true}),
+      );
+    } else if (action.kind === 'violation') {
+      throw new Error(`The scheduler reports ${action.rule}.`);
+    } else if (action.kind !== 'answer' && action.kind !== 'job-ended') {
+      this.call(action);
+    }
+  }
+
+  private call(action: Call): void {
+    const {simulation} = this;
+    const sentAt = simulation.now;
+    const id = action.worker;
+    const worker = this.workers.get(id)!;
+    simulation.after(CALL_MS, () => {
+      const answer = worker.isUp
+        ? carryOut(action, worker, sentAt)
+        : () => ({kind: 'worker-unreachable', worker: id}) as const;
+      simulation.after(CALL_MS, () => this.send(answer(simulation.now)));
+    });
+  }
+}
+
+function carryOut(
+  action: Call,
+  worker: SimulatedWorker,
+  sentAt: Millis,
+): (now: Millis) => SchedulerMessage {
+  const {id} = worker;
+  if (action.kind === 'start') {
+    const {task} = action;
+    if (!worker.startTask(task, action.start)) {
+      return () => ({kind: 'start-refused', worker: id, task});
+    }
+  } else if (action.kind === 'poll') worker.renew(action.leases);
+  else if (action.kind === 'checkpoint-task') worker.checkpoint(action.task);
+  else if (action.kind === 'stop-task') worker.stop(action.task);
+  else if (action.kind === 'forget-task') worker.forget(action.task);
+  else worker.throttle(action.task, action.share);
+  const status = worker.status();
+  return receivedAt => ({
+    kind: 'worker-status',
+    worker: id,
+    status,
+    sentAt,
+    receivedAt,
+  });
+}
--- /dev/null
+++ b/bench/policy_draws.ts
@@ -0,0 +1,38 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Random numbers of one purpose, so that policies don't shift each other's. */
+export class Draws {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  uniform(): number {
+    return uniformFloat64(this.generator);
+  }
+
+  exponential(mean: number): number {
+    return -mean * Math.log(1 - this.uniform());
+  }
+
+  /** Log-normal factor with mean 1. */
+  factor(sigma: number): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.uniform()));
+    const normal = radius * Math.cos(2 * Math.PI * this.uniform());
+    return Math.exp(sigma * normal - (sigma * sigma) / 2);
+  }
+
+  /** Picks a name by its weight. */
+  weighted(weights: Readonly<Record<string, number>>): string {
+    const entries = Object.entries(weights);
+    let left =
+      this.uniform() * entries.reduce((sum, [, weight]) => sum + weight, 0);
+    for (const [name, weight] of entries) {
+      left -= weight;
+      if (left < 0) return name;
+    }
+    return entries[entries.length - 1][0];
+  }
+}
--- /dev/null
+++ b/bench/policy_simulation.ts
@@ -0,0 +1,333 @@
+import {build} from 'hdr-histogram-js';
+import {Millis} from '../src/common/base/clock.js';
+import {Simulation} from '../src/common/jobs/simulation.test_support.js';
+import {
+  Configuration,
+  EMPTY_CONFIGURATION,
+  ServiceConfiguration,
+  Urgency,
+} from '../src/common/tickets/types.js';
+import {BatchDriver, SchedulerDriver} from './policy_batch.js';
+import {Combination} from './policy_combinations.js';
+import {Draws} from './policy_draws.js';
+import {EntryRequest, RequestResult, SimulatedEntry} from './policy_entry.js';
+import {OracleDriver} from './policy_oracle.js';
+import {SimulatedWorker, TrueNeeds} from './policy_worker.js';
+import {BatchKind, Workload} from './policy_workloads.js';
+
+/** Figures of one run. */
+export interface Figures {
+  /** Latency of answered and late requests; a late one counts its deadline. */
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly p999Ms: number;
+  readonly offered: number;
+  readonly answered: number;
+  readonly late: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Requests that are late or took longer than the bound of the run. */
+  readonly slow: number;
+  /** Attempts at targets and requests over the whole run. */
+  readonly attempts: number;
+  readonly attemptedRequests: number;
+  /** Requests answered in time, for each second. */
+  readonly goodput: number;
+  /** Finished work in processor seconds, for each second. */
+  readonly batchThroughput: number;
+  readonly jobsSubmitted: number;
+  readonly evictions: number;
+  /** Work thrown away, in processor seconds. */
+  readonly workLost: number;
+  /** Jain fairness over the teams' parts of offered work that are finished. */
+  readonly fairness: number;
+}
+
+const LIST_MS: Millis = 1000;
+const MEASURE_MS: Millis = 500;
+
+/** Histograms count tenths of a millisecond. */
+const UNITS_PER_MS = 10;
+
+/** Retry budget and queue of the examples in `docs/TICKETS.md`. */
+const RETRY_BUDGET = 0.1;
+const QUEUE_LIMIT = 256;
+
+/** One run of a workload under one combination of policies. */
+export class PolicySimulation {
+  private readonly simulation: Simulation;
+  private readonly workers = new Map<string, SimulatedWorker>();
+  private readonly entries: SimulatedEntry[] = [];
+  private readonly drivers: BatchDriver[] = [];
+  private readonly latencies = build({numberOfSignificantValueDigits: 3});
+  private readonly results = {answered: 0, late: 0, refused: 0, failed: 0};
+  /** Work of the submitted jobs by team, in core-ms. */
+  private readonly submittedWork = new Map<string, number>();
+  private jobs = 0;
+  private offered = 0;
+  private slow = 0;
+  private requests = 0;
+
+  constructor(
+    private readonly workload: Workload,
+    private readonly combination: Combination,
+    private readonly seed: number,
+    private readonly slowMs: Millis = workload.deadlineMs,
+  ) {
+    this.simulation = new Simulation(seed);
+    for (let i = 0; i < workload.dataCentres; i++) this.addDataCentre(i);
+  }
+
+  run(): Figures {
+    const {simulation, workload} = this;
+    this.publish();
+    simulation.every(LIST_MS, () => this.publish());
+    this.entries.forEach((entry, i) => {
+      // Entries report at different times, as separate processes do.
+      const phase = (MEASURE_MS * i) / this.entries.length;
+      simulation.after(phase, () =>
+        simulation.every(MEASURE_MS, () => this.measure(entry, i)),
+      );
+    });
+    this.sendRequests(new Draws(this.seed * 4 + 1));
+    if (this.combination.batch !== 'none') {
+      this.submitJobs(new Draws(this.seed * 4 + 2));
+    }
+    this.failWorkers(new Draws(this.seed * 4 + 3));
+    simulation.runUntil(workload.durationMs);
+    return this.figures();
+  }
+
+  private get configuration(): Configuration {
+    const {service, worker, workers, teams} = this.workload;
+    // Quotas don't bind; they are as large as the data centre.
+    const quota = {
+      processors: worker.processors * workers,
+      memoryMb: worker.memoryMb * workers,
+      accelerators: 0,
+    };
+    return {
+      ...EMPTY_CONFIGURATION,
+      number: 1,
+      services: {[service]: this.service},
+      teams: Object.fromEntries(
+        Object.keys(teams).map(team => [team, {quota, weight: 1}]),
+      ),
+    };
+  }
+
+  private get service(): ServiceConfiguration {
+    return {
+      reservation: this.workload.reservation,
+      routing: this.combination.routing,
+      queueLimit: QUEUE_LIMIT,
+      deadlineMs: this.workload.deadlineMs,
+      retryBudget: RETRY_BUDGET,
+    };
+  }
+
+  private addDataCentre(index: number): void {
+    const {simulation, workload, combination} = this;
+    const dataCentre = `dc${index}`;
+    const local: SimulatedWorker[] = [];
+    for (let i = 0; i < workload.workers; i++) {
+      const rack = `${dataCentre}r${Math.floor(i / workload.workersPerRack)}`;
+      const worker = new SimulatedWorker(
+        `${dataCentre}w${i}`,
+        dataCentre,
+        rack,
+        workload,
+        simulation,
+        (ended, job) => this.onTaskEnd(index, ended, job),
+      );
+      local.push(worker);
+      this.workers.set(worker.id, worker);
+    }
+    for (let i = 0; i < workload.entries; i++) {
+      this.entries.push(
+        new SimulatedEntry(
+          dataCentre,
+          this.seed * 1000 + this.entries.length,
+          simulation,
+          workload,
+          combination,
+          this.service,
+          this.workers,
+          (request, result) => this.onResult(request, result),
+        ),
+      );
+    }
+    this.drivers.push(
+      combination.batch === 'oracle'
+        ? new OracleDriver(simulation, local, workload)
+        : new SchedulerDriver(
+            simulation,
+            dataCentre,
+            this.workers,
+            combination,
+            this.configuration,
+          ),
+    );
+  }
+
+  private publish(): void {
+    const [{listedSlots}] = this.entries;
+    const list = [...this.workers.values()]
+      .filter(({isUp}) => isUp)
+      .map(worker => worker.instance(listedSlots));
+    for (const entry of this.entries) entry.update(list);
+    for (const driver of this.drivers) driver.observe(list);
+  }
+
+  private measure(entry: SimulatedEntry, index: number): void {
+    const {simulation, workload} = this;
+    const measuredAt = simulation.now;
+    const slowdowns = entry.slowdowns();
+    const driver = this.drivers[Math.floor(index / workload.entries)];
+    simulation.after(workload.lagMs, () =>
+      driver.measure(slowdowns, measuredAt),
+    );
+  }
+
+  private sendRequests(draws: Draws): void {
+    const {simulation, workload} = this;
+    const slots = workload.dataCentres * workload.workers * workload.slots;
+    const spacing = workload.serviceMs / (slots * workload.load);
+    const next = () =>
+      simulation.after(draws.exponential(spacing), () => {
+        const entry = Math.floor(draws.uniform() * this.entries.length);
+        const workMs = workload.serviceMs * draws.factor(workload.serviceSigma);
+        this.requests++;
+        if (simulation.now >= workload.warmUpMs) this.offered++;
+        this.entries[entry].offer(workMs);
+        next();
+      });
+    next();
+  }
+
+  private submitJobs(draws: Draws): void {
+    const {simulation, workload} = this;
+    const {worker, reservation, workers, dataCentres, kinds} = workload;
+    const usable =
+      (worker.processors - reservation.processors) * workers * dataCentres;
+    const mean = kinds.reduce(
+      (sum, kind) =>
+        sum + kind.share[0] * kind.declaredProcessors * kind.declaredRunMs,
+      0,
+    );
+    const spacing = mean / (usable * workload.batchLoad);
+    const next = () =>
+      simulation.after(draws.exponential(spacing), () => {
+        const inWave = simulation.now % workload.wavePeriodMs < workload.waveMs;
+        const shares = Object.fromEntries(
+          kinds.map(kind => [kind.name, kind.share[inWave ? 1 : 0]]),
+        );
+        const name = draws.weighted(shares);
+        this.submit(
+          kinds.find(kind => kind.name === name)!,
+          draws,
+        );
+        next();
+      });
+    next();
+  }
+
+  private submit(kind: BatchKind, draws: Draws): void {
+    const {workload} = this;
+    const {worker, reservation, declarationSigma} = workload;
+    const driver = Math.floor(draws.uniform() * this.drivers.length);
+    const team = draws.weighted(workload.teams);
+    const needs: TrueNeeds = {
+      team,
+      processors: Math.min(
+        worker.processors - reservation.processors,
+        kind.declaredProcessors * draws.factor(declarationSigma),
+      ),
+      runMs: kind.declaredRunMs * draws.factor(declarationSigma),
+    };
+    const work = needs.processors * needs.runMs;
+    this.submittedWork.set(team, (this.submittedWork.get(team) ?? 0) + work);
+    this.drivers[driver].submit({
+      key: `j${this.jobs++}`,
+      jobClass: kind.name,
+      team,
+      urgency: Urgency.NORMAL,
+      size: {
+        processors: kind.declaredProcessors,
+        memoryMb: 1000,
+        accelerators: 0,
+      },
+      runMs: kind.declaredRunMs,
+      idempotent: true,
+      payload: needs,
+    });
+  }
+
+  private failWorkers(draws: Draws): void {
+    const {simulation, workload} = this;
+    simulation.after(draws.exponential(workload.failureEveryMs), () => {
+      const workers = [...this.workers.values()];
+      const worker = workers[Math.floor(draws.uniform() * workers.length)];
+      if (worker.isUp) {
+        worker.kill();
+        simulation.after(workload.downMs, () => worker.restart());
+      }
+      this.failWorkers(draws);
+    });
+  }
+
+  private onTaskEnd(index: number, worker: SimulatedWorker, job: string): void {
+    this.drivers[index].taskEnded(worker, job);
+  }
+
+  private onResult(request: EntryRequest, result: RequestResult): void {
+    const {simulation, workload} = this;
+    if (request.createdAt < workload.warmUpMs) return;
+    this.results[result]++;
+    const latencyMs = simulation.now - request.createdAt;
+    if (result === 'late' || latencyMs > this.slowMs) this.slow++;
+    if (result !== 'answered' && result !== 'late') return;
+    this.latencies.recordValue(Math.round(latencyMs * UNITS_PER_MS));
+  }
+
+  private figures(): Figures {
+    const {workload, latencies, results} = this;
+    const workers = [...this.workers.values()];
+    const sum = (pick: (worker: SimulatedWorker) => number) =>
+      workers.reduce((total, worker) => total + pick(worker), 0) / 1000;
+    const at = (percentile: number) =>
+      latencies.getValueAtPercentile(percentile) / UNITS_PER_MS;
+    const seconds = workload.durationMs / 1000;
+    const teams = Object.keys(workload.teams);
+    const finished = teams.map(team =>
+      workers.reduce((n, {workDone}) => n + (workDone.get(team) ?? 0), 0),
+    );
+    const parts = teams.map(
+      (team, i) => finished[i] / (this.submittedWork.get(team) ?? Infinity),
+    );
+    return {
+      p50Ms: at(50),
+      p99Ms: at(99),
+      p999Ms: at(99.9),
+      offered: this.offered,
+      ...results,
+      slow: this.slow,
+      attempts: this.entries.reduce((n, {attempts}) => n + attempts, 0),
+      attemptedRequests: this.requests,
+      goodput:
+        results.answered / ((workload.durationMs - workload.warmUpMs) / 1000),
+      batchThroughput: finished.reduce((a, b) => a + b, 0) / 1000 / seconds,
+      jobsSubmitted: this.jobs,
+      evictions: this.drivers.reduce((n, {evictions}) => n + evictions, 0),
+      workLost: sum(({workLost}) => workLost),
+      fairness: jain(parts),
+    };
+  }
+}
+
+/** Jain's index: 1 when all are equal, 1/n when one has everything. */
+function jain(values: readonly number[]): number {
+  const sum = values.reduce((a, b) => a + b, 0);
+  const squares = values.reduce((a, b) => a + b * b, 0);
+  return squares === 0 ? 1 : (sum * sum) / (values.length * squares);
+}
--- /dev/null
+++ b/bench/policy_worker.ts
@@ -0,0 +1,287 @@
+import {Millis} from '../src/common/base/clock.js';
+import {
+  Instance,
+  TaskState,
+  WorkerStatus,
+} from '../src/common/base/platform.js';
+import {EMPTY_SIZE} from '../src/common/base/size.js';
+import {Simulation} from '../src/common/jobs/simulation.test_support.js';
+import {TaskStart} from '../src/common/jobs/types.js';
+import {BatchKind, Workload} from './policy_workloads.js';
+
+/** What a job really needs; travels as its payload. */
+export interface TrueNeeds {
+  readonly team: string;
+  readonly processors: number;
+  readonly runMs: Millis;
+}
+
+/** How a request ended on a worker. */
+export type RequestEnd = 'served' | 'broken';
+
+/** A request on a worker. */
+export interface WorkerRequest {
+  /** Remaining time on an undisturbed worker. */
+  readonly workMs: Millis;
+  readonly onEnd: (end: RequestEnd) => void;
+}
+
+interface Task {
+  readonly id: string;
+  readonly start: TaskStart;
+  readonly needs: TrueNeeds;
+  readonly kind: BatchKind;
+  state: TaskState;
+  leaseUntilMs: Millis;
+  progress: number;
+  checkpoint: number;
+  share: number;
+  /** Progress for each millisecond. */
+  rate: number;
+}
+
+/** Work that ends within this time is done; covers rounding. */
+const EPSILON_MS: Millis = 1e-6;
+
+/**
+ * A worker with processor sharing: requests share the slots, and batch tasks
+ * slow requests and each other by the interference of their kinds. Tasks that
+ * use more cores than there are slow everything.
+ */
+export class SimulatedWorker {
+  start = 1;
+  isUp = true;
+  /** Processor time of tasks whose work was thrown away, in core-ms. */
+  workLost = 0;
+  /** Processor time of finished tasks by team, in core-ms. */
+  readonly workDone = new Map<string, number>();
+  private tasks: Task[] = [];
+  /** Requests by the work counter at which they end. */
+  private readonly requests = new Map<WorkerRequest, number>();
+  /** Work that each running request has had since the start of the run. */
+  private served = 0;
+  private requestRate = 1;
+  private updatedAt: Millis = 0;
+  private plannedAt: Millis = Infinity;
+
+  constructor(
+    readonly id: string,
+    readonly dataCentre: string,
+    private readonly rack: string,
+    private readonly workload: Workload,
+    private readonly simulation: Simulation,
+    private readonly onTaskEnd: (worker: SimulatedWorker, job: string) => void,
+  ) {}
+
+  /** The worker as the list shows it, with slots as the routers see them. */
+  instance(slots: number): Instance {
+    return {
+      id: this.id,
+      role: 'worker',
+      start: this.start,
+      dataCentre: this.dataCentre,
+      rack: this.rack,
+      host: '127.0.0.1',
+      port: 1,
+      peerPort: 0,
+      state: 'live',
+      capacity: this.workload.worker,
+      services: [this.workload.service],
+      slots,
+      connections: 64,
+    };
+  }
+
+  /** Cores that running tasks really use. */
+  get usedProcessors(): number {
+    return this.running().reduce((sum, {needs}) => sum + needs.processors, 0);
+  }
+
+  /** Added slowdown of services by the running tasks; 0 is none. */
+  get interference(): number {
+    return this.running().reduce(
+      (sum, task) => sum + task.kind.slowsServices * this.weight(task),
+      0,
+    );
+  }
+
+  serve(request: WorkerRequest): void {
+    this.advance();
+    this.requests.set(request, this.served + request.workMs);
+    this.plan();
+  }
+
+  abandon(request: WorkerRequest): void {
+    this.advance();
+    this.requests.delete(request);
+    this.plan();
+  }
+
+  startTask(id: string, start: TaskStart): boolean {
+    this.advance();
+    if (start.leaseUntilMs <= this.simulation.now) return false;
+    this.tasks.push({
+      id,
+      start,
+      needs: start.payload as TrueNeeds,
+      kind: this.workload.kinds.find(({name}) => name === start.kind)!,
+      state: TaskState.RUNNING,
+      leaseUntilMs: start.leaseUntilMs,
+      progress: start.checkpoint,
+      checkpoint: start.checkpoint,
+      share: 1,
+      rate: 0,
+    });
+    this.plan();
+    return true;
+  }
+
+  renew(leases: Readonly<Record<string, Millis>>): void {
+    for (const task of this.running()) {
+      task.leaseUntilMs = leases[task.id] ?? task.leaseUntilMs;
+    }
+  }
+
+  checkpoint(id: string): void {
+    this.advance();
+    for (const task of this.running(id)) task.checkpoint = task.progress;
+  }
+
+  throttle(id: string, share: number): void {
+    this.advance();
+    for (const task of this.running(id)) task.share = share;
+    this.plan();
+  }
+
+  stop(id: string): void {
+    this.advance();
+    for (const task of this.running(id)) this.end(task, TaskState.STOPPED);
+    this.plan();
+  }
+
+  forget(id: string): void {
+    this.tasks = this.tasks.filter(
+      task => task.id !== id || task.state === TaskState.RUNNING,
+    );
+  }
+
+  status(): WorkerStatus {
+    this.advance();
+    this.plan();
+    const tasks = this.tasks.map(task => ({
+      task: task.id,
+      job: task.start.job,
+      kind: task.start.kind,
+      state: task.state,
+      leaseUntilMs: task.leaseUntilMs,
+      size: task.start.size,
+      usage: EMPTY_SIZE,
+      progress: task.progress,
+      checkpoint: task.checkpoint,
+    }));
+    const {now} = this.simulation;
+    return {id: this.id, nowMs: Math.floor(now), leaving: false, tasks};
+  }
+
+  /** Ends the process: requests break, tasks lose their memory. */
+  kill(): void {
+    this.advance();
+    this.isUp = false;
+    for (const task of this.running()) {
+      this.end(task, TaskState.FAILED);
+      this.onTaskEnd(this, task.start.job);
+    }
+    this.tasks = [];
+    this.breakRequests();
+  }
+
+  breakRequests(): void {
+    const requests = [...this.requests.keys()];
+    this.requests.clear();
+    for (const {onEnd} of requests) onEnd('broken');
+  }
+
+  restart(): void {
+    this.start++;
+    this.isUp = true;
+  }
+
+  private running(id?: string): Task[] {
+    return this.tasks.filter(
+      task =>
+        task.state === TaskState.RUNNING &&
+        (id === undefined || task.id === id),
+    );
+  }
+
+  /** Share of the worker's cores that a task uses now. */
+  private weight({needs, share}: Task): number {
+    return (needs.processors * share) / this.workload.worker.processors;
+  }
+
+  private end(task: Task, state: TaskState): void {
+    task.state = state;
+    const {team, processors, runMs} = task.needs;
+    const work = processors * runMs;
+    if (state === TaskState.FINISHED) {
+      this.workDone.set(team, (this.workDone.get(team) ?? 0) + work);
+    } else this.workLost += (task.progress - task.checkpoint) * work;
+  }
+
+  /** Brings requests and tasks up to date. */
+  private advance(): void {
+    const {now} = this.simulation;
+    const elapsed = now - this.updatedAt;
+    this.updatedAt = now;
+    this.served += elapsed * this.requestRate;
+    for (const task of this.running()) {
+      task.progress = Math.min(1, task.progress + elapsed * task.rate);
+      if ((1 - task.progress) * task.needs.runMs <= EPSILON_MS) {
+        this.end(task, TaskState.FINISHED);
+        this.onTaskEnd(this, task.start.job);
+      } else if (task.leaseUntilMs <= now) this.end(task, TaskState.EXPIRED);
+    }
+    for (const [request, endsAt] of this.requests) {
+      if (endsAt > this.served + EPSILON_MS) continue;
+      this.requests.delete(request);
+      // The answer arrives later, so that callers don't run inside `advance`.
+      this.simulation.after(0, () => request.onEnd('served'));
+    }
+  }
+
+  /** Sets the rates and the next time at which something ends. */
+  private plan(): void {
+    const {workload, simulation} = this;
+    const tasks = this.running();
+    const cores = tasks.reduce(
+      (sum, {needs, share}) => sum + needs.processors * share,
+      workload.reservation.processors,
+    );
+    const supply = Math.min(1, workload.worker.processors / cores);
+    const slots = Math.min(1, workload.slots / Math.max(1, this.requests.size));
+    this.requestRate = (supply * slots) / (1 + this.interference);
+    let next = Infinity;
+    for (const task of tasks) {
+      const slowdown = tasks.reduce(
+        (sum, other) =>
+          other === task
+            ? sum
+            : sum + other.kind.slowsKinds[task.kind.name] * this.weight(other),
+        1,
+      );
+      task.rate = (task.share * supply) / slowdown / task.needs.runMs;
+      next = Math.min(next, (1 - task.progress) / task.rate);
+    }
+    for (const endsAt of this.requests.values()) {
+      next = Math.min(next, (endsAt - this.served) / this.requestRate);
+    }
+    const at = simulation.now + Math.max(0, next);
+    if (at >= this.plannedAt) return;
+    this.plannedAt = at;
+    simulation.after(at - simulation.now, () => {
+      if (this.plannedAt === at) this.plannedAt = Infinity;
+      this.advance();
+      this.plan();
+    });
+  }
+}
