Let workers fail in the policy benchmark

Cause: the first number of the generator is close to 1 for every small seed, so the exponential time to the first failure lay behind the end of the run and no worker ever failed.

What changed: the first numbers of a seed are skipped, runs report how many workers failed, and a test checks that some do.

--- a/bench/policy.test.ts
+++ b/bench/policy.test.ts
@@ -56,6 +56,13 @@
     },
   );
 
+  // Guards against a workload whose failures never come: the first number of
+  // a seed put the first failure behind the end of the run.
+  test.each(SEEDS)('workers fail during a run, seed %i', seed => {
+    const figures = run('no-batch', seed, {failureEveryMs: 4 * SECOND});
+    expect(figures.failures).toBeGreaterThan(0);
+  });
+
   // Guards against a source of chance or time besides the seed.
   test('the same seed gives the same figures', () => {
     expect(run('default', 3)).toEqual(run('default', 3));
--- a/bench/policy_draws.ts
+++ b/bench/policy_draws.ts
@@ -1,12 +1,16 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
+/** The first numbers of a small seed are nearly the same for every seed. */
+const SKIPPED_DRAWS = 20;
+
 /** Random numbers of one purpose, so that policies don't shift each other's. */
 export class Draws {
   private readonly generator;
 
   constructor(seed: number) {
     this.generator = xoroshiro128plus(seed);
+    for (let i = 0; i < SKIPPED_DRAWS; i++) this.uniform();
   }
 
   uniform(): number {
--- a/bench/policy_simulation.ts
+++ b/bench/policy_simulation.ts
@@ -36,6 +36,8 @@
   /** Finished work in processor seconds, for each second. */
   readonly batchThroughput: number;
   readonly jobsSubmitted: number;
+  /** Workers that were killed. */
+  readonly failures: number;
   readonly evictions: number;
   /** Work thrown away, in processor seconds. */
   readonly workLost: number;
@@ -67,6 +69,7 @@
   private offered = 0;
   private slow = 0;
   private requests = 0;
+  private failures = 0;
 
   constructor(
     private readonly workload: Workload,
@@ -274,6 +277,7 @@
       const workers = [...this.workers.values()];
       const worker = workers[Math.floor(draws.uniform() * workers.length)];
       if (worker.isUp) {
+        this.failures++;
         worker.kill();
         simulation.after(workload.downMs, () => worker.restart());
       }
@@ -323,6 +327,7 @@
         results.answered / ((workload.durationMs - workload.warmUpMs) / 1000),
       batchThroughput: finished.reduce((a, b) => a + b, 0) / 1000 / seconds,
       jobsSubmitted: this.jobs,
+      failures: this.failures,
       evictions: this.drivers.reduce((n, {evictions}) => n + evictions, 0),
       workLost: sum(({workLost}) => workLost),
       fairness: jain(parts),
