--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,8 @@
 import meow from 'meow';
 import {runCapacityBenchmark} from './capacity.js';
 import {EntryBenchmarkOptions, runEntryBenchmark} from './entry.js';
+import {PolicyBenchmarkOptions, runPolicyBenchmark} from './policy.js';
+import {WORKLOADS} from './policy_workloads.js';
 
 const cli = meow(
   `
@@ -10,12 +12,16 @@
   Commands
     entry     added latency and throughput of the request path on loopback
     capacity  slopes of processor time, memory and bytes by size
+    policy    policies against baselines under a simulated clock
 
   Options
     --json FILE        write the figures to FILE as JSON
     --seconds N        measuring time of each step (default 2)
     --concurrency N,…  requests at the same time (default 1,4,16,64,256,512)
     --part NAME,…      parts of the capacity benchmark (default all)
+    --seeds N          runs of each policy (default 10)
+    --workload NAME    tuapapa or lienzo (default tuapapa)
+    --svg FILE         not available: no plot library is installed
 `,
   {
     importMeta: import.meta,
@@ -24,6 +30,9 @@
       seconds: {type: 'number', default: 2},
       part: {type: 'string', default: ''},
       concurrency: {type: 'string', default: '1,4,16,64,256,512'},
+      seeds: {type: 'number', default: 10},
+      workload: {type: 'string', default: 'tuapapa'},
+      svg: {type: 'string'},
     },
   },
 );
@@ -49,6 +58,21 @@
   return {json, stepMs: seconds * 1000, concurrency: levels};
 }
 
+/** Most seeds, so that a run ends within the hour. */
+const MAX_SEEDS = 100;
+
+function policyOptions(): PolicyBenchmarkOptions {
+  const {json, seeds, workload, svg} = cli.flags;
+  if (!(Number.isInteger(seeds) && seeds > 0 && seeds <= MAX_SEEDS)) {
+    throw new Error(`--seeds needs a whole number from 1 to ${MAX_SEEDS}.`);
+  }
+  if (!Object.hasOwn(WORKLOADS, workload)) {
+    const known = Object.keys(WORKLOADS).join(' or ');
+    throw new Error(`--workload needs ${known}.`);
+  }
+  return {json, svg, seeds, workload: WORKLOADS[workload]};
+}
+
 /** The benchmarks by name. */
 const COMMANDS: Readonly<Record<string, () => Promise<void>>> = {
   entry: () => runEntryBenchmark(entryOptions()),
@@ -57,6 +81,7 @@
       json: cli.flags.json,
       parts: cli.flags.part.split(',').filter(part => part !== ''),
     }),
+  policy: () => runPolicyBenchmark(policyOptions()),
 };
 
 const [name = ''] = cli.input;
--- /dev/null
+++ b/bench/policy_combinations.ts
@@ -0,0 +1,44 @@
+import {PlacementPolicy} from '../src/common/jobs/placement.js';
+import {ReactionPolicy} from '../src/common/jobs/reaction.js';
+import {RoutingPolicy} from '../src/common/tickets/types.js';
+
+/** How requests and jobs are handled in one run. */
+export interface Combination {
+  readonly routing: RoutingPolicy;
+  /** Without admission, requests go straight to the targets. */
+  readonly admission: boolean;
+  readonly batch: 'none' | 'scheduler' | 'oracle';
+  readonly placement: PlacementPolicy;
+  readonly reaction: ReactionPolicy;
+  /** Added slowdown of services that the oracle accepts on a worker. */
+  readonly oracleInterference: number;
+}
+
+const DEFAULT: Combination = {
+  routing: RoutingPolicy.TWO_CHOICES,
+  admission: true,
+  batch: 'scheduler',
+  placement: PlacementPolicy.BEST_FIT,
+  reaction: ReactionPolicy.THROTTLE_THEN_EVICT,
+  // The slowdown from which the reaction of the product steps up.
+  oracleInterference: 0.3,
+};
+
+/** The combinations by name. */
+export const COMBINATIONS: Readonly<Record<string, Combination>> = {
+  default: DEFAULT,
+  'no-batch': {...DEFAULT, batch: 'none'},
+  'round-robin without admission': {
+    ...DEFAULT,
+    routing: RoutingPolicy.ROUND_ROBIN,
+    admission: false,
+  },
+  'first-fit on declared sizes': {
+    ...DEFAULT,
+    placement: PlacementPolicy.FIRST_FIT,
+  },
+  'no interference reaction': {...DEFAULT, reaction: ReactionPolicy.NONE},
+  oracle: {...DEFAULT, batch: 'oracle'},
+  // At a load of 0.9, a slowdown above 1.11 saturates the slots.
+  'oracle within 1.1': {...DEFAULT, batch: 'oracle', oracleInterference: 0.1},
+};
