--- a/src/common/jobs/read_back.ts
+++ b/src/common/jobs/read_back.ts
@@ -27,12 +27,14 @@
   {batch}: BatchRead,
   now: Millis,
 ): Generator<SchedulerAction> {
+  // Only the leader of an epoch writes batches for it.
+  const own = state.term?.epoch === batch.epoch;
+  // Taken off at once: from the front one by one is quadratic after an outage.
+  if (own) state.inFlight.splice(0, batch.entries.length);
   for (const record of batch.entries) {
     const before = endOf(state, record);
     state.table.apply(record, batch.epoch);
-    // Only the leader of an epoch writes batches for it.
-    if (state.term?.epoch === batch.epoch) {
-      state.inFlight.shift();
+    if (own) {
       const settle = SETTLE[record.kind] as Settle<JobRecord> | undefined;
       if (settle !== undefined) yield* settle(state, record, now);
     }
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -276,7 +276,11 @@
   }
 
   private listenToChannel(): void {
-    this.store.add(this.channel.onRecord(record => this.read(record)));
+    this.store.add(
+      this.channel.onRecords(records => {
+        for (const record of records) this.read(record);
+      }),
+    );
     this.store.add(
       this.channel.onCaughtUp(sentAt => this.lead({kind: 'caught-up', sentAt})),
     );
--- a/src/daemon/ticket_service.ts
+++ b/src/daemon/ticket_service.ts
@@ -92,7 +92,7 @@
     this.channel = this.store.add(
       new StreamChannel(log, STREAM, this.writer, clock, logger),
     );
-    this.store.add(this.channel.onRecord(record => this.read(record)));
+    this.store.add(this.channel.onRecords(records => this.read(records)));
     this.store.add(this.channel.onConfirmed(record => this.confirm(record)));
     this.store.add(
       mesh.onMessage(({peer, message}) => {
@@ -181,13 +181,17 @@
     this.state.dispose();
   }
 
-  private read(record: StoredRecord<TicketRecord>): void {
-    const outcome = this.state.apply(record);
-    if (outcome.kind === 'malformed') {
-      this.logger.warn('A record was ignored.', {reason: outcome.message});
+  /** Applies a page at once; one by one copies the whole state each time. */
+  private read(records: ReadonlyArray<StoredRecord<TicketRecord>>): void {
+    for (const outcome of this.state.applyAll(records)) {
+      if (outcome.kind === 'malformed') {
+        this.logger.warn('A record was ignored.', {reason: outcome.message});
+      }
     }
-    const data: Partial<TicketRecord> = record.data ?? {};
-    if (data.kind === 'checkpoint') this.lastCheckpointAt = this.clock.now();
+    const hasCheckpoint = records.some(
+      ({data}) => (data as TicketRecord | null)?.kind === 'checkpoint',
+    );
+    if (hasCheckpoint) this.lastCheckpointAt = this.clock.now();
   }
 
   private confirm(record: TicketRecord): void {
--- a/src/node/stream_channel.ts
+++ b/src/node/stream_channel.ts
@@ -16,12 +16,14 @@
 
 /**
  * Joins one stream of the log with its writer: carries out the writer's
- * appends and feeds what is read first to the listeners of `onRecord`, then to
+ * appends and feeds what is read first to the listeners of `onRecords`, then to
  * the writer, so that a record's effect is known when it is confirmed.
  */
 export class StreamChannel<T extends RecordIdentity, E> implements Disposable {
   private readonly store = new DisposableStore();
-  private readonly records = this.store.add(new Emitter<StoredRecord<T>>());
+  private readonly pages = this.store.add(
+    new Emitter<ReadonlyArray<StoredRecord<T>>>(),
+  );
   private readonly confirmed = this.store.add(new Emitter<T>());
   private readonly caughtUp = this.store.add(new Emitter<Millis>());
   private readonly availability = this.store.add(new Emitter<boolean>());
@@ -29,8 +31,8 @@
   private reported = false;
   private confirmedEndAt = -Infinity;
 
-  /** Fires for each record read, in order; the data is not checked. */
-  readonly onRecord: Event<StoredRecord<T>> = this.records.event;
+  /** Fires for each page of records read, in order; data is not checked. */
+  readonly onRecords: Event<ReadonlyArray<StoredRecord<T>>> = this.pages.event;
   /** Fires when a record of this writer was read back. */
   readonly onConfirmed: Event<T> = this.confirmed.event;
   /** Fires when a read reached the end, with the time it was sent. */
@@ -107,8 +109,8 @@
   }
 
   private takePage(page: LogPage, sentAt: Millis): void {
+    this.pages.fire(page.records as ReadonlyArray<StoredRecord<T>>);
     for (const record of page.records) {
-      this.records.fire(record as StoredRecord<T>);
       const identity = identityOf(record.data);
       if (identity !== undefined) {
         this.run(this.writer.read(identity, this.clock.now()));
