Tell submissions apart by what the caller sent; shorten a service

A retry whose body relied on the class's defaults was refused as a conflict after a ticket had changed the class. The digest of the body as sent decides now; test added, which fails without it.

--- a/src/common/jobs/job_id.ts
+++ b/src/common/jobs/job_id.ts
@@ -26,7 +26,12 @@
   return JSON.stringify(value, sortKeys);
 }
 
-/** Digest of a submission; equal for equal bodies in any order of fields. */
+/** Digest of a value; equal for equal values in any order of fields. */
+export function digestOfBody(body: unknown): string {
+  return sha256(canonicalJson(body));
+}
+
+/** Digest by which a repeated submission is told from another one. */
 export function digestOf(submission: Submission): string {
-  return sha256(canonicalJson(submission));
+  return submission.bodyDigest ?? digestOfBody(submission);
 }
--- a/src/common/jobs/types.ts
+++ b/src/common/jobs/types.ts
@@ -27,6 +27,11 @@
   readonly runMs: Millis;
   readonly idempotent: boolean;
   readonly payload?: unknown;
+  /**
+   * Digest of the body as the caller sent it. Without it, a ticket that changes
+   * the defaults of the class would turn a retry into another submission.
+   */
+  readonly bodyDigest?: string;
 }
 
 /** State of a job as callers see it. */
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -1,16 +1,13 @@
 import {ConsolaInstance} from 'consola';
-import {Either, Left} from 'purify-ts';
 import {Clock, Millis, SECOND} from '../common/base/clock.js';
 import {Disposable, DisposableStore} from '../common/base/disposable.js';
 import {Emitter, Event} from '../common/base/emitter.js';
 import {Instance, InstanceRole} from '../common/base/platform.js';
-import {Refusal, RefusalKind, refuseUnknown} from '../common/base/refusal.js';
 import {Scheduler} from '../common/jobs/scheduler.js';
 import {
   JobRecord,
   JobView,
   SchedulerAction,
-  SchedulerAnswer,
   SchedulerMessage,
 } from '../common/jobs/types.js';
 import {Leadership} from '../common/leadership/leadership.js';
@@ -37,6 +34,7 @@
 import {PeerMesh} from '../node/peer_mesh.js';
 import {StreamChannel} from '../node/stream_channel.js';
 import {WorkerAction, WorkerClient} from '../node/worker_client.js';
+import {Answer, PendingRequests} from './pending_requests.js';
 import {ProcessStarts} from './process_starts.js';
 import {Settings} from './types.js';
 
@@ -63,27 +61,12 @@
       : never
     : never;
 
-type Answer = Either<Refusal, SchedulerAnswer>;
-
-interface Waiting {
-  readonly resolve: (answer: Answer) => void;
-  readonly timer: NodeJS.Timeout;
-}
-
 type ActionTable = {
   readonly [K in SchedulerAction['kind']]: (
     action: Extract<SchedulerAction, {kind: K}>,
   ) => void;
 };
 
-function unanswered(): Refusal {
-  return refuseUnknown(
-    RefusalKind.UNKNOWN_OUTCOME,
-    'The record was not confirmed within the time limit.',
-    'Send the request again with the same key to get the outcome.',
-  );
-}
-
 /** What the service needs from the rest of the daemon. */
 export interface DataCentreDependencies {
   readonly log: LogClient;
@@ -107,13 +90,12 @@
   private readonly scheduler: Scheduler;
   private readonly writer: RecordWriter<DataCentreRecord, JobRecord>;
   private readonly channel: StreamChannel<DataCentreRecord, JobRecord>;
-  private readonly waiting = new Map<string, Waiting>();
+  private readonly requests = this.store.add(new PendingRequests());
   private readonly workerById = new Map<string, Instance>();
   private readonly jobEnds = this.store.add(new Emitter<JobView>());
   private readonly processes = new ProcessStarts();
   private lastList: ListRead | undefined;
   private leading: View | undefined;
-  private lastRequest = 0;
 
   /** Fires when a job of this leader reaches a final state. */
   readonly onJobEnd: Event<JobView> = this.jobEnds.event;
@@ -190,15 +172,10 @@
 
   /** Sends a request to the scheduler of this instance. */
   ask(request: SchedulerRequest, timeoutMs: Millis): Promise<Answer> {
-    const id = String(++this.lastRequest);
-    return new Promise(resolve => {
-      const timer = setTimeout(() => {
-        this.waiting.delete(id);
-        resolve(Left(unanswered()));
-      }, timeoutMs);
-      this.waiting.set(id, {resolve, timer});
-      this.schedule({...request, request: id} as SchedulerMessage);
-    });
+    return this.requests.ask(
+      id => this.schedule({...request, request: id} as SchedulerMessage),
+      timeoutMs,
+    );
   }
 
   /** Hands a message to the scheduler and carries out its actions. */
@@ -267,11 +244,6 @@
   }
 
   dispose(): void {
-    for (const {resolve, timer} of this.waiting.values()) {
-      clearTimeout(timer);
-      resolve(Left(unanswered()));
-    }
-    this.waiting.clear();
     this.store.dispose();
   }
 
@@ -398,13 +370,7 @@
 
   private readonly handlers: ActionTable = {
     append: ({entries}) => this.append(entries),
-    answer: ({request, answer}) => {
-      const waiting = this.waiting.get(request);
-      if (waiting === undefined) return;
-      this.waiting.delete(request);
-      clearTimeout(waiting.timer);
-      waiting.resolve(answer);
-    },
+    answer: ({request, answer}) => this.requests.settle(request, answer),
     start: action => this.sendToWorker(action),
     poll: action => this.sendToWorker(action),
     'checkpoint-task': action => this.sendToWorker(action),
--- a/src/node/job_api.test.ts
+++ b/src/node/job_api.test.ts
@@ -1,3 +1,4 @@
+import {digestOf} from '../common/jobs/job_id.js';
 import {JobState, JobView} from '../common/jobs/types.js';
 import {refuse, refuseUnknown, RefusalKind} from '../common/base/refusal.js';
 import {EMPTY_CONFIGURATION} from '../common/tickets/types.js';
@@ -15,6 +16,8 @@
   maxEvictions: 1,
 } as const;
 
+const DIGEST = expect.stringMatching(/^[0-9a-f]{64}$/);
+
 const CONFIGURATION = {...EMPTY_CONFIGURATION, jobClasses: {cut: CUT}};
 
 const FULL = {
@@ -53,11 +56,27 @@
         size: CUT.size,
         runMs: 300_000,
         idempotent: false,
+        bodyDigest: DIGEST,
       },
       dataCentre: undefined,
     });
   });
 
+  it('keeps the digest of a body when a ticket changes the class', () => {
+    const body = {key: 'k', class: 'cut', team: 't'};
+    const changed = {
+      ...CONFIGURATION,
+      jobClasses: {cut: {...CUT, runMs: 1000}},
+    };
+    const [before, after] = [CONFIGURATION, changed].map(configuration =>
+      parseSubmission(body, configuration, []).unsafeCoerce(),
+    );
+    expect(after.submission.runMs).not.toBe(before.submission.runMs);
+    expect(digestOf(after.submission)).toBe(digestOf(before.submission));
+    const other = parse({...body, payload: 1}).unsafeCoerce();
+    expect(digestOf(other.submission)).not.toBe(digestOf(before.submission));
+  });
+
   it('prefers the values of the body', () => {
     const body = {...FULL, class: 'cut', dataCentre: 'wlg'};
     const job = parse(body).unsafeCoerce();
--- a/src/node/job_submission.ts
+++ b/src/node/job_submission.ts
@@ -1,5 +1,6 @@
 import {Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
+import {digestOfBody} from '../common/jobs/job_id.js';
 import {Submission} from '../common/jobs/types.js';
 import {check} from '../common/tickets/checked_yaml.js';
 import {
@@ -115,6 +116,7 @@
       runMs,
       idempotent: given.idempotent ?? defaults.idempotent,
       ...(given.payload === undefined ? {} : {payload: given.payload}),
+      bodyDigest: digestOfBody({...given, dataCentre: undefined}),
     };
     return Right({submission, dataCentre});
   });
