Keep goodput under overload: bound the wait, drop hopeless requests

Cause: the queue filled up to the deadline, so each run had a few milliseconds left, timed out, lowered the concurrency limit towards 1, and entered the mean service time as a short run.

A remote target's slots are shared over the data centres; with three of them a worker of 8 slots got up to 24 requests. Evictions are counted, and the metrics show the ticket and the lead.

--- a/bench/policy_entry.ts
+++ b/bench/policy_entry.ts
@@ -238,7 +238,8 @@
       const overloaded =
         result === 'late' ? true : result === 'answered' ? false : undefined;
       const serviceTime = now - request.runAt;
-      this.admission.finish({serviceTime, overloaded}, now);
+      const timedOut = result === 'late';
+      this.admission.finish({serviceTime, overloaded, timedOut}, now);
     }
     this.conclude(request, result);
     if (this.combination.admission) this.drain();
--- a/src/common/routing/admission.ts
+++ b/src/common/routing/admission.ts
@@ -38,8 +38,16 @@
   readonly serviceTime: Millis;
   /** `undefined` when the end says nothing about the load. */
   readonly overloaded: boolean | undefined;
+  /** The run was ended by its deadline, so it would have taken longer. */
+  readonly timedOut?: boolean;
 }
 
+/**
+ * Part of a request's time that it may spend in the queue. A queue that fills up
+ * to the deadline makes every run late, and the limit falls with each of them.
+ */
+const MAX_WAIT_FRACTION = 0.25;
+
 /** Weight of a new sample in the mean service time. */
 const SERVICE_TIME_WEIGHT = 0.1;
 
@@ -92,7 +100,9 @@
     if (this.hasRoom && this.queue.length === 0) return Right(undefined);
     const ahead = this.place(request);
     const wait = this.expectedWait(ahead);
-    if (now + wait + this.serviceTime > request.deadline) {
+    const left = request.deadline - now;
+    const tooLong = wait > left * MAX_WAIT_FRACTION;
+    if (tooLong || wait + this.serviceTime > left) {
       return Left(overloaded('The request would wait too long.', wait));
     }
     const full = this.queue.length >= this.queueLimit;
@@ -131,19 +141,36 @@
     while (this.hasRoom) {
       const request = this.queue.shift();
       if (request === undefined) return;
+      if (this.isHopeless(request, now)) {
+        yield {kind: 'refuse', request, refusal: deadlinePassed()};
+        continue;
+      }
       this.running++;
       yield {kind: 'run', request};
     }
   }
 
+  /**
+   * Whether less time is left than a run takes on average. Such runs take the
+   * place of others and end late themselves. With nothing running the request
+   * is tried, so that a wrong average can be corrected.
+   */
+  private isHopeless({deadline}: R, now: Millis): boolean {
+    return this.running > 0 && deadline - now < this.serviceTime;
+  }
+
   /** Counts the end of a run. */
   finish(end: RunEnd, now: Millis): void {
-    if (end.overloaded !== undefined) {
+    // A run that was cut short tells nothing new, and counting it made the
+    // limit fall to 1: most of its deadline had been spent in the queue.
+    const cutShort =
+      end.timedOut === true && end.serviceTime < this.serviceTime;
+    if (end.overloaded !== undefined && !cutShort) {
       const weight = this.serviceTime === 0 ? 1 : SERVICE_TIME_WEIGHT;
       this.serviceTime += (end.serviceTime - this.serviceTime) * weight;
+      if (end.overloaded) this.limit.overloaded(this.serviceTime, now);
+      else this.limit.succeeded(this.queue.length > 0);
     }
-    if (end.overloaded === true) this.limit.overloaded(this.serviceTime, now);
-    if (end.overloaded === false) this.limit.succeeded(this.queue.length > 0);
     this.running--;
     this.blockedUntil = -Infinity;
   }
--- a/src/common/routing/router.ts
+++ b/src/common/routing/router.ts
@@ -55,9 +55,13 @@
       if (!listed.has(id)) record.markAbsent(now);
       if (record.obsolete(now)) this.drop(id, record);
     }
+    const dataCentres = new Set(state.targets.map(target => target.dataCentre));
     for (const instance of state.targets) {
       this.leaving.observe(instance);
-      this.takeIn(instance, state.entryInstances, first ? undefined : now);
+      // Instances of every data centre may send to a remote target.
+      const isLocal = instance.dataCentre === state.dataCentre;
+      const sharers = state.entryInstances * (isLocal ? 1 : dataCentres.size);
+      this.takeIn(instance, sharers, first ? undefined : now);
     }
     this.state = state;
     this.rebuild(now);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -222,6 +222,7 @@
     });
     const metrics = kernel.get('metrics');
     dataCentre.onJobEnd(job => metrics.jobsEnded.inc({state: job.state}));
+    dataCentre.onEviction(() => metrics.evictions.inc());
   }
 
   private registerInterfaces(): void {
@@ -272,6 +273,7 @@
     });
     for (const server of [this.callers, this.operators]) {
       server.route('GET', '/metrics', async ({response}) => {
+        this.setGauges();
         const text = await this.kernel.get('metrics').text();
         response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
         response.end(text);
@@ -279,6 +281,21 @@
     }
   }
 
+  private setGauges(): void {
+    const metrics = this.kernel.get('metrics');
+    const tickets = this.kernel.get('tickets');
+    const {stale, ticketAgeMs, configuration} = tickets.report();
+    const leads = this.kernel.get('dataCentre').leads !== undefined;
+    metrics.gauge('ticket_number', 'Ticket in force.', configuration.number);
+    metrics.gauge(
+      'ticket_age_milliseconds',
+      'Time since the end of the ticket stream was confirmed.',
+      Number.isFinite(ticketAgeMs) ? ticketAgeMs : -1,
+    );
+    metrics.gauge('ticket_stale', '1 when the ticket may be old.', +stale);
+    metrics.gauge('leads', '1 on the leader of the data centre.', +leads);
+  }
+
   private notReady() {
     if (this.draining) {
       return refuse(
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -97,6 +97,11 @@
   private lastList: ListRead | undefined;
   private leading: View | undefined;
 
+  private readonly evictions = this.store.add(new Emitter<void>());
+
+  /** Fires for each task that this leader has evicted. */
+  readonly onEviction: Event<void> = this.evictions.event;
+
   /** Fires when a job of this leader reaches a final state. */
   readonly onJobEnd: Event<JobView> = this.jobEnds.event;
 
@@ -383,6 +388,10 @@
   };
 
   private append(entries: readonly JobRecord[]): void {
+    const evicted = entries.filter(
+      entry => entry.kind === 'requeued' && entry.evicted,
+    );
+    for (let i = 0; i < evicted.length; i++) this.evictions.fire();
     try {
       const now = this.dependencies.clock.now();
       this.channel.run(this.writer.enqueue(entries, now));
--- a/src/node/admission_queue.ts
+++ b/src/node/admission_queue.ts
@@ -103,7 +103,7 @@
   }
 
   /** Leaves the queue or ends the run. */
-  leave(overloaded: boolean | undefined): void {
+  leave(overloaded: boolean | undefined, timedOut: boolean): void {
     const {state} = this;
     this.state = 'over';
     if (state === 'over') return;
@@ -112,7 +112,7 @@
     } else {
       const now = this.clock.now();
       const serviceTime = now - this.startedAt;
-      this.admission.finish({serviceTime, overloaded}, now);
+      this.admission.finish({serviceTime, overloaded, timedOut}, now);
     }
     this.drain();
   }
--- a/src/node/proxied_request.ts
+++ b/src/node/proxied_request.ts
@@ -84,7 +84,7 @@
     } finally {
       this.attempts = trials.attempts;
       if (!trials.mayHaveRun) this.claim.end('released');
-      place.leave(this.overloaded(trials));
+      place.leave(this.overloaded(trials), this.timedOut);
     }
   }
 
@@ -180,10 +180,14 @@
     });
   }
 
+  private get timedOut(): boolean {
+    return this.stopped?.outcome === AttemptOutcome.TIMED_OUT;
+  }
+
   /** What the end says about the load; undefined when it says nothing. */
   private overloaded(trials: TargetTrials): boolean | undefined {
     if (!trials.mayHaveRun) return undefined;
-    if (this.stopped?.outcome === AttemptOutcome.TIMED_OUT) return true;
+    if (this.timedOut) return true;
     if (this.status === 0) return undefined;
     return OVERLOADED_STATUS.has(this.status);
   }
