Give test daemons ports that no connection is given

Its port came from the system's range for connections and had been released before the daemon started, so a parallel test could take it. Ports now come from below that range, from a place that depends on the process.

--- a/test_support/deployment.ts
+++ b/test_support/deployment.ts
@@ -221,23 +221,37 @@
   }
 }
 
-/** Asks the system for free ports of loopback. */
-async function freePorts(count: number): Promise<number[]> {
+/**
+ * Ports that the system does not give to connections (below 32,768). A port
+ * from its own range could be taken by another test between the check here and
+ * the start of the daemon, which then never became ready.
+ */
+const FIRST_FREE_PORT = 20_000;
+const LAST_FREE_PORT = 32_000;
+
+/** Distance between the ports at which two processes begin to look. */
+const PORTS_PER_PROCESS = 97;
+
+let nextPort =
+  FIRST_FREE_PORT +
+  ((process.pid * PORTS_PER_PROCESS) % (LAST_FREE_PORT - FIRST_FREE_PORT));
+
+async function isFree(port: number): Promise<boolean> {
   const {createServer} = await import('node:net');
-  const servers = Array.from({length: count}, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      server =>
-        new Promise<number>(resolve => {
-          server.listen(0, HOST, () => {
-            const address = server.address();
-            resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
-          });
-        }),
-    ),
-  );
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
+  const server = createServer();
+  return new Promise(resolve => {
+    server.once('error', () => resolve(false));
+    server.listen(port, HOST, () => server.close(() => resolve(true)));
+  });
+}
+
+/** Finds ports of loopback that nobody listens on. */
+async function freePorts(count: number): Promise<number[]> {
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = nextPort++;
+    if (nextPort > LAST_FREE_PORT) nextPort = FIRST_FREE_PORT;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
