--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -229,7 +229,6 @@
     const {kernel, settings} = this;
     const parts = {
       settings,
-      start: this.startNumber,
       clock: kernel.get('clock'),
       list: kernel.get('list'),
       metrics: kernel.get('metrics'),
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -61,10 +61,8 @@
       : never
     : never;
 
-type ActionTable = {
-  readonly [K in SchedulerAction['kind']]: (
-    action: Extract<SchedulerAction, {kind: K}>,
-  ) => void;
+type ActionTable<A extends {readonly kind: string}> = {
+  readonly [K in A['kind']]: (action: Extract<A, {kind: K}>) => void;
 };
 
 /** What the service needs from the rest of the daemon. */
@@ -338,29 +336,31 @@
   }
 
   private carryOut(action: LeadershipAction): void {
-    const {mesh, logger, clock} = this.dependencies;
-    switch (action.kind) {
-      case 'send':
-        mesh.send(action.to, {kind: 'leadership', message: action.message});
-        break;
-      case 'append-view': {
-        const {base, leader, members} = action;
-        const body = {kind: 'view', base, leader, members} as const;
-        this.channel.run(this.writer.enqueueRecord(body, clock.now()));
-        break;
-      }
-      case 'lead':
-        this.takeLead(action.view, action.continued);
-        break;
-      case 'follow':
-        if (this.leading !== undefined) {
-          logger.info('This instance leads no longer.', {view: action.view});
-        }
-        this.leading = undefined;
-        this.writer.discardEntries();
-        this.schedule({kind: 'follow'});
-        break;
+    const handler = this.leadershipHandlers[action.kind] as (
+      action: LeadershipAction,
+    ) => void;
+    handler(action);
+  }
+
+  private readonly leadershipHandlers: ActionTable<LeadershipAction> = {
+    send: ({to, message}) =>
+      void this.dependencies.mesh.send(to, {kind: 'leadership', message}),
+    'append-view': ({base, leader, members}) => {
+      const body = {kind: 'view', base, leader, members} as const;
+      const now = this.dependencies.clock.now();
+      this.channel.run(this.writer.enqueueRecord(body, now));
+    },
+    lead: ({view, continued}) => this.takeLead(view, continued),
+    follow: ({view}) => this.endLead(view),
+  };
+
+  private endLead(view: View | undefined): void {
+    if (this.leading !== undefined) {
+      this.dependencies.logger.info('This instance leads no longer.', {view});
     }
+    this.leading = undefined;
+    this.writer.discardEntries();
+    this.schedule({kind: 'follow'});
   }
 
   private takeLead(view: View, continued: boolean): void {
@@ -373,7 +373,7 @@
     this.schedule({kind: 'lead', epoch: view.epoch, continued});
   }
 
-  private readonly handlers: ActionTable = {
+  private readonly handlers: ActionTable<SchedulerAction> = {
     append: ({entries}) => this.append(entries),
     answer: ({request, answer}) => this.requests.settle(request, answer),
     start: action => this.sendToWorker(action),
--- a/src/daemon/operator_service.ts
+++ b/src/daemon/operator_service.ts
@@ -31,7 +31,6 @@
 /** Parts that the operator interface reports on. */
 export interface OperatorParts {
   readonly settings: Settings;
-  readonly start: number;
   readonly tickets: TicketService;
   readonly dataCentre: DataCentreService;
   readonly jobs: JobService;
