Wire the settings that had no effect; test a peer that reads too slowly

Seven documented settings (connections of callers, queue of a peer link, its silence, timeouts of the list, the workers and the log's reads) were checked and then ignored.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,7 +6,7 @@
 import {addJobRoutes} from '../node/job_api.js';
 import {InstanceListClient} from '../node/instance_list_client.js';
 import {JsonServer, sendJson, sendRefusal} from '../node/json_server.js';
-import {LogClient} from '../node/log_client.js';
+import {DEFAULT_LOG_TIMEOUTS, LogClient} from '../node/log_client.js';
 import {Metrics} from '../node/metrics.js';
 import {addOperatorRoutes} from '../node/operator_api.js';
 import {PeerState} from '../node/peer_messages.js';
@@ -67,6 +67,7 @@
     };
     this.callers = new JsonServer(limits);
     this.operators = new JsonServer(limits);
+    this.callers.node.maxConnections = settings.limits.maxCallerConnections;
     this.registerPlatform();
     this.registerCores();
     this.registerInterfaces();
@@ -147,10 +148,18 @@
     const platform = kernel.register('platform', new PlatformClient());
     const {instances} = settings.platform;
     kernel.register('metrics', new Metrics());
-    kernel.register('workers', new WorkerClient(platform, clock));
+    kernel.register(
+      'workers',
+      new WorkerClient(platform, clock, settings.timeouts.workerMs),
+    );
     const list = kernel.register(
       'list',
-      new InstanceListClient(platform, instances, clock),
+      new InstanceListClient(
+        platform,
+        instances,
+        clock,
+        settings.timeouts.instanceListMs,
+      ),
     );
     const {host, port} = settings.peer;
     const mesh = kernel.register(
@@ -165,6 +174,11 @@
           address: `${host}:${port}`,
         },
         clock,
+        {
+          maxQueueMessages: settings.limits.maxPeerQueueMessages,
+          maxQueueBytes: settings.limits.maxPeerQueueBytes,
+          silenceMs: settings.timeouts.peerSilenceMs,
+        },
       ),
     );
     mesh.setAddresses(settings.peers);
@@ -190,6 +204,7 @@
       kernel.get('platform'),
       settings.platform.log,
       clock,
+      {...DEFAULT_LOG_TIMEOUTS, longPollMs: settings.timeouts.logWaitMs},
     );
     const tickets = kernel.register(
       'tickets',
--- a/src/node/instance_list_client.ts
+++ b/src/node/instance_list_client.ts
@@ -37,7 +37,7 @@
 });
 
 const POLL_MS: Millis = SECOND;
-const TIMEOUT_MS: Millis = 2 * SECOND;
+const DEFAULT_TIMEOUT_MS: Millis = SECOND;
 
 /** A list that was read. */
 export interface ListRead {
@@ -65,6 +65,7 @@
     private readonly client: PlatformClient,
     private readonly baseUrl: string,
     private readonly clock: Clock,
+    private readonly timeoutMs: Millis = DEFAULT_TIMEOUT_MS,
   ) {}
 
   /** The last list that was not empty. */
@@ -93,7 +94,7 @@
       'GET',
       `${this.baseUrl}/instances`,
       undefined,
-      TIMEOUT_MS,
+      this.timeoutMs,
     );
     if (this.disposed) return;
     answer.ifRight(({body}) => this.take(body, sentAt));
--- a/src/node/peer_link.ts
+++ b/src/node/peer_link.ts
@@ -1,6 +1,6 @@
 import {pack, unpack} from 'msgpackr';
 import {RawData, WebSocket} from 'ws';
-import {Clock, Millis} from '../common/base/clock.js';
+import {Clock, Millis, SECOND} from '../common/base/clock.js';
 import {Disposable} from '../common/base/disposable.js';
 import {Emitter, Event} from '../common/base/emitter.js';
 import {
@@ -10,8 +10,20 @@
   PeerMessage,
 } from './peer_messages.js';
 
-/** Most bytes that may wait to be sent to one peer. */
-const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+/** Bounds on what may wait to be sent to one peer, and on its silence. */
+export interface LinkLimits {
+  readonly maxQueueMessages: number;
+  readonly maxQueueBytes: number;
+  /** Silence after which a link is closed. */
+  readonly silenceMs: Millis;
+}
+
+/** The figures of the design page, 3.8. */
+export const DEFAULT_LINK_LIMITS: LinkLimits = {
+  maxQueueMessages: 1000,
+  maxQueueBytes: 4 * 1024 * 1024,
+  silenceMs: 2 * SECOND,
+};
 
 /** Close codes of the protocol; 4000 to 4999 are free for applications. */
 export const LinkCloseCode = {
@@ -30,6 +42,8 @@
   private peerHello: Hello | undefined;
   private lastHeard: Millis;
   private malformedCount = 0;
+  /** Messages that the system has not taken yet. */
+  private queued = 0;
 
   readonly onMessage: Event<PeerMessage> = this.messages.event;
   readonly onOpen: Event<Hello> = this.opened.event;
@@ -39,6 +53,7 @@
     private readonly socket: WebSocket,
     own: Hello,
     private readonly clock: Clock,
+    private readonly limits: LinkLimits = DEFAULT_LINK_LIMITS,
   ) {
     this.lastHeard = clock.now();
     socket.on('message', data => this.receive(data));
@@ -73,11 +88,16 @@
    */
   send(message: PeerMessage): boolean {
     if (this.socket.readyState !== WebSocket.OPEN) return false;
-    if (this.socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+    const {maxQueueMessages, maxQueueBytes} = this.limits;
+    if (
+      this.queued >= maxQueueMessages ||
+      this.socket.bufferedAmount > maxQueueBytes
+    ) {
       this.close(LinkCloseCode.SLOW, 'the peer reads too slowly');
       return false;
     }
-    this.socket.send(pack(message));
+    this.queued++;
+    this.socket.send(pack(message), () => this.queued--);
     return true;
   }
 
--- a/src/node/peer_mesh.test.ts
+++ b/src/node/peer_mesh.test.ts
@@ -2,13 +2,22 @@
 import {WebSocket} from 'ws';
 import {eventually} from '../../test_support/http.js';
 import {Hello, PEER_PROTOCOL_VERSION} from './peer_messages.js';
-import {LinkCloseCode} from './peer_link.js';
+import {LinkCloseCode, LinkLimits} from './peer_link.js';
 import {memberId, PeerAddress, PeerMesh, Received} from './peer_mesh.js';
 import {PeerRequests} from './peer_requests.js';
 import {SystemClock} from './system_clock.js';
 
 const HOST = '127.0.0.1';
 
+const STATE = {
+  kind: 'state',
+  ticketNumber: 1,
+  ticketAgeMs: 0,
+  leads: null,
+  slowdowns: [],
+  draining: false,
+} as const;
+
 interface Node {
   readonly id: string;
   readonly port: number;
@@ -32,8 +41,13 @@
 describe('PeerMesh', () => {
   const nodes: Node[] = [];
 
-  async function start(id: string, startNumber = 1): Promise<Node> {
-    const mesh = new PeerMesh(hello(id, startNumber), new SystemClock());
+  async function start(
+    id: string,
+    startNumber = 1,
+    limits?: LinkLimits,
+  ): Promise<Node> {
+    const own = hello(id, startNumber);
+    const mesh = new PeerMesh(own, new SystemClock(), limits);
     const port = await mesh.listen(0, HOST);
     const node: Node = {id, port, mesh, received: [], ups: 0, downs: 0};
     mesh.onMessage(received => node.received.push(received));
@@ -128,6 +142,24 @@
     expect(node.received).toEqual([]);
   });
 
+  it('cuts off a peer that reads too slowly', async () => {
+    const node = await start('a', 1, {
+      maxQueueMessages: 20,
+      maxQueueBytes: 1e9,
+      silenceMs: 60_000,
+    });
+    const socket = await dialAs(node);
+    socket.send(pack(hello('z', 1)));
+    await eventually('the link is open', () => node.ups || undefined);
+    socket.pause();
+    const leaving = Array.from({length: 10_000}, (unusedValue, i) => `w-${i}`);
+    let sent = 0;
+    while (node.mesh.send('z#1', {...STATE, leaving}) && sent < 10_000) sent++;
+    expect(sent).toBeLessThan(10_000);
+    await eventually('the link is closed', () => node.downs || undefined);
+    socket.terminate();
+  });
+
   it('answers requests, and calls an unanswered one unknown', async () => {
     const [a, b] = [await start('a'), await start('b')];
     const asking = new PeerRequests(a.mesh, async () => ({
--- a/src/node/peer_mesh.ts
+++ b/src/node/peer_mesh.ts
@@ -6,7 +6,12 @@
 import {Disposable} from '../common/base/disposable.js';
 import {Emitter, Event} from '../common/base/emitter.js';
 import {MemberId} from '../common/stream/types.js';
-import {LinkCloseCode, PeerLink} from './peer_link.js';
+import {
+  DEFAULT_LINK_LIMITS,
+  LinkCloseCode,
+  LinkLimits,
+  PeerLink,
+} from './peer_link.js';
 import {Hello, PeerMessage} from './peer_messages.js';
 
 /** Where a peer can be reached. */
@@ -44,7 +49,6 @@
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 const DIAL_PERIOD_MS: Millis = 500;
 const CONNECT_TIMEOUT_MS: Millis = SECOND;
-const SILENT_MS: Millis = 2 * SECOND;
 
 interface Connection {
   readonly link: PeerLink;
@@ -73,6 +77,7 @@
   constructor(
     private readonly own: Hello,
     private readonly clock: Clock,
+    private readonly limits: LinkLimits = DEFAULT_LINK_LIMITS,
   ) {
     this.httpServer = createServer((unusedRequest, response) => {
       response.writeHead(426).end('This port serves links between instances.');
@@ -136,7 +141,7 @@
   private maintain(): void {
     const now = this.clock.now();
     for (const {link} of this.connections.values()) {
-      if (link.silence(now) > SILENT_MS) {
+      if (link.silence(now) > this.limits.silenceMs) {
         link.close(LinkCloseCode.SILENT, 'nothing heard for too long');
       }
     }
@@ -171,7 +176,7 @@
   }
 
   private adopt(socket: WebSocket): PeerLink {
-    const link = new PeerLink(socket, this.own, this.clock);
+    const link = new PeerLink(socket, this.own, this.clock, this.limits);
     link.onOpen(hello => this.open(link, hello));
     return link;
   }
@@ -210,7 +215,7 @@
    */
   private prefersOld(old: Connection, hello: Hello): boolean {
     if (old.peer.start !== hello.start) return old.peer.start > hello.start;
-    return old.link.silence(this.clock.now()) < SILENT_MS;
+    return old.link.silence(this.clock.now()) < this.limits.silenceMs;
   }
 
   private remove(connection: Connection): void {
--- a/src/node/worker_client.ts
+++ b/src/node/worker_client.ts
@@ -33,7 +33,7 @@
   ),
 });
 
-const TIMEOUT_MS: Millis = 2 * SECOND;
+const DEFAULT_TIMEOUT_MS: Millis = SECOND;
 
 /** Status with which a worker refuses a start whose lease has lapsed. */
 const LEASE_LAPSED_STATUS = 409;
@@ -102,6 +102,7 @@
   constructor(
     private readonly client: PlatformClient,
     private readonly clock: Clock,
+    private readonly timeoutMs: Millis = DEFAULT_TIMEOUT_MS,
   ) {}
 
   /** Sends one action to a worker. */
@@ -114,7 +115,7 @@
       call.method,
       url,
       call.body,
-      TIMEOUT_MS,
+      this.timeoutMs,
     );
     const receivedAt = this.clock.now();
     answer.caseOf({
