Show request latencies and queue times of jobs in status and metrics

Status had counts alone, and the time that a job waits for its first start was measured nowhere. The leader records it by class; status lists p50, p99 and p999 of both, and /metrics has them. A test through processes reads them.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -237,6 +237,11 @@
     });
     const metrics = kernel.get('metrics');
     dataCentre.onJobEnd(job => metrics.jobsEnded.inc({state: job.state}));
+    dataCentre.onStart(({submission, submittedMs, attempts}) => {
+      if (attempts > 1) return;
+      const waited = Date.now() - submittedMs;
+      metrics.observe('job_queue_time', submission.jobClass, waited);
+    });
     dataCentre.onEviction(() => metrics.evictions.inc());
   }
 
--- a/src/daemon/data_centre_service.ts
+++ b/src/daemon/data_centre_service.ts
@@ -95,6 +95,11 @@
   private lastList: ListRead | undefined;
   private leading: View | undefined;
 
+  private readonly starts = this.store.add(new Emitter<JobView>());
+
+  /** Fires with the job of each start that this leader sends. */
+  readonly onStart: Event<JobView> = this.starts.event;
+
   private readonly evictions = this.store.add(new Emitter<void>());
 
   /** Fires for each task that this leader has evicted. */
@@ -376,7 +381,11 @@
   private readonly handlers: ActionTable<SchedulerAction> = {
     append: ({entries}) => this.append(entries),
     answer: ({request, answer}) => this.requests.settle(request, answer),
-    start: action => this.sendToWorker(action),
+    start: action => {
+      const job = this.scheduler.job(action.start.job);
+      if (job !== undefined) this.starts.fire(job);
+      this.sendToWorker(action);
+    },
     poll: action => this.sendToWorker(action),
     'checkpoint-task': action => this.sendToWorker(action),
     'throttle-task': action => this.sendToWorker(action),
--- a/src/daemon/operator_service.ts
+++ b/src/daemon/operator_service.ts
@@ -15,6 +15,7 @@
   TicketReport,
 } from '../node/api_types.js';
 import {InstanceListClient} from '../node/instance_list_client.js';
+import {Metrics} from '../node/metrics.js';
 import {DataCentreService} from './data_centre_service.js';
 import {JobService} from './job_service.js';
 import {PeerStateService} from './peer_state_service.js';
@@ -37,6 +38,7 @@
   readonly peerStates: PeerStateService;
   readonly routing: RoutingService;
   readonly list: InstanceListClient;
+  readonly metrics: Metrics;
 }
 
 /** Answers the operator interface from the parts of the daemon. */
@@ -112,6 +114,8 @@
       instances: this.entryInstances(),
       jobs: this.jobsByState(),
       services: this.services(),
+      requestLatencies: this.parts.metrics.summaries('request_latency'),
+      queueTimes: this.parts.metrics.summaries('job_queue_time'),
     };
   }
 
--- a/src/node/api_types.ts
+++ b/src/node/api_types.ts
@@ -1,3 +1,4 @@
+import {LatencySummary} from './metrics.js';
 import {Either} from 'purify-ts';
 import {Millis} from '../common/base/clock.js';
 import {InstanceRole} from '../common/base/platform.js';
@@ -95,6 +96,10 @@
   /** Jobs of the data centre by state, as far as this instance knows. */
   readonly jobs: Readonly<Partial<Record<JobState, number>>>;
   readonly services: readonly ServiceReport[];
+  /** Latencies of answered requests by service, at this instance. */
+  readonly requestLatencies?: Readonly<Record<string, LatencySummary>>;
+  /** Time from submission to the first start by class, at this leader. */
+  readonly queueTimes?: Readonly<Record<string, LatencySummary>>;
 }
 
 /** An instance of the platform as this one knows it. */
--- a/tests/path.test.ts
+++ b/tests/path.test.ts
@@ -160,6 +160,14 @@
     );
   });
 
+  it('reports latencies and queue times in status', async () => {
+    const leader = await leaderAmong(deployment.entries);
+    const {requestLatencies, queueTimes} = await status(leader);
+    expect(requestLatencies?.['order-desk'].count).toBeGreaterThan(0);
+    expect(queueTimes?.cutting.count).toBeGreaterThan(0);
+    expect(queueTimes?.cutting.p99Ms).toBeGreaterThan(0);
+  });
+
   // Last, since it changes the processes.
   it('goes on after kill -9 of the leader and finishes the job once', async () => {
     const leader = await leaderAmong(deployment.entries);
