--- /dev/null
+++ b/src/common/batch/job_lifecycle.ts
@@ -0,0 +1,313 @@
+import {Millis} from '../base/clock.js';
+import {
+  ActiveJob,
+  ActiveOccurrence,
+  ActiveTask,
+  isStepDone,
+  isStepReady,
+} from './active_job.js';
+import {isFinal, JobPhase, TaskPhase} from './job_records.js';
+import {KnownJob} from './job_view.js';
+import {SchedulerState} from './scheduler_state.js';
+import {parseTaskName, Queue, ReportedEnd, RunEnd} from './types.js';
+import {Run, RunPhase, WorkerState} from './worker_state.js';
+
+/** Consecutive failures of different jobs that put a worker aside. */
+const FAILED_JOBS_TO_QUARANTINE = 3;
+
+/** First time for which a failing worker is put aside, and the longest. */
+const QUARANTINE_MS: Millis = 3000;
+const LONGEST_QUARANTINE_MS: Millis = 24_000;
+
+/** Moves jobs and tasks from state to state. */
+export class JobLifecycle {
+  constructor(private readonly state: SchedulerState) {}
+
+  /** Adds a job from the log; restores its progress, if there is any. */
+  add(known: KnownJob): void {
+    const {state} = this;
+    const {submission, progress, id} = known;
+    if (submission === undefined || state.jobs.has(id)) return;
+    if (state.ended.has(id)) return;
+    if (progress !== undefined && isFinal(progress.phase)) {
+      state.ended.set(id, progress.endedAt);
+    }
+    const job = new ActiveJob(
+      id,
+      submission,
+      this.currentQueue(submission.queue),
+      known.seenAt,
+    );
+    const now = state.now();
+    if (progress !== undefined) {
+      for (const [task, record] of job.restore(progress, now)) {
+        this.restoreRun(task, record.worker, record.born);
+      }
+    }
+    if (isFinal(job.phase)) {
+      if (![...job.tasks()].some(task => task.run)) return;
+      state.jobs.set(id, job);
+      for (const task of job.tasks()) {
+        if (task.run) state.stop(task.run, 'job is over');
+      }
+      return;
+    }
+    state.jobs.set(id, job);
+    if (submission.shape.repeats === 0 && !job.occurrences.has(0)) {
+      job.open(0, now);
+    }
+    for (const occurrence of job.occurrences.values()) this.release(occurrence);
+    if (known.cancelled) this.cancel(id);
+  }
+
+  /** Uses the queue as configured now, or as it was at acceptance. */
+  private currentQueue(accepted: Queue): Queue {
+    const {queues} = this.state.configuration;
+    return queues.find(({name}) => name === accepted.name) ?? accepted;
+  }
+
+  refreshQueues(): void {
+    for (const job of this.state.jobs.values()) {
+      job.queue = this.currentQueue(job.submission.queue);
+    }
+  }
+
+  private restoreRun(task: ActiveTask, workerId: string, born: number): void {
+    const {state} = this;
+    const now = state.now();
+    const worker = state.worker(workerId);
+    const run: Run = {
+      task,
+      attempt: task.attempt,
+      worker,
+      born,
+      phase: RunPhase.UNVERIFIED,
+      placedAt: now,
+      uncertain: true,
+      confirmedAt: 0,
+      stoppedAt: 0,
+      percent: 0,
+      progressAt: now,
+      pace: 100,
+      gauge: 0,
+    };
+    task.run = run;
+    worker.add(run);
+    // The earlier scheduler may have renewed leases until its authority ended.
+    const {authorityMs, longestLeaseMs} = state.times;
+    worker.noteLease(authorityMs + longestLeaseMs, 0, now);
+  }
+
+  /** Opens the occurrences that are due. */
+  openDue(): void {
+    const {state} = this;
+    const wallNow = state.wallClock.now();
+    for (const job of state.jobs.values()) {
+      const {startMs, periodMs} = job.submission.shape;
+      while (!isFinal(job.phase) && job.expectsOccurrences) {
+        if (startMs + job.nextOccurrence * periodMs > wallNow) break;
+        this.release(job.open(job.nextOccurrence, state.now()));
+        state.dirty.add(job);
+      }
+    }
+  }
+
+  /** Makes the tasks of all steps that may run available for placement. */
+  private release(occurrence: ActiveOccurrence): void {
+    if (isFinal(occurrence.job.phase)) return;
+    const now = this.state.now();
+    for (const step of occurrence.steps) {
+      if (isStepDone(step) || !isStepReady(step)) continue;
+      for (const task of step.tasks) {
+        if (task.phase !== TaskPhase.WAITING || task.run) continue;
+        if (!this.state.waiting.has(task)) task.readySince = now;
+        this.state.waiting.add(task);
+      }
+    }
+  }
+
+  /** Cancels a job; runs are stopped and their ends awaited. */
+  cancel(id: string): void {
+    const job = this.state.jobs.get(id);
+    if (job === undefined || isFinal(job.phase)) return;
+    this.finish(job, JobPhase.CANCELLED, 'cancelled by the caller');
+  }
+
+  private finish(job: ActiveJob, phase: JobPhase, reason: string): void {
+    const {state} = this;
+    job.phase = phase;
+    job.endedAt = state.wallClock.now();
+    state.ended.set(job.id, job.endedAt);
+    state.dirty.add(job);
+    state.log.decide('job-over', {job: job.id, phase, reason});
+    for (const task of job.tasks()) {
+      state.waiting.delete(task);
+      if (task.run) state.stop(task.run, reason);
+    }
+    this.dropIfSettled(job);
+  }
+
+  private dropIfSettled(job: ActiveJob): void {
+    if (!isFinal(job.phase)) return;
+    for (const task of job.tasks()) if (task.run) return;
+    this.state.jobs.delete(job.id);
+  }
+
+  /** Processes the end of a run as a worker listed it. */
+  onEnd(worker: WorkerState, end: ReportedEnd): void {
+    const run = worker.runs.get(end.task);
+    if (run === undefined || run.attempt !== end.attempt) {
+      this.state.log.decide('stale-end', {
+        task: end.task,
+        attempt: end.attempt,
+        worker: worker.id,
+        end: end.end,
+      });
+      if (end.end === RunEnd.FAILED) this.countStaleFailure(end.task);
+      return;
+    }
+    this.state.log.decide('run-ended', {
+      task: end.task,
+      attempt: end.attempt,
+      worker: worker.id,
+      end: end.end,
+      ms: Math.round(this.state.now() - run.placedAt),
+    });
+    if (end.checkpoint !== '') run.task.checkpoint = end.checkpoint;
+    this.settle(run);
+    this.endHandlers[end.end](run);
+    this.dropIfSettled(run.task.step.occurrence.job);
+  }
+
+  /** A failure counts against the task's attempts however late it is known. */
+  private countStaleFailure(name: string): void {
+    const position = parseTaskName(name);
+    if (position === undefined) return;
+    const job = this.state.jobs.get(position.job);
+    const occurrence = job?.occurrences.get(position.occurrence);
+    const task = occurrence?.steps[position.step]?.tasks[position.index];
+    if (job === undefined || task === undefined) return;
+    task.failures++;
+    this.state.dirty.add(job);
+  }
+
+  private readonly endHandlers: Readonly<Record<RunEnd, (run: Run) => void>> = {
+    [RunEnd.DONE]: run => this.onDone(run),
+    [RunEnd.FAILED]: run => this.onFailed(run),
+    [RunEnd.STOPPED]: run => this.requeue(run.task),
+    [RunEnd.LAPSED]: run => this.requeue(run.task),
+    [RunEnd.BROKEN]: run => this.requeue(run.task),
+    [RunEnd.ALONE]: run => this.requeue(run.task),
+  };
+
+  /** Takes note that a run is gone without an end that counts. */
+  onLost(run: Run, reason: string): void {
+    this.state.log.decide('run-lost', {
+      task: run.task.name,
+      attempt: run.attempt,
+      worker: run.worker.id,
+      reason,
+    });
+    this.settle(run);
+    this.requeue(run.task);
+    this.dropIfSettled(run.task.step.occurrence.job);
+  }
+
+  private settle(run: Run): void {
+    run.worker.remove(run);
+    if (run.task.run === run) run.task.run = undefined;
+    if (run.task.phase === TaskPhase.PLACED) run.task.phase = TaskPhase.WAITING;
+    this.state.dirty.add(run.task.step.occurrence.job);
+  }
+
+  private requeue(task: ActiveTask): void {
+    const {job} = task.step.occurrence;
+    if (task.phase === TaskPhase.DONE) return;
+    task.phase = TaskPhase.WAITING;
+    if (isFinal(job.phase)) return;
+    task.readySince = this.state.now();
+    this.state.waiting.add(task);
+  }
+
+  private onDone(run: Run): void {
+    const {task, worker} = run;
+    const {step} = task;
+    worker.failedJobs.clear();
+    worker.onProbation = false;
+    worker.quarantines = 0;
+    if (step.shape.perpetual) {
+      this.requeue(task);
+      return;
+    }
+    this.markDone(task);
+    if (step.shape.gang) {
+      // One member's end as done stands for the whole gang.
+      for (const other of step.tasks) this.markDone(other);
+    }
+    const {occurrence} = step;
+    if (!isStepDone(step)) return;
+    if (!occurrence.steps.every(isStepDone)) {
+      this.release(occurrence);
+      return;
+    }
+    const {job} = occurrence;
+    if (isFinal(job.phase)) return;
+    if (job.submission.shape.repeats > 0) {
+      job.occurrences.delete(occurrence.number);
+    }
+    const openLeft = [...job.occurrences.values()].some(
+      ({steps}) => !steps.every(isStepDone),
+    );
+    if (!openLeft && !job.expectsOccurrences) {
+      this.finish(job, JobPhase.COMPLETE, 'all tasks are done');
+    }
+  }
+
+  private markDone(task: ActiveTask): void {
+    if (task.phase === TaskPhase.DONE) return;
+    task.phase = TaskPhase.DONE;
+    task.checkpoint = '';
+    task.step.done++;
+    this.state.waiting.delete(task);
+  }
+
+  private onFailed(run: Run): void {
+    const {task, worker} = run;
+    const {job} = task.step.occurrence;
+    task.failures++;
+    task.failedOn = worker.id;
+    this.noteFailure(worker, job.id);
+    const {perpetual, gang} = task.step.shape;
+    const failures = gang
+      ? task.step.tasks.reduce((sum, {failures}) => sum + failures, 0)
+      : task.failures;
+    if (!perpetual && failures >= job.queue.maxAttempts) {
+      if (!isFinal(job.phase)) {
+        this.finish(job, JobPhase.FAILED, `task ${task.name} failed`);
+      }
+      return;
+    }
+    this.requeue(task);
+  }
+
+  /** Puts a worker aside on which tasks of several jobs fail in a row. */
+  private noteFailure(worker: WorkerState, job: string): void {
+    worker.failedJobs.add(job);
+    const limit = worker.onProbation ? 1 : FAILED_JOBS_TO_QUARANTINE;
+    if (worker.failedJobs.size < limit) return;
+    worker.failedJobs.clear();
+    this.quarantine(worker, 'tasks of several jobs failed in a row');
+  }
+
+  /** Gives a worker no starts for a while, then one at a time. */
+  quarantine(worker: WorkerState, reason: string): void {
+    const duration = Math.min(
+      QUARANTINE_MS * 2 ** worker.quarantines,
+      LONGEST_QUARANTINE_MS,
+    );
+    worker.quarantines++;
+    worker.quarantinedUntil = this.state.now() + duration;
+    worker.onProbation = true;
+    this.state.log.decide('quarantine', {worker: worker.id, duration, reason});
+  }
+}
--- /dev/null
+++ b/src/common/batch/placement.ts
@@ -0,0 +1,241 @@
+import {Millis} from '../base/clock.js';
+import {ActiveStep, ActiveTask, remainingChainMs} from './active_job.js';
+import {JobPhase, TaskPhase} from './job_records.js';
+import {CommandKind, SchedulerState} from './scheduler_state.js';
+import {Run, RunPhase, WorkerState} from './worker_state.js';
+
+/** A worker that answered no renewal for this long gets no starts. */
+const FRESH_ANSWER: Millis = 2500;
+
+/** Share of a worker's processors that perpetual tasks leave to others. */
+const PERPETUAL_SHARE = 0.85;
+
+/** Cost of work away from its data, against a worker's load of 0 to 1. */
+const REMOTE_COST = 3;
+
+/** Cost of the worker on which the task failed last. */
+const FAILED_HERE_COST = 2;
+
+/** Cost of filling tasks beside tasks that serve, per serving task. */
+const DISTURBANCE_COST = 0.15;
+
+/** Tasks of a step that wait for a worker. */
+interface WaitingStep {
+  readonly step: ActiveStep;
+  readonly tasks: ActiveTask[];
+  readonly urgency: number;
+}
+
+/** Chooses workers for the tasks that wait. */
+export class Placement {
+  constructor(private readonly state: SchedulerState) {}
+
+  /** Places what fits, the most urgent first; stages the start orders. */
+  run(): void {
+    if (this.state.waiting.size === 0) return;
+    const workers = [...this.state.workers.values()].filter(worker =>
+      this.isUsable(worker),
+    );
+    if (workers.length === 0) return;
+    for (const {step, tasks} of this.waitingSteps()) {
+      if (step.shape.gang) this.placeGang(step, workers);
+      else this.placeTasks(step, tasks, workers);
+    }
+  }
+
+  private isUsable(worker: WorkerState): boolean {
+    const now = this.state.now();
+    const {listing} = worker;
+    if (listing === undefined || worker.draining) return false;
+    if (!worker.answering || now - worker.lastAnswerAt > FRESH_ANSWER) {
+      return false;
+    }
+    if (worker.quarantinedUntil > now) return false;
+    return worker.born === listing.born;
+  }
+
+  private waitingSteps(): WaitingStep[] {
+    const groups = new Map<ActiveStep, ActiveTask[]>();
+    for (const task of this.state.waiting) {
+      const tasks = groups.get(task.step);
+      if (tasks === undefined) groups.set(task.step, [task]);
+      else tasks.push(task);
+    }
+    const now = this.state.now();
+    return [...groups]
+      .map(([step, tasks]) => ({step, tasks, urgency: this.urgency(step, now)}))
+      .sort((a, b) => a.urgency - b.urgency);
+  }
+
+  /** Lower is more urgent: the priority first, then the slack that is left. */
+  private urgency(step: ActiveStep, now: Millis): number {
+    const {job} = step.occurrence;
+    const {priority, stretch, latencyMs} = job.queue;
+    const chain = remainingChainMs(step);
+    const allowed = stretch * chain + latencyMs;
+    const slack = job.acceptedAt + allowed - now;
+    const perpetual = step.shape.perpetual ? 1 : 0;
+    return (priority + perpetual) * 1e9 + slack;
+  }
+
+  private placeTasks(
+    step: ActiveStep,
+    tasks: readonly ActiveTask[],
+    workers: readonly WorkerState[],
+  ): void {
+    for (const task of tasks) {
+      const worker = this.best(task, workers);
+      if (worker === undefined) {
+        if (task.failedOn === '') return;
+        continue;
+      }
+      this.place(task, worker, task.attempt + 1);
+    }
+  }
+
+  /** Places all tasks of a gang or none. */
+  private placeGang(step: ActiveStep, workers: readonly WorkerState[]): void {
+    const open = step.tasks.filter(({phase}) => phase !== TaskPhase.DONE);
+    if (open.some(task => task.run)) return;
+    const racks = new Set(workers.map(({rack}) => rack));
+    const choices: (readonly WorkerState[])[] = step.shape.sameRack
+      ? [...racks].map(rack => workers.filter(worker => worker.rack === rack))
+      : [];
+    choices.push(workers);
+    const checkpoint = open.find(task => task.checkpoint)?.checkpoint ?? '';
+    const attempt = Math.max(...open.map(task => task.attempt)) + 1;
+    for (const choice of choices) {
+      const placed: Run[] = [];
+      for (const task of open) {
+        const worker = this.best(task, choice);
+        if (worker === undefined) break;
+        placed.push(this.reserve(task, worker, attempt));
+      }
+      if (placed.length === open.length) {
+        for (const run of placed) {
+          run.task.checkpoint = checkpoint;
+          this.commit(run);
+        }
+        return;
+      }
+      for (const run of placed) {
+        run.worker.remove(run);
+        run.task.run = undefined;
+      }
+    }
+  }
+
+  private best(
+    task: ActiveTask,
+    workers: readonly WorkerState[],
+  ): WorkerState | undefined {
+    let best: WorkerState | undefined;
+    let lowest = Infinity;
+    for (const worker of workers) {
+      if (!this.fits(task, worker)) continue;
+      const cost = this.cost(task, worker);
+      if (cost >= lowest) continue;
+      lowest = cost;
+      best = worker;
+    }
+    return best;
+  }
+
+  private fits(task: ActiveTask, worker: WorkerState): boolean {
+    const {shape} = task.step;
+    const {used, listing} = worker;
+    if (listing === undefined) return false;
+    const {capacity, service, labels} = listing;
+    if (service !== task.step.occurrence.job.queue.service) return false;
+    if (shape.requiredLabel && !labels.includes(shape.requiredLabel)) {
+      return false;
+    }
+    if (worker.onProbation && worker.runs.size > 0) return false;
+    if (worker.runs.has(task.name)) return false;
+    const cpu = shape.fills ? 0 : shape.cpuMilli;
+    const share = shape.perpetual ? PERPETUAL_SHARE : 1;
+    if (used.cpuMilli + cpu > capacity.cpuMilli * share) return false;
+    if (used.memoryMb + shape.memoryMb > capacity.memoryMb) return false;
+    if (used.gpus + shape.gpus > capacity.gpus) return false;
+    return this.mayShare(task, worker);
+  }
+
+  private mayShare(task: ActiveTask, worker: WorkerState): boolean {
+    const {maxPerWorker} = task.step.shape;
+    if (maxPerWorker === 0) return true;
+    let count = 0;
+    for (const run of worker.runs.values()) {
+      if (run.task.step === task.step) count++;
+    }
+    return count < maxPerWorker;
+  }
+
+  private cost(task: ActiveTask, worker: WorkerState): number {
+    const {shape} = task.step;
+    const {used, fillingCpuMilli, listing} = worker;
+    const capacity = listing!.capacity.cpuMilli;
+    const wanted = used.cpuMilli + fillingCpuMilli + shape.cpuMilli;
+    let cost = wanted / capacity;
+    if (shape.dataRack && shape.dataRack !== worker.rack) cost += REMOTE_COST;
+    if (task.failedOn === worker.id) cost += FAILED_HERE_COST;
+    if (shape.fills) cost += DISTURBANCE_COST * servingTasks(worker);
+    return cost;
+  }
+
+  private place(task: ActiveTask, worker: WorkerState, attempt: number): void {
+    this.commit(this.reserve(task, worker, attempt));
+  }
+
+  private reserve(
+    task: ActiveTask,
+    worker: WorkerState,
+    attempt: number,
+  ): Run {
+    const now = this.state.now();
+    const run: Run = {
+      task,
+      attempt,
+      worker,
+      born: worker.born,
+      phase: RunPhase.STAGED,
+      placedAt: now,
+      uncertain: false,
+      confirmedAt: 0,
+      stoppedAt: 0,
+      percent: 0,
+      progressAt: now,
+      pace: 100,
+      gauge: 0,
+    };
+    task.run = run;
+    worker.add(run);
+    return run;
+  }
+
+  private commit(run: Run): void {
+    const {task, worker} = run;
+    const {job} = task.step.occurrence;
+    task.phase = TaskPhase.PLACED;
+    task.attempt = run.attempt;
+    this.state.waiting.delete(task);
+    job.begun = true;
+    if (job.phase === JobPhase.QUEUED) job.phase = JobPhase.RUNNING;
+    this.state.dirty.add(job);
+    this.state.staged.push({kind: CommandKind.START, run});
+    this.state.log.decide('place', {
+      task: task.name,
+      attempt: run.attempt,
+      worker: worker.id,
+      waitedMs: Math.round(run.placedAt - task.readySince),
+      reportAgeMs: Math.round(run.placedAt - worker.lastAnswerAt),
+    });
+  }
+}
+
+function servingTasks(worker: WorkerState): number {
+  let count = 0;
+  for (const run of worker.runs.values()) {
+    if (run.task.step.shape.targetMs > 0) count++;
+  }
+  return count;
+}
--- /dev/null
+++ b/src/common/batch/scheduler.ts
@@ -0,0 +1,149 @@
+import {Millis} from '../base/clock.js';
+import {JobLifecycle} from './job_lifecycle.js';
+import {packProgress, RecordKind} from './job_records.js';
+import {JobView, KnownJob} from './job_view.js';
+import {Pacing} from './pacing.js';
+import {Placement} from './placement.js';
+import {Command, SchedulerState} from './scheduler_state.js';
+import {KeyedRecord} from './store.js';
+import {BatchConfiguration, WorkerListing} from './types.js';
+import {OrderAnswer, Renewal, RenewalAnswer} from './worker_calls.js';
+import {OrderNext, WorkerLeases} from './worker_leases.js';
+import {Run, WorkerState} from './worker_state.js';
+
+/** Records to store, and what follows once they are durable. */
+export interface Batch {
+  readonly records: readonly KeyedRecord[];
+  /** Orders to send after the records are durable. */
+  readonly commands: readonly Command[];
+  /** Ends that may be acknowledged after the records are durable. */
+  readonly ends: readonly (readonly [WorkerState, number, number])[];
+}
+
+/**
+ * Decides for one term of office: which task runs where, which leases are
+ * renewed, which runs are stopped. Free of I/O; the caller feeds it with what
+ * the log and the workers say, stores its batches and sends its orders.
+ */
+export class Scheduler {
+  readonly leases: WorkerLeases;
+  private readonly lifecycle: JobLifecycle;
+  private readonly placement: Placement;
+  private readonly pacing: Pacing;
+
+  constructor(readonly state: SchedulerState) {
+    this.lifecycle = new JobLifecycle(state);
+    this.leases = new WorkerLeases(state, this.lifecycle);
+    this.placement = new Placement(state);
+    this.pacing = new Pacing(state);
+  }
+
+  /** Takes over all jobs that the log holds. */
+  restore(view: JobView): void {
+    for (const job of view.jobs.values()) this.lifecycle.add(job);
+  }
+
+  /** Takes in a job or a cancellation that was read from the log. */
+  onJob(known: KnownJob): void {
+    if (known.cancelled) this.lifecycle.cancel(known.id);
+    this.lifecycle.add(known);
+  }
+
+  onConfiguration(configuration: BatchConfiguration): void {
+    this.state.configuration = configuration;
+    this.lifecycle.refreshQueues();
+  }
+
+  /** Takes over the current list of workers. */
+  onWorkers(listings: ReadonlyMap<string, WorkerListing>): void {
+    for (const [id, listing] of listings) {
+      const worker = this.state.worker(id);
+      if (worker.listing?.phase !== listing.phase) {
+        this.state.log.decide('worker-listed', {
+          worker: id,
+          phase: listing.phase,
+          born: listing.born,
+        });
+      }
+      worker.listing = listing;
+      worker.address = listing.address;
+    }
+    for (const worker of this.state.workers.values()) {
+      if (worker.listing === undefined || listings.has(worker.id)) continue;
+      worker.listing = undefined;
+      this.state.log.decide('worker-unlisted', {
+        worker: worker.id,
+        runs: worker.runs.size,
+      });
+    }
+  }
+
+  /** Processes the answer to a renewal. */
+  onRenewal(
+    worker: WorkerState,
+    renewal: Renewal,
+    sentAt: Millis,
+    answer: RenewalAnswer,
+  ): void {
+    this.leases.onRenewal(worker, renewal, sentAt, answer);
+    if (answer.report !== undefined) this.pacing.onReport(worker);
+  }
+
+  onStartAnswer(run: Run, answer: OrderAnswer): OrderNext {
+    return this.leases.onStartAnswer(run, answer);
+  }
+
+  onStopAnswer(run: Run, answer: OrderAnswer): OrderNext {
+    return this.leases.onStopAnswer(run, answer);
+  }
+
+  /** Processes what depends on time alone. */
+  tick(): void {
+    this.leases.expire();
+    this.lifecycle.openDue();
+  }
+
+  /** Places what can be placed and returns what is to be recorded. */
+  takeBatch(): Batch {
+    this.placement.run();
+    const {state} = this;
+    const records: KeyedRecord[] = [];
+    for (const job of state.dirty) {
+      records.push({
+        key: RecordKind.PROGRESS + job.id,
+        value: packProgress(job.toRecord()),
+      });
+    }
+    state.dirty.clear();
+    return {
+      records,
+      commands: state.staged.splice(0),
+      ends: [...this.leases.processedEnds()],
+    };
+  }
+
+  /** Notes that a batch is durable. */
+  onStored(batch: Batch): void {
+    for (const [worker, born, sequence] of batch.ends) {
+      if (worker.born !== born) continue;
+      worker.acknowledged = Math.max(worker.acknowledged, sequence);
+    }
+  }
+
+  /** Orders that need no record. */
+  takeUrgent(): Command[] {
+    return this.state.urgent.splice(0);
+  }
+
+  /** Ids of jobs whose state need not be kept any longer. */
+  takeExpired(): string[] {
+    const {ended, wallClock, times} = this.state;
+    const expired: string[] = [];
+    for (const [id, endedAt] of ended) {
+      if (wallClock.now() - endedAt < times.keepEndedMs) continue;
+      ended.delete(id);
+      expired.push(id);
+    }
+    return expired;
+  }
+}
--- /dev/null
+++ b/src/common/batch/worker_leases.ts
@@ -0,0 +1,285 @@
+import {Millis} from '../base/clock.js';
+import {JobLifecycle} from './job_lifecycle.js';
+import {CommandKind, LEASE_MARGIN, SchedulerState} from './scheduler_state.js';
+import {ReportedRun, WorkerReport} from './types.js';
+import {
+  OrderAnswer,
+  OrderResult,
+  REFUSALS,
+  Renewal,
+  RenewalAnswer,
+} from './worker_calls.js';
+import {Run, RunPhase, WorkerState} from './worker_state.js';
+
+/** How long a worker holds a renewal when no run ends. */
+const RENEWAL_WAIT: Millis = 1000;
+
+/** What the caller of a start or stop does next. */
+export const OrderNext = {SETTLED: 'settled', REPEAT: 'repeat'} as const;
+export type OrderNext = (typeof OrderNext)[keyof typeof OrderNext];
+
+/**
+ * Keeps leases of workers and finds out which runs exist. A run is taken as
+ * gone only when the worker says so, when a later incarnation answers, or when
+ * every lease and order that could have reached the worker has run out.
+ */
+export class WorkerLeases {
+  /** Local time until which this scheduler may renew leases. */
+  private authorityEnd: Millis = 0;
+  /** Set when a worker has seen the token of a later scheduler. */
+  fenced = false;
+
+  constructor(
+    private readonly state: SchedulerState,
+    private readonly lifecycle: JobLifecycle,
+  ) {}
+
+  /** Notes that the log accepted a record of this scheduler's epoch. */
+  confirmAuthority(now: Millis): void {
+    this.authorityEnd = now + this.state.times.authorityMs;
+  }
+
+  get hasAuthority(): boolean {
+    return this.state.now() < this.authorityEnd;
+  }
+
+  /** Returns the next renewal for a worker and notes the lease that it gives. */
+  renewal(worker: WorkerState): Renewal {
+    const {leaseMs} = this.state.times;
+    const now = this.state.now();
+    const base = {
+      token: this.state.token(worker),
+      acknowledged: worker.acknowledged,
+    };
+    if (!worker.answering || !this.hasAuthority) return {...base, waitMs: 0};
+    worker.noteLease(leaseMs, LEASE_MARGIN, now);
+    const leaseUntil = worker.clockEstimate(now) + leaseMs;
+    return {...base, leaseUntil, waitMs: RENEWAL_WAIT};
+  }
+
+  /** Lease that a start order carries, on the worker's clock. */
+  startLease(worker: WorkerState): Millis {
+    const {leaseMs} = this.state.times;
+    const now = this.state.now();
+    worker.noteLease(leaseMs, LEASE_MARGIN, now);
+    return worker.clockEstimate(now) + leaseMs;
+  }
+
+  /** Processes the answer to a renewal that was sent at `sentAt`. */
+  onRenewal(
+    worker: WorkerState,
+    renewal: Renewal,
+    sentAt: Millis,
+    answer: RenewalAnswer,
+  ): void {
+    const now = this.state.now();
+    if (answer.result === OrderResult.FENCED) this.fenced = true;
+    if (answer.result === OrderResult.REPLACED) {
+      this.onReplaced(worker, 'another incarnation answers at its address');
+    }
+    const {report} = answer;
+    const wasAnswering = worker.answering;
+    worker.answering = report !== undefined;
+    if (report === undefined) {
+      if (wasAnswering) this.logReach(worker, false, answer.result);
+      return;
+    }
+    if (!wasAnswering) this.logReach(worker, true, answer.result);
+    worker.lastAnswerAt = now;
+    worker.noteClock(report.clockMs, now);
+    if (report.born !== worker.born && !this.adopt(worker, report)) return;
+    if (renewal.token < this.state.token(worker)) return;
+    this.takeReport(worker, report, sentAt);
+  }
+
+  private logReach(
+    worker: WorkerState,
+    reached: boolean,
+    result: OrderResult,
+  ): void {
+    this.state.log.decide(reached ? 'worker-regained' : 'worker-lost', {
+      worker: worker.id,
+      result,
+      runs: worker.runs.size,
+    });
+  }
+
+  /**
+   * Notes a new incarnation. Runs of the one before are gone, but orders to it
+   * may still arrive at the new one: a higher token keeps them out, and the
+   * answer to the next renewal shows what got in before it. Returns whether
+   * the report can be used as it is.
+   */
+  private adopt(worker: WorkerState, report: WorkerReport): boolean {
+    const isFirst = worker.born === 0;
+    worker.born = report.born;
+    worker.acknowledged = 0;
+    worker.processed = 0;
+    worker.failedJobs.clear();
+    if (isFirst) return true;
+    worker.tokenBump++;
+    for (const run of worker.runs.values()) {
+      if (run.born !== report.born) run.phase = RunPhase.UNVERIFIED;
+    }
+    this.state.log.decide('worker-restarted', {
+      worker: worker.id,
+      born: report.born,
+      runs: worker.runs.size,
+    });
+    return false;
+  }
+
+  private onReplaced(worker: WorkerState, reason: string): void {
+    for (const run of [...worker.runs.values()]) {
+      this.lose(run, reason);
+    }
+  }
+
+  private lose(run: Run, reason: string): void {
+    this.lifecycle.onLost(run, reason);
+  }
+
+  private takeReport(
+    worker: WorkerState,
+    report: WorkerReport,
+    sentAt: Millis,
+  ): void {
+    for (const end of report.ends) {
+      if (end.sequence <= worker.processed) continue;
+      worker.processed = end.sequence;
+      this.lifecycle.onEnd(worker, end);
+    }
+    const present = new Map(report.running.map(entry => [entry.task, entry]));
+    for (const entry of report.running) this.takeRunning(worker, entry);
+    for (const run of [...worker.runs.values()]) {
+      if (present.get(run.task.name)?.attempt === run.attempt) continue;
+      this.onAbsent(run, report.born, sentAt);
+    }
+  }
+
+  private takeRunning(worker: WorkerState, entry: ReportedRun): void {
+    const run = worker.runs.get(entry.task);
+    if (run === undefined || run.attempt !== entry.attempt) {
+      this.state.log.decide('stop-stray', {
+        task: entry.task,
+        attempt: entry.attempt,
+        worker: worker.id,
+      });
+      const {task, attempt} = entry;
+      this.state.urgent.push({
+        kind: CommandKind.STOP_STRAY,
+        worker,
+        task,
+        attempt,
+      });
+      return;
+    }
+    const now = this.state.now();
+    run.born = worker.born;
+    if (run.phase === RunPhase.ORDERED || run.phase === RunPhase.UNVERIFIED) {
+      run.phase = RunPhase.RUNNING;
+      run.confirmedAt = now;
+    }
+    if (entry.percent !== run.percent) run.progressAt = now;
+    run.percent = entry.percent;
+    run.gauge = entry.gauge;
+    if (entry.checkpoint !== '') run.task.checkpoint = entry.checkpoint;
+  }
+
+  /** Processes that a report doesn't show a run. */
+  private onAbsent(run: Run, born: number, sentAt: Millis): void {
+    const {phase} = run;
+    if (phase === RunPhase.UNVERIFIED) {
+      this.lose(run, 'the worker does not have it');
+    } else if (phase === RunPhase.STOPPING) {
+      if (run.stoppedAt > 0 && run.stoppedAt < sentAt) {
+        this.lose(run, 'stopped before it began');
+      }
+    } else if (phase === RunPhase.RUNNING && run.confirmedAt < sentAt) {
+      this.lose(run, 'the worker does not have it any more');
+    } else if (run.born !== born && phase === RunPhase.ORDERED) {
+      run.born = born;
+    }
+  }
+
+  /** Processes the answer to a start order. */
+  onStartAnswer(run: Run, answer: OrderAnswer): OrderNext {
+    const {worker} = run;
+    const now = this.state.now();
+    if (answer.clockMs !== undefined) worker.noteClock(answer.clockMs, now);
+    if (worker.runs.get(run.task.name) !== run) return OrderNext.SETTLED;
+    if (run.phase !== RunPhase.ORDERED) return OrderNext.SETTLED;
+    const {result} = answer;
+    if (result === OrderResult.ACCEPTED) {
+      run.phase = RunPhase.RUNNING;
+      run.confirmedAt = now;
+      run.progressAt = now;
+      return OrderNext.SETTLED;
+    }
+    this.state.log.decide('start-refused', {
+      task: run.task.name,
+      attempt: run.attempt,
+      worker: worker.id,
+      result,
+      uncertain: run.uncertain,
+    });
+    if (result === OrderResult.FENCED) {
+      this.fenced = true;
+      return OrderNext.SETTLED;
+    }
+    if (result === OrderResult.UNKNOWN) run.uncertain = true;
+    if (result === OrderResult.LATE || !REFUSALS.has(result)) {
+      return OrderNext.REPEAT;
+    }
+    if (result === OrderResult.UNHEALTHY) {
+      this.lifecycle.quarantine(worker, 'it refuses starts as unhealthy');
+    }
+    if (run.uncertain) {
+      this.state.stop(run, 'an earlier order may still be carried out');
+    } else {
+      this.lose(run, `start refused: ${result}`);
+    }
+    return OrderNext.SETTLED;
+  }
+
+  /** Processes the answer to a stop order. */
+  onStopAnswer(run: Run, answer: OrderAnswer): OrderNext {
+    const {worker} = run;
+    const now = this.state.now();
+    if (answer.clockMs !== undefined) worker.noteClock(answer.clockMs, now);
+    if (worker.runs.get(run.task.name) !== run) return OrderNext.SETTLED;
+    if (answer.result === OrderResult.FENCED) this.fenced = true;
+    if (answer.result === OrderResult.ACCEPTED) run.stoppedAt = now;
+    const isOver =
+      answer.result === OrderResult.ACCEPTED ||
+      answer.result === OrderResult.FENCED ||
+      answer.result === OrderResult.REPLACED;
+    return isOver ? OrderNext.SETTLED : OrderNext.REPEAT;
+  }
+
+  /** Gives up runs on workers whose leases have all run out. */
+  expire(): void {
+    const now = this.state.now();
+    for (const worker of this.state.workers.values()) {
+      if (worker.answering || now < worker.leaseEnd) continue;
+      for (const run of [...worker.runs.values()]) {
+        if (run.phase === RunPhase.STAGED) continue;
+        this.lose(run, 'the lease of its worker ran out');
+      }
+      this.forgetIfGone(worker);
+    }
+  }
+
+  private forgetIfGone(worker: WorkerState): void {
+    if (worker.listing !== undefined || worker.runs.size > 0) return;
+    this.state.workers.delete(worker.id);
+  }
+
+  /** Acknowledges ends once the records that follow from them are durable. */
+  *processedEnds(): Generator<[WorkerState, number, number]> {
+    for (const worker of this.state.workers.values()) {
+      if (worker.processed <= worker.acknowledged) continue;
+      yield [worker, worker.born, worker.processed];
+    }
+  }
+}
--- /dev/null
+++ b/src/common/batch/worker_state.ts
@@ -0,0 +1,129 @@
+import {Millis} from '../base/clock.js';
+import {ActiveTask} from './active_job.js';
+import {Resources, WorkerListing, WorkerPhase} from './types.js';
+
+/** What is known of a run. */
+export const RunPhase = {
+  /** Placed in this term; its record is not yet durable. */
+  STAGED: 'staged',
+  /** The start order is on its way or unanswered. */
+  ORDERED: 'ordered',
+  /** The worker confirmed the run. */
+  RUNNING: 'running',
+  /** A stop order is on its way or the end isn't reported yet. */
+  STOPPING: 'stopping',
+  /** Placed by an earlier scheduler; not yet seen at the worker. */
+  UNVERIFIED: 'unverified',
+} as const;
+export type RunPhase = (typeof RunPhase)[keyof typeof RunPhase];
+
+/** One run of a task on an incarnation of a worker. */
+export interface Run {
+  readonly task: ActiveTask;
+  readonly attempt: number;
+  readonly worker: WorkerState;
+  born: number;
+  phase: RunPhase;
+  /** Time at which the run was placed. */
+  readonly placedAt: Millis;
+  /** An order for the run may still be carried out by the worker. */
+  uncertain: boolean;
+  /** Time at which the worker confirmed the run; 0 before. */
+  confirmedAt: Millis;
+  /** Time at which the worker accepted the stop; 0 before. */
+  stoppedAt: Millis;
+  /** Latest reported progress and the time at which it last grew. */
+  percent: number;
+  progressAt: Millis;
+  /** Share of work that the run was told to do. */
+  pace: number;
+  /** Tail latency in ms of a serving task, else processors in use. */
+  gauge: number;
+}
+
+/** How far a worker's steady clock may run slow; source: the platform. */
+export const CLOCK_DRIFT = 0.02;
+
+/**
+ * The scheduler's knowledge of one worker: its capacity, its runs, the lease
+ * it was given and its state of health.
+ */
+export class WorkerState {
+  listing: WorkerListing | undefined;
+  address = '';
+  /** Incarnation that answered last; 0 before the first answer. */
+  born = 0;
+  readonly runs = new Map<string, Run>();
+  used: Resources = {cpuMilli: 0, memoryMb: 0, gpus: 0};
+  /** Processors that filling tasks would like to use. */
+  fillingCpuMilli = 0;
+  /** Last end that is durable, and last end that was processed. */
+  acknowledged = 0;
+  processed = 0;
+  /** Added to the token with each incarnation that is seen. */
+  tokenBump = 0;
+  /** Latest clock of the worker and the local time of that answer. */
+  clockMs: Millis = 0;
+  clockAt: Millis = 0;
+  /** Local time after which nothing that was ordered can still run. */
+  leaseEnd: Millis = 0;
+  lastAnswerAt: Millis = 0;
+  /** Whether the last renewal was answered; no new lease otherwise. */
+  answering = false;
+  /** Local time until which the worker gets no starts. */
+  quarantinedUntil: Millis = 0;
+  quarantines = 0;
+  /** Jobs whose tasks failed here since the last success. */
+  readonly failedJobs = new Set<string>();
+  /** Failure streak: a single task is tried before the worker is trusted. */
+  onProbation = false;
+
+  constructor(readonly id: string) {}
+
+  get rack(): string {
+    return this.listing?.labels[1] ?? '';
+  }
+
+  get draining(): boolean {
+    return this.listing?.phase === WorkerPhase.DRAINING;
+  }
+
+  /** Estimate of the worker's clock at the local time `now`. */
+  clockEstimate(now: Millis): Millis {
+    return Math.floor(this.clockMs + (now - this.clockAt));
+  }
+
+  /** Notes a clock that the worker sent. */
+  noteClock(clockMs: Millis, now: Millis): void {
+    this.clockMs = clockMs;
+    this.clockAt = now;
+  }
+
+  /** Notes that a lease of `duration` was sent at `now`. */
+  noteLease(duration: Millis, margin: Millis, now: Millis): void {
+    const end = now + duration * (1 + CLOCK_DRIFT) + margin;
+    this.leaseEnd = Math.max(this.leaseEnd, end);
+  }
+
+  add(run: Run): void {
+    this.runs.set(run.task.name, run);
+    this.reserve(run, 1);
+  }
+
+  remove(run: Run): void {
+    if (this.runs.get(run.task.name) !== run) return;
+    this.runs.delete(run.task.name);
+    this.reserve(run, -1);
+  }
+
+  private reserve(run: Run, sign: 1 | -1): void {
+    const {shape} = run.task.step;
+    const cpu = shape.fills ? 0 : shape.cpuMilli;
+    if (shape.fills) this.fillingCpuMilli += sign * shape.cpuMilli;
+    this.used = {
+      cpuMilli: this.used.cpuMilli + sign * cpu,
+      memoryMb: this.used.memoryMb + sign * shape.memoryMb,
+      gpus: this.used.gpus + sign * shape.gpus,
+    };
+  }
+}
--- /dev/null
+++ b/src/node/batch/batch_instance.ts
@@ -0,0 +1,347 @@
+import {randomBytes, randomInt} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Clock, Millis, SECOND} from '../../common/base/clock.js';
+import {Election} from '../../common/batch/election.js';
+import {
+  isFinal,
+  JobPhase,
+  packRecord,
+  SCHEDULER_KEY,
+  SchedulerRecord,
+} from '../../common/batch/job_records.js';
+import {JobView} from '../../common/batch/job_view.js';
+import {Scheduler} from '../../common/batch/scheduler.js';
+import {
+  DecisionLog,
+  SchedulerState,
+  SchedulerTimes,
+} from '../../common/batch/scheduler_state.js';
+import {
+  AppendResult,
+  KeyedLog,
+  KeyedRecord,
+  StoredKey,
+  Topic,
+} from '../../common/batch/store.js';
+import {
+  BatchConfiguration,
+  JobShape,
+  Queue,
+  WorkerListing,
+} from '../../common/batch/types.js';
+import {WorkerCalls} from '../../common/batch/worker_calls.js';
+import {Intake, IntakeResult} from './intake.js';
+import {LogTail} from './log_tail.js';
+import {Term, TermEnd, WRITER_NAME} from './term.js';
+
+/** Least time between two reads of a topic, by role. */
+const PROGRESS_INTERVAL: Millis = 100;
+const INTAKE_INTERVAL: Millis = 300;
+const WORKERS_INTERVAL: Millis = 300;
+
+/** How long the store may hold a read; a silent connection shows after it. */
+const READ_WAIT: Millis = 1 * SECOND;
+
+/** Pause between two checks whether the office is vacant. */
+const ELECTION_INTERVAL: Millis = 100;
+
+/** Longest wait for the answer to a claim. */
+const CLAIM_TIMEOUT: Millis = 800;
+
+/** First sequence number of a term is below this, so that two rivals differ. */
+const FIRST_SEQUENCE_RANGE = 2 ** 30;
+
+/** Decodes records that others write. */
+export interface RecordDecoder {
+  /** Returns undefined for a record that is not a usable configuration. */
+  configuration(record: KeyedRecord): BatchConfiguration | undefined;
+  /** Returns undefined for an entry that names no usable worker. */
+  worker(record: KeyedRecord): WorkerListing | undefined;
+}
+
+/** What an instance is built from. */
+export interface BatchInstanceParts {
+  readonly name: string;
+  readonly log: KeyedLog;
+  readonly calls: WorkerCalls;
+  readonly decoder: RecordDecoder;
+  readonly clock: Clock;
+  readonly wallClock: Clock;
+  readonly decisions: DecisionLog;
+  readonly times: SchedulerTimes;
+  /** Delay of this instance's claims, to keep rivals apart. */
+  readonly claimDelayMs: Millis;
+}
+
+/**
+ * An instance of the system: answers callers from its replica of the log,
+ * writes what they hand in, and runs the scheduler while it holds the office.
+ */
+export class BatchInstance {
+  configuration: BatchConfiguration | undefined;
+  readonly view: JobView;
+  private readonly workers = new Map<string, WorkerListing>();
+  private readonly intake: Intake;
+  private readonly election: Election;
+  private readonly incarnation = randomBytes(6).toString('hex');
+  private readonly progressTail: LogTail;
+  private readonly intakeTail: LogTail;
+  private readonly operatorTail: LogTail;
+  private readonly workersTail: LogTail;
+  private term: Term | undefined;
+  private stopping = false;
+
+  constructor(private readonly parts: BatchInstanceParts) {
+    const {log, clock, claimDelayMs, decisions} = parts;
+    this.view = new JobView((key, error) =>
+      decisions.decide('record-fault', {key, error: String(error)}),
+    );
+    this.intake = new Intake(log, clock, record => this.onIntake([record]));
+    this.election = new Election(this.incarnation, claimDelayMs, clock.now());
+    this.progressTail = this.tail(
+      Topic.PROGRESS,
+      () => PROGRESS_INTERVAL,
+      records => this.onProgress(records),
+      succeeded => this.onProgressRead(succeeded),
+    );
+    this.intakeTail = this.tail(
+      Topic.INTAKE,
+      () => (this.term ? 0 : INTAKE_INTERVAL),
+      records => this.onIntake(records),
+    );
+    this.operatorTail = this.tail(
+      Topic.OPERATOR,
+      () => 0,
+      records => this.onOperator(records),
+    );
+    this.workersTail = this.tail(
+      Topic.WORKERS,
+      () => WORKERS_INTERVAL,
+      (records, isReset) => this.onWorkers(records, isReset),
+    );
+  }
+
+  /** Whether callers may be sent here. */
+  get isReady(): boolean {
+    return (
+      !this.stopping &&
+      this.configuration !== undefined &&
+      this.progressTail.isLoaded &&
+      this.intakeTail.isLoaded
+    );
+  }
+
+  get isScheduler(): boolean {
+    return this.term !== undefined;
+  }
+
+  start(): void {
+    for (const tail of this.tails()) void tail.run();
+    this.workersTail.pause();
+    void this.elections();
+  }
+
+  /** Gives up the office and takes no new work of its own. */
+  stop(): void {
+    this.stopping = true;
+    this.term?.resign();
+  }
+
+  /** Stores a job; a job that is known already is not stored again. */
+  async submit(
+    queue: Queue,
+    id: string,
+    shape: JobShape,
+    deadline: Millis,
+  ): Promise<IntakeResult> {
+    if (this.view.phase(id) !== undefined) return IntakeResult.STORED;
+    const acceptedAt = this.parts.wallClock.now();
+    const submission = {queue, acceptedAt, shape};
+    return this.intake.submit(id, submission, deadline);
+  }
+
+  /** Phase of a job; reads the log before it says that there is none. */
+  async phase(id: string): Promise<JobPhase | undefined> {
+    const known = this.view.phase(id);
+    if (known !== undefined) return known;
+    await this.intakeTail.refresh();
+    return this.view.phase(id);
+  }
+
+  /** Cancels a job; undefined if there is none. */
+  async cancel(
+    id: string,
+    deadline: Millis,
+  ): Promise<IntakeResult | undefined> {
+    const phase = await this.phase(id);
+    if (phase === undefined) return undefined;
+    if (isFinal(phase)) return IntakeResult.STORED;
+    return this.intake.cancel(id, deadline);
+  }
+
+  private tail(
+    topic: Topic,
+    intervalMs: () => Millis,
+    onRecords: (records: readonly StoredKey[], isReset: boolean) => void,
+    onRead: (succeeded: boolean) => void = () => {},
+  ): LogTail {
+    return new LogTail(
+      this.parts.log,
+      topic,
+      {waitMs: READ_WAIT, intervalMs},
+      {onRecords, onRead},
+    );
+  }
+
+  private tails(): readonly LogTail[] {
+    return [
+      this.progressTail,
+      this.intakeTail,
+      this.operatorTail,
+      this.workersTail,
+    ];
+  }
+
+  private onProgress(records: readonly KeyedRecord[]): void {
+    const now = this.parts.clock.now();
+    for (const record of records) this.view.apply(record, now);
+    this.election.onSign(this.view.scheduler, now);
+  }
+
+  private onProgressRead(succeeded: boolean): void {
+    if (succeeded) this.election.onReadable(this.parts.clock.now());
+    else this.election.onUnreadable();
+  }
+
+  private onIntake(records: readonly KeyedRecord[]): void {
+    const now = this.parts.clock.now();
+    for (const record of records) {
+      this.view.apply(record, now);
+      const job = this.view.jobs.get(record.key.slice(1));
+      if (job !== undefined) this.term?.scheduler.onJob(job);
+    }
+    this.term?.signal();
+  }
+
+  private onOperator(records: readonly KeyedRecord[]): void {
+    for (const record of records) {
+      const configuration = this.parts.decoder.configuration(record);
+      if (configuration === undefined) continue;
+      if (configuration.version <= (this.configuration?.version ?? -1)) {
+        continue;
+      }
+      this.configuration = configuration;
+      this.parts.decisions.decide('configuration', {
+        version: configuration.version,
+        queues: configuration.queues.length,
+      });
+      this.term?.scheduler.onConfiguration(configuration);
+    }
+  }
+
+  private onWorkers(records: readonly KeyedRecord[], isReset: boolean): void {
+    if (isReset) this.workers.clear();
+    for (const record of records) {
+      const listing = this.parts.decoder.worker(record);
+      if (listing !== undefined) this.workers.set(listing.id, listing);
+      else if (record.value.length === 0) this.workers.delete(record.key);
+    }
+    this.term?.scheduler.onWorkers(this.workers);
+  }
+
+  private async elections(): Promise<void> {
+    while (!this.stopping) {
+      await sleep(ELECTION_INTERVAL);
+      if (!this.isReady) continue;
+      const due = this.election.dueIn(this.parts.clock.now());
+      if (due !== undefined && due <= 0) await this.claim();
+    }
+  }
+
+  /** Claims the office and, on success, serves until the term ends. */
+  private async claim(): Promise<void> {
+    const {log, name, decisions} = this.parts;
+    this.progressTail.pause();
+    const epoch = (this.view.scheduler?.epoch ?? 0) + 1;
+    const record: SchedulerRecord = {
+      epoch,
+      instance: name,
+      incarnation: this.incarnation,
+      resigned: false,
+    };
+    const sequence = randomInt(FIRST_SEQUENCE_RANGE);
+    const end = this.progressTail.next;
+    const answer = await log.append(
+      Topic.PROGRESS,
+      [{key: SCHEDULER_KEY, value: packRecord(record)}],
+      {expectedEnd: end, writer: {name: WRITER_NAME, epoch, sequence}},
+      CLAIM_TIMEOUT,
+    );
+    decisions.decide('claim', {epoch, result: answer.result, end});
+    let next = end;
+    if (answer.result === AppendResult.STORED) {
+      next = await this.serve(record, sequence + 1, answer.end ?? end + 1);
+    }
+    const now = this.parts.clock.now();
+    if (answer.result === AppendResult.STORED) {
+      this.election.onSign(this.view.scheduler, now);
+    }
+    this.progressTail.resume(next);
+    // Lets the tail catch up before the next claim.
+    await sleep(PROGRESS_INTERVAL * 3);
+  }
+
+  /** Returns the offset from which the topic has to be read on. */
+  private async serve(
+    record: SchedulerRecord,
+    sequence: number,
+    end: number,
+  ): Promise<number> {
+    const {log, calls, clock, decisions} = this.parts;
+    let next = end;
+    const claimedAt = clock.now();
+    this.view.scheduler = record;
+    while (!(await this.intakeTail.refresh())) await sleep(ELECTION_INTERVAL);
+    this.workersTail.resume(-1);
+    const scheduler = this.createScheduler(record.epoch);
+    scheduler.restore(this.view);
+    scheduler.leases.confirmAuthority(claimedAt);
+    const host = {
+      log,
+      calls,
+      clock,
+      record,
+      onStored: (records: readonly KeyedRecord[], after?: number) => {
+        next = after ?? next + records.length;
+        for (const entry of records) this.view.apply(entry, clock.now());
+      },
+    };
+    this.term = new Term(scheduler, host, sequence);
+    decisions.decide('term-begins', {
+      epoch: record.epoch,
+      jobs: scheduler.state.jobs.size,
+      waiting: scheduler.state.waiting.size,
+    });
+    const reason = await this.term.run();
+    this.term = undefined;
+    this.workersTail.pause();
+    decisions.decide('term-ends', {epoch: record.epoch, reason});
+    if (reason === TermEnd.FENCED) this.election.onUnreadable();
+    return next;
+  }
+
+  private createScheduler(epoch: number): Scheduler {
+    const {times, clock, wallClock, decisions} = this.parts;
+    const configuration = this.configuration!;
+    return new Scheduler(
+      new SchedulerState(
+        epoch,
+        times,
+        clock,
+        wallClock,
+        decisions,
+        configuration,
+      ),
+    );
+  }
+}
--- /dev/null
+++ b/src/node/batch/intake.ts
@@ -0,0 +1,121 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Clock, Millis} from '../../common/base/clock.js';
+import {
+  packRecord,
+  RecordKind,
+  SubmissionRecord,
+} from '../../common/batch/job_records.js';
+import {
+  AppendResult,
+  KeyedLog,
+  KeyedRecord,
+  Topic,
+} from '../../common/batch/store.js';
+
+/** How a record was taken in. */
+export const IntakeResult = {
+  STORED: 'stored',
+  /** Certainly not stored. */
+  REJECTED: 'rejected',
+  /** Not known; the same record may be handed in again. */
+  UNKNOWN: 'unknown',
+} as const;
+export type IntakeResult = (typeof IntakeResult)[keyof typeof IntakeResult];
+
+/** Longest wait for the answer to one append. */
+const APPEND_TIMEOUT: Millis = 700;
+
+/** Pause before an append is repeated; doubles up to the longest. */
+const FIRST_PAUSE: Millis = 40;
+const LONGEST_PAUSE: Millis = 320;
+
+interface Waiter {
+  readonly record: KeyedRecord;
+  readonly deadline: Millis;
+  readonly settle: (result: IntakeResult) => void;
+}
+
+/**
+ * Writes accepted jobs and cancellations to the log. Records that arrive while
+ * an append is under way go out together with the next one.
+ */
+export class Intake {
+  private waiting: Waiter[] = [];
+  private isWriting = false;
+
+  constructor(
+    private readonly log: KeyedLog,
+    private readonly clock: Clock,
+    private readonly onStored: (record: KeyedRecord) => void,
+  ) {}
+
+  submit(
+    id: string,
+    submission: SubmissionRecord,
+    deadline: Millis,
+  ): Promise<IntakeResult> {
+    const key = RecordKind.SUBMISSION + id;
+    return this.write({key, value: packRecord(submission)}, deadline);
+  }
+
+  cancel(id: string, deadline: Millis): Promise<IntakeResult> {
+    const key = RecordKind.CANCELLATION + id;
+    return this.write({key, value: Uint8Array.of(1)}, deadline);
+  }
+
+  private write(record: KeyedRecord, deadline: Millis): Promise<IntakeResult> {
+    return new Promise(settle => {
+      this.waiting.push({record, deadline, settle});
+      if (!this.isWriting) void this.drain();
+    });
+  }
+
+  private async drain(): Promise<void> {
+    this.isWriting = true;
+    while (this.waiting.length > 0) {
+      const batch = this.waiting;
+      this.waiting = [];
+      // Batches overlap, so that a slow append holds up only its own records.
+      const written = this.append(batch);
+      await Promise.race([written, sleep(FIRST_PAUSE)]);
+    }
+    this.isWriting = false;
+  }
+
+  private async append(batch: readonly Waiter[]): Promise<void> {
+    let open = batch;
+    let isUncertain = false;
+    let pause = FIRST_PAUSE;
+    while (open.length > 0) {
+      const {result} = await this.log.append(
+        Topic.INTAKE,
+        open.map(({record}) => record),
+        {},
+        APPEND_TIMEOUT,
+      );
+      if (result === AppendResult.STORED) {
+        for (const {record, settle} of open) {
+          this.onStored(record);
+          settle(IntakeResult.STORED);
+        }
+        return;
+      }
+      if (result === AppendResult.UNKNOWN) isUncertain = true;
+      await sleep(pause);
+      pause = Math.min(pause * 2, LONGEST_PAUSE);
+      open = this.giveUpLate(open, isUncertain);
+    }
+  }
+
+  private giveUpLate(
+    open: readonly Waiter[],
+    isUncertain: boolean,
+  ): readonly Waiter[] {
+    const now = this.clock.now();
+    const late = open.filter(({deadline}) => now >= deadline);
+    for (const {settle} of late) {
+      settle(isUncertain ? IntakeResult.UNKNOWN : IntakeResult.REJECTED);
+    }
+    return open.filter(({deadline}) => now < deadline);
+  }
+}
--- /dev/null
+++ b/src/node/batch/log_tail.ts
@@ -0,0 +1,116 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Millis} from '../../common/base/clock.js';
+import {
+  KeyedLog,
+  ReadAnswer,
+  ReadResult,
+  StoredKey,
+  Topic,
+} from '../../common/batch/store.js';
+
+/** Pause after a read that failed. */
+const FAILURE_PAUSE: Millis = 150;
+
+/** How a topic is followed. */
+export interface TailOptions {
+  /** How long the store may hold a read that has nothing to return. */
+  readonly waitMs: Millis;
+  /** Least time between two reads; bounds the calls to the store. */
+  readonly intervalMs: () => Millis;
+}
+
+/** Receives what a tail reads. */
+export interface TailListener {
+  /** @param isReset the records are all newest ones, not a continuation. */
+  onRecords(records: readonly StoredKey[], isReset: boolean): void;
+  onRead(succeeded: boolean): void;
+}
+
+/** Follows a topic: loads the newest record of each key, then reads on. */
+export class LogTail {
+  /** Offset to read from next; -1 before the first load. */
+  next = -1;
+  private stopped = false;
+  private paused = false;
+  private refreshing: Promise<boolean> | undefined;
+
+  constructor(
+    private readonly log: KeyedLog,
+    readonly topic: Topic,
+    private readonly options: TailOptions,
+    private readonly listener: TailListener,
+  ) {}
+
+  get isLoaded(): boolean {
+    return this.next >= 0;
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Leaves the topic alone; `resume` goes on at a given offset. */
+  pause(): void {
+    this.paused = true;
+  }
+
+  resume(next: number): void {
+    this.next = next;
+    this.paused = false;
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      if (this.paused) {
+        await sleep(FAILURE_PAUSE);
+        continue;
+      }
+      const succeeded = await this.step(this.options.waitMs);
+      const pause = succeeded ? this.options.intervalMs() : FAILURE_PAUSE;
+      if (pause > 0) await sleep(pause);
+    }
+  }
+
+  /** Reads up to the present end; returns whether that succeeded. */
+  async refresh(): Promise<boolean> {
+    this.refreshing ??= this.readToEnd().finally(() => {
+      this.refreshing = undefined;
+    });
+    return this.refreshing;
+  }
+
+  private async readToEnd(): Promise<boolean> {
+    for (;;) {
+      const answer = await this.read(0);
+      if (answer === undefined) return false;
+      if (answer.next >= answer.end) return true;
+    }
+  }
+
+  private async step(waitMs: Millis): Promise<boolean> {
+    return (await this.read(waitMs)) !== undefined;
+  }
+
+  private async read(waitMs: Millis): Promise<ReadAnswer | undefined> {
+    const from = this.next;
+    const isReset = from < 0;
+    const answer = isReset
+      ? await this.log.newest(this.topic)
+      : await this.log.read(this.topic, from, waitMs);
+    if (answer.result === ReadResult.EXPIRED) {
+      this.next = -1;
+      return this.read(0);
+    }
+    const succeeded = answer.result === ReadResult.READ;
+    this.listener.onRead(succeeded);
+    if (!succeeded) return undefined;
+    // A concurrent read may have got further, or the tail was paused.
+    if (this.paused && !isReset) return undefined;
+    const records = answer.records.filter(({offset}) => offset >= this.next);
+    if (answer.next > this.next) this.next = answer.next;
+    if (records.length > 0 || isReset) {
+      this.listener.onRecords(records, isReset);
+    }
+    return answer;
+  }
+}
--- /dev/null
+++ b/src/node/batch/term.ts
@@ -0,0 +1,333 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Clock, Millis} from '../../common/base/clock.js';
+import {SIGN_INTERVAL} from '../../common/batch/election.js';
+import {
+  packRecord,
+  SCHEDULER_KEY,
+  SchedulerRecord,
+} from '../../common/batch/job_records.js';
+import {Batch, Scheduler} from '../../common/batch/scheduler.js';
+import {Command, CommandKind} from '../../common/batch/scheduler_state.js';
+import {
+  AppendAnswer,
+  AppendResult,
+  KeyedLog,
+  KeyedRecord,
+  Topic,
+} from '../../common/batch/store.js';
+import {OrderAnswer, OrderResult} from '../../common/batch/worker_calls.js';
+import {WorkerCalls} from '../../common/batch/worker_calls.js';
+import {OrderNext} from '../../common/batch/worker_leases.js';
+import {Run, RunPhase, WorkerState} from '../../common/batch/worker_state.js';
+
+/** Name under which the scheduler's appends are fenced. */
+export const WRITER_NAME = 'scheduler';
+
+/** Longest wait for the answer to one append of progress. */
+const APPEND_TIMEOUT: Millis = 800;
+
+/** Least time from one append to the next; bounds the calls to the store. */
+const APPEND_INTERVAL: Millis = 12;
+
+/** Time between two checks of what depends on time alone. */
+const TICK_INTERVAL: Millis = 100;
+
+/** Pause before a failed renewal or order is repeated. */
+const RENEWAL_PAUSE: Millis = 200;
+const ORDER_PAUSE: Millis = 60;
+const LONGEST_ORDER_PAUSE: Millis = 500;
+
+/** Most bytes of one append; the store takes 2 MiB. */
+const APPEND_BYTES = 1_000_000;
+
+/** Why a term ended. */
+export const TermEnd = {
+  RESIGNED: 'resigned',
+  FENCED: 'fenced',
+} as const;
+export type TermEnd = (typeof TermEnd)[keyof typeof TermEnd];
+
+/** What a term needs from the instance that holds it. */
+export interface TermHost {
+  readonly log: KeyedLog;
+  readonly calls: WorkerCalls;
+  readonly clock: Clock;
+  readonly record: SchedulerRecord;
+  /** Called with each record that became durable and the topic's end. */
+  onStored(records: readonly KeyedRecord[], end: number | undefined): void;
+}
+
+/** Runs a scheduler for one term: stores its batches, sends its orders. */
+export class Term {
+  private sequence: number;
+  private ended: TermEnd | undefined;
+  private wake: () => void = () => {};
+  private committed: Promise<void>;
+  private onCommitted: () => void = () => {};
+  private readonly loops = new Set<WorkerState>();
+  private isSignalled = false;
+  private storedAt: Millis = -Infinity;
+
+  constructor(
+    readonly scheduler: Scheduler,
+    private readonly host: TermHost,
+    firstSequence: number,
+  ) {
+    this.sequence = firstSequence;
+    this.committed = this.nextCommit();
+  }
+
+  /** Runs until another scheduler takes over or `resign` is called. */
+  async run(): Promise<TermEnd> {
+    const ticks = setInterval(() => this.tick(), TICK_INTERVAL);
+    this.tick();
+    while (this.ended === undefined) {
+      await this.flush();
+      await this.pause();
+    }
+    clearInterval(ticks);
+    this.onCommitted();
+    if (this.ended === TermEnd.RESIGNED) await this.storeResignation();
+    return this.ended;
+  }
+
+  /** Asks for a batch to be stored soon. */
+  signal(): void {
+    this.sendUrgent();
+    this.isSignalled = true;
+    this.wake();
+  }
+
+  /** Gives up the office, so that another instance claims it at once. */
+  resign(): void {
+    this.end(TermEnd.RESIGNED);
+  }
+
+  private async storeResignation(): Promise<void> {
+    const record = {...this.host.record, resigned: true};
+    await this.append([{key: SCHEDULER_KEY, value: packRecord(record)}]);
+  }
+
+  private nextCommit(): Promise<void> {
+    return new Promise(resolve => {
+      this.onCommitted = resolve;
+    });
+  }
+
+  private async pause(): Promise<void> {
+    await sleep(APPEND_INTERVAL);
+    if (this.isSignalled || this.ended !== undefined) return;
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, SIGN_INTERVAL);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  private tick(): void {
+    const {scheduler} = this;
+    scheduler.tick();
+    if (scheduler.leases.fenced) this.end(TermEnd.FENCED);
+    for (const worker of scheduler.state.workers.values()) {
+      if (this.loops.has(worker)) continue;
+      this.loops.add(worker);
+      void this.renewals(worker);
+    }
+    if (scheduler.state.dirty.size > 0 || scheduler.state.waiting.size > 0) {
+      this.signal();
+    }
+    this.sendUrgent();
+  }
+
+  private end(reason: TermEnd): void {
+    this.ended ??= reason;
+    this.wake();
+  }
+
+  private async flush(): Promise<void> {
+    this.isSignalled = false;
+    const batch = this.scheduler.takeBatch();
+    const sentAt = this.host.clock.now();
+    const records = this.recordsOf(batch, sentAt);
+    for (const chunk of chunks(records)) {
+      if (!(await this.append(chunk))) return;
+    }
+    if (records.length > 0) {
+      this.storedAt = sentAt;
+      this.scheduler.leases.confirmAuthority(sentAt);
+    }
+    this.scheduler.onStored(batch);
+    for (const command of batch.commands) this.send(command);
+    const release = this.onCommitted;
+    this.committed = this.nextCommit();
+    release();
+  }
+
+  /** Adds a sign of life when one is due and there is no progress. */
+  private recordsOf(batch: Batch, now: Millis): readonly KeyedRecord[] {
+    if (batch.records.length > 0) return batch.records;
+    if (now - this.storedAt < SIGN_INTERVAL) return [];
+    const {record} = this.host;
+    return [{key: SCHEDULER_KEY, value: packRecord(record)}];
+  }
+
+  /** Repeats an append until its outcome is known; false ends the term. */
+  private async append(records: readonly KeyedRecord[]): Promise<boolean> {
+    const sequence = this.sequence++;
+    let pause = ORDER_PAUSE;
+    for (;;) {
+      const answer = await this.appendOnce(records, sequence);
+      if (answer.result === AppendResult.STORED) {
+        this.host.onStored(records, answer.end);
+        return true;
+      }
+      if (answer.result === AppendResult.FENCED) {
+        this.end(TermEnd.FENCED);
+        return false;
+      }
+      if (this.ended !== undefined) return false;
+      await sleep(pause);
+      pause = Math.min(pause * 2, LONGEST_ORDER_PAUSE);
+    }
+  }
+
+  private appendOnce(
+    records: readonly KeyedRecord[],
+    sequence: number,
+  ): Promise<AppendAnswer> {
+    const {epoch} = this.host.record;
+    return this.host.log.append(
+      Topic.PROGRESS,
+      records,
+      {writer: {name: WRITER_NAME, epoch, sequence}},
+      APPEND_TIMEOUT,
+    );
+  }
+
+  private sendUrgent(): void {
+    if (this.ended !== undefined) return;
+    for (const command of this.scheduler.takeUrgent()) this.send(command);
+  }
+
+  private send(command: Command): void {
+    if (this.ended !== undefined) return;
+    if (command.kind === CommandKind.START) void this.start(command.run);
+    else if (command.kind === CommandKind.STOP) void this.stop(command.run);
+    else if (command.kind === CommandKind.PACE) void this.pace(command);
+    else void this.stopStray(command);
+  }
+
+  private async start(run: Run): Promise<void> {
+    if (run.phase !== RunPhase.STAGED) return;
+    run.phase = RunPhase.ORDERED;
+    const {task, worker, attempt} = run;
+    const order = {
+      task: task.name,
+      attempt,
+      spec: task.step.occurrence.job.submission.shape.spec,
+      checkpoint: task.checkpoint,
+      ticket: '',
+    };
+    await this.repeat(async () => {
+      if (run.phase !== RunPhase.ORDERED) return OrderNext.SETTLED;
+      const lease = this.scheduler.leases.startLease(worker);
+      const token = this.scheduler.state.token(worker);
+      const answer = await this.host.calls.start(worker, order, lease, token);
+      return this.scheduler.onStartAnswer(run, answer);
+    });
+    this.signal();
+  }
+
+  private async stop(run: Run): Promise<void> {
+    const {task, worker, attempt} = run;
+    await this.repeat(async () => {
+      if (worker.runs.get(task.name) !== run) return OrderNext.SETTLED;
+      const answer = await this.callStop(worker, task.name, attempt);
+      return this.scheduler.onStopAnswer(run, answer);
+    });
+    this.signal();
+  }
+
+  private callStop(
+    worker: WorkerState,
+    task: string,
+    attempt: number,
+  ): Promise<OrderAnswer> {
+    const token = this.scheduler.state.token(worker);
+    return this.host.calls.stop(worker, task, attempt, token);
+  }
+
+  /** Sent once: the next report shows the run again if it is still there. */
+  private async stopStray(
+    command: Command & {kind: typeof CommandKind.STOP_STRAY},
+  ): Promise<void> {
+    const {worker, task, attempt} = command;
+    await this.callStop(worker, task, attempt);
+  }
+
+  private async pace(
+    command: Command & {kind: typeof CommandKind.PACE},
+  ): Promise<void> {
+    const {run, percent} = command;
+    const {worker, task, attempt} = run;
+    const token = this.scheduler.state.token(worker);
+    const {result} = await this.host.calls.pace(
+      worker,
+      task.name,
+      attempt,
+      percent,
+      token,
+    );
+    if (result === OrderResult.ACCEPTED) run.pace = percent;
+  }
+
+  private async repeat(order: () => Promise<OrderNext>): Promise<void> {
+    let pause = ORDER_PAUSE;
+    while (this.ended === undefined) {
+      if ((await order()) === OrderNext.SETTLED) return;
+      await sleep(pause);
+      pause = Math.min(pause * 2, LONGEST_ORDER_PAUSE);
+    }
+  }
+
+  /** Renews the lease of one worker again and again. */
+  private async renewals(worker: WorkerState): Promise<void> {
+    const {scheduler, host} = this;
+    while (this.ended === undefined) {
+      if (scheduler.state.workers.get(worker.id) !== worker) break;
+      if (worker.address === '') {
+        await sleep(RENEWAL_PAUSE);
+        continue;
+      }
+      const renewal = scheduler.leases.renewal(worker);
+      const sentAt = host.clock.now();
+      const answer = await host.calls.renew(worker, renewal);
+      if (this.ended !== undefined) break;
+      scheduler.onRenewal(worker, renewal, sentAt, answer);
+      this.signal();
+      if (!worker.answering) await sleep(RENEWAL_PAUSE);
+      else if (worker.processed > worker.acknowledged) await this.committed;
+    }
+    this.loops.delete(worker);
+  }
+}
+
+/** Splits records into appends of bounded size. */
+function* chunks(
+  records: readonly KeyedRecord[],
+): Generator<readonly KeyedRecord[]> {
+  let chunk: KeyedRecord[] = [];
+  let bytes = 0;
+  for (const record of records) {
+    if (bytes + record.value.length > APPEND_BYTES && chunk.length > 0) {
+      yield chunk;
+      chunk = [];
+      bytes = 0;
+    }
+    chunk.push(record);
+    bytes += record.value.length + record.key.length;
+  }
+  if (chunk.length > 0) yield chunk;
+}
