--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -1,5 +1,6 @@
 import {Millis} from '../base/clock.js';
 import {ActiveStep, ActiveTask, remainingChainMs} from './active_job.js';
+import {Interference} from './interference.js';
 import {JobPhase, TaskPhase} from './job_records.js';
 import {CommandKind, SchedulerState} from './scheduler_state.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
@@ -16,8 +17,14 @@
 /** Cost of the worker on which the task failed last. */
 const FAILED_HERE_COST = 2;
 
-/** Cost of filling tasks beside tasks that serve, per serving task. */
-const DISTURBANCE_COST = 0.15;
+/** Cost of each unit of ln(tail / target) by which serving tasks exceed. */
+const DISTURBANCE_COST = 2;
+
+/** ln(tail / target) up to which a serving task counts as undisturbed. */
+const SAFE_TAIL = Math.log(0.6);
+
+/** Cost of the first serving task on a worker. */
+const NEW_IMAGE_COST = 0.4;
 
 /** Tasks of a step that wait for a worker. */
 interface WaitingStep {
@@ -28,7 +35,10 @@
 
 /** Chooses workers for the tasks that wait. */
 export class Placement {
-  constructor(private readonly state: SchedulerState) {}
+  constructor(
+    private readonly state: SchedulerState,
+    private readonly interference: Interference,
+  ) {}
 
   /** Places what fits, the most urgent first; stages the start orders. */
   run(): void {
@@ -178,19 +188,43 @@
     let cost = wanted / capacity;
     if (shape.dataRack && shape.dataRack !== worker.rack) cost += REMOTE_COST;
     if (task.failedOn === worker.id) cost += FAILED_HERE_COST;
-    if (shape.fills) cost += DISTURBANCE_COST * servingTasks(worker);
+    if (shape.fills) cost += this.disturbance(task, worker);
+    if (shape.targetMs > 0) cost += strangerShare(task, worker);
     return cost;
   }
 
+  /** Predicted excess of tail latencies that a filling task adds. */
+  private disturbance(task: ActiveTask, worker: WorkerState): number {
+    const capacity = worker.listing!.capacity.cpuMilli;
+    const before = new Map<string, number>();
+    const serving: string[] = [];
+    for (const run of worker.runs.values()) {
+      const {fills, image, cpuMilli, targetMs} = run.task.step.shape;
+      if (targetMs > 0) serving.push(image);
+      if (!fills) continue;
+      const share = ((cpuMilli / capacity) * run.pace) / 100;
+      before.set(image, (before.get(image) ?? 0) + share);
+    }
+    if (serving.length === 0) return 0;
+    const {image, cpuMilli} = task.step.shape;
+    const after = new Map(before);
+    after.set(image, (before.get(image) ?? 0) + cpuMilli / capacity);
+    let excess = 0;
+    for (const name of serving) {
+      excess += Math.max(0, this.interference.predict(name, after) - SAFE_TAIL);
+      excess -= Math.max(
+        0,
+        this.interference.predict(name, before) - SAFE_TAIL,
+      );
+    }
+    return DISTURBANCE_COST * excess;
+  }
+
   private place(task: ActiveTask, worker: WorkerState, attempt: number): void {
     this.commit(this.reserve(task, worker, attempt));
   }
 
-  private reserve(
-    task: ActiveTask,
-    worker: WorkerState,
-    attempt: number,
-  ): Run {
+  private reserve(task: ActiveTask, worker: WorkerState, attempt: number): Run {
     const now = this.state.now();
     const run: Run = {
       task,
@@ -232,10 +266,18 @@
   }
 }
 
-function servingTasks(worker: WorkerState): number {
-  let count = 0;
+/**
+ * Cost of a serving task beside serving tasks of other images: fillers disturb
+ * some images only, so workers that serve one image leave them more room.
+ */
+function strangerShare(task: ActiveTask, worker: WorkerState): number {
+  let serving = 0;
+  let strangers = 0;
   for (const run of worker.runs.values()) {
-    if (run.task.step.shape.targetMs > 0) count++;
+    const {targetMs, image} = run.task.step.shape;
+    if (targetMs === 0) continue;
+    serving++;
+    if (image !== task.step.shape.image) strangers++;
   }
-  return count;
+  return serving === 0 ? NEW_IMAGE_COST : strangers / serving;
 }
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -1,4 +1,5 @@
 import {Millis} from '../base/clock.js';
+import {Interference} from './interference.js';
 import {JobLifecycle} from './job_lifecycle.js';
 import {packProgress, RecordKind} from './job_records.js';
 import {JobView, KnownJob} from './job_view.js';
@@ -34,8 +35,9 @@
   constructor(readonly state: SchedulerState) {
     this.lifecycle = new JobLifecycle(state);
     this.leases = new WorkerLeases(state, this.lifecycle);
-    this.placement = new Placement(state);
-    this.pacing = new Pacing(state);
+    const interference = new Interference();
+    this.placement = new Placement(state, interference);
+    this.pacing = new Pacing(state, interference);
   }
 
   /** Takes over all jobs that the log holds. */
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -273,14 +273,20 @@
     const {run, percent} = command;
     const {worker, task, attempt} = run;
     const token = this.scheduler.state.token(worker);
-    const {result} = await this.host.calls.pace(
-      worker,
-      task.name,
-      attempt,
-      percent,
-      token,
-    );
-    if (result === OrderResult.ACCEPTED) run.pace = percent;
+    await this.repeat(async () => {
+      const isCurrent = worker.runs.get(task.name) === run;
+      if (!isCurrent || run.pace !== percent) return OrderNext.SETTLED;
+      const {result} = await this.host.calls.pace(
+        worker,
+        task.name,
+        attempt,
+        percent,
+        token,
+      );
+      const isUnsettled =
+        result === OrderResult.UNKNOWN || result === OrderResult.NOT_SENT;
+      return isUnsettled ? OrderNext.REPEAT : OrderNext.SETTLED;
+    });
   }
 
   private async repeat(order: () => Promise<OrderNext>): Promise<void> {
