--- a/src/common/batch/pacing.ts
+++ b/src/common/batch/pacing.ts
@@ -20,6 +20,9 @@
 /** Time over target after which all fillers beside the task are halted. */
 const HALT_AFTER: Millis = 2200;
 
+/** Time after which a halted run without checkpoints starts anew elsewhere. */
+const LONGEST_HALT: Millis = 3000;
+
 /** A filler with less than this share of the disturbance keeps its pace. */
 const LEAST_CONTRIBUTION = 0.2;
 
@@ -59,7 +62,8 @@
     const isCalm = mixture.serving.every(run => tail(run) < SPEED_UP_AT);
     for (const run of mixture.filling) {
       const factor = blamed.get(run);
-      if (factor !== undefined) this.slowDown(run, factor);
+      if (factor !== undefined && run.pace === 0) this.evict(run);
+      else if (factor !== undefined) this.slowDown(run, factor);
       else if (isCalm) this.change(run, run.pace + SPEED_UP_POINTS);
     }
   }
@@ -73,10 +77,11 @@
     for (const run of worker.runs.values()) {
       if (run.phase !== RunPhase.RUNNING) continue;
       const {shape} = run.task.step;
-      if (now - run.confirmedAt < SETTLED_AFTER) continue;
+      const isSettled = now - run.confirmedAt >= SETTLED_AFTER;
       if (shape.targetMs > 0 && run.percent === 100) serving.push(run);
       if (!shape.fills) continue;
       filling.push(run);
+      if (!isSettled) continue;
       const share = run.gauge / capacity;
       usage.set(shape.image, (usage.get(shape.image) ?? 0) + share);
     }
@@ -109,13 +114,25 @@
   ): Generator<Run> {
     const {image} = victim.task.step.shape;
     const effect = (run: Run) =>
-      this.interference.weight(image, run.task.step.shape.image) * run.gauge;
+      this.interference.weight(image, run.task.step.shape.image) *
+      run.task.step.shape.cpuMilli *
+      run.pace;
     const total = filling.reduce((sum, run) => sum + effect(run), 0);
     for (const run of filling) {
       if (all || effect(run) >= LEAST_CONTRIBUTION * total) yield run;
     }
   }
 
+  /** Moves a halted run to another worker if it keeps its progress. */
+  private evict(run: Run): void {
+    const {task} = run;
+    const now = this.state.now();
+    const haltedFor = now - (this.changedAt.get(run) ?? now);
+    if (!task.step.shape.checkpoints && haltedFor < LONGEST_HALT) return;
+    task.failedOn = run.worker.id;
+    this.state.stop(run, 'it disturbs a serving task');
+  }
+
   private slowDown(run: Run, factor: number): void {
     const percent = Math.floor(run.pace * factor);
     this.change(run, percent < LEAST_PACE ? 0 : percent);
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -196,26 +196,27 @@
   /** Predicted excess of tail latencies that a filling task adds. */
   private disturbance(task: ActiveTask, worker: WorkerState): number {
     const capacity = worker.listing!.capacity.cpuMilli;
-    const before = new Map<string, number>();
-    const serving: string[] = [];
+    const usage = new Map<string, number>();
+    const serving: Run[] = [];
     for (const run of worker.runs.values()) {
       const {fills, image, cpuMilli, targetMs} = run.task.step.shape;
-      if (targetMs > 0) serving.push(image);
+      if (targetMs > 0) serving.push(run);
       if (!fills) continue;
       const share = ((cpuMilli / capacity) * run.pace) / 100;
-      before.set(image, (before.get(image) ?? 0) + share);
+      usage.set(image, (usage.get(image) ?? 0) + share);
     }
-    if (serving.length === 0) return 0;
     const {image, cpuMilli} = task.step.shape;
-    const after = new Map(before);
-    after.set(image, (before.get(image) ?? 0) + cpuMilli / capacity);
+    const share = cpuMilli / capacity;
     let excess = 0;
-    for (const name of serving) {
-      excess += Math.max(0, this.interference.predict(name, after) - SAFE_TAIL);
-      excess -= Math.max(
-        0,
-        this.interference.predict(name, before) - SAFE_TAIL,
+    for (const victim of serving) {
+      const name = victim.task.step.shape.image;
+      const before = Math.max(
+        this.interference.predict(name, usage),
+        victim.gauge > 0 ? lnTail(victim) : -Infinity,
       );
+      const after = before + this.interference.weight(name, image) * share;
+      excess += Math.max(0, after - SAFE_TAIL);
+      excess -= Math.max(0, before - SAFE_TAIL);
     }
     return DISTURBANCE_COST * excess;
   }
@@ -281,3 +282,8 @@
   }
   return serving === 0 ? NEW_IMAGE_COST : strangers / serving;
 }
+
+/** Observed ln(tail / target) of a serving run. */
+function lnTail(run: Run): number {
+  return Math.log(run.gauge / run.task.step.shape.targetMs);
+}
