Pace fillers by the modelled effect; let perpetual tasks use spare room

Cause: fillers stuck at a quarter of their pace, since an undisturbed tail (0.4 to 0.65 of the target) was above the bound for speeding up, and all fillers rose and fell together.

--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -60,11 +60,16 @@
 
   /** Predicted ln(tail / target) of a serving image beside filling tasks. */
   predict(image: string, usage: FillingUsage): number {
-    let value = this.base(image);
+    return this.base(image) + this.effect(image, usage);
+  }
+
+  /** What filling tasks add to ln(tail) of a serving image. */
+  effect(image: string, usage: FillingUsage): number {
+    let sum = 0;
     for (const [filling, share] of usage) {
-      value += this.weight(image, filling) * share;
+      sum += this.weight(image, filling) * share;
     }
-    return value;
+    return sum;
   }
 
   /** How strongly a filling image disturbs a serving image. */
--- a/src/common/batch/pacing.ts
+++ b/src/common/batch/pacing.ts
@@ -3,42 +3,50 @@
 import {CommandKind, SchedulerState} from './scheduler_state.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
-/** Least time between two changes of one run's pace: a gauge's window. */
-const CHANGE_INTERVAL: Millis = 500;
+/** Least time between two changes of a pace: a change shows in reports late. */
+const CHANGE_INTERVAL: Millis = 650;
 
-/** Multiples of the tail-latency target between which the pace is kept. */
+/** Multiple of the tail-latency target from which fillers slow down. */
 const SLOW_DOWN_AT = 0.85;
-const SPEED_UP_AT = 0.55;
 
-/** Factor and percentage points by which a pace falls and rises. */
-const SLOW_DOWN_FACTOR = 0.4;
-const SPEED_UP_POINTS = 25;
+/** Multiple of the target to which slowing down shall bring the tail. */
+const SLOW_DOWN_TO = 0.65;
 
-/** Below this pace, in percent, a run is halted. */
-const LEAST_PACE = 15;
+/** Multiple of the target that the tail may reach when fillers speed up. */
+const SPEED_UP_TO = 0.75;
+
+/** Changes of less than this, in percentage points, are not sent. */
+const LEAST_CHANGE = 10;
+
+/** A filler with less effect on ln(tail) keeps its pace. */
+const LEAST_EFFECT = 0.03;
 
 /** Time over target after which all fillers beside the task are halted. */
-const HALT_AFTER: Millis = 2200;
+const HALT_ALL_AFTER: Millis = 2500;
 
-/** Time after which a halted run without checkpoints starts anew elsewhere. */
-const LONGEST_HALT: Millis = 3000;
+/** Pace up to which, and time after which, a slowed run moves. */
+const SLOW_PACE = 35;
+const MOVE_AFTER: Millis = 1000;
 
-/** A filler with less than this share of the disturbance keeps its pace. */
-const LEAST_CONTRIBUTION = 0.2;
+/** Time after which a slowed run without checkpoints starts anew elsewhere. */
+const RESTART_AFTER: Millis = 3000;
 
-/** A run must have been at work this long before its usage counts. */
-const SETTLED_AFTER: Millis = 600;
+/** A run must have been at work this long before its usage is reported. */
+export const SETTLED_AFTER: Millis = 600;
 
 /** What a report shows of a worker's serving and filling runs. */
 interface Mixture {
+  readonly capacity: number;
   readonly serving: readonly Run[];
   readonly filling: readonly Run[];
+  /** Usage of the filling runs that have been at work for a while. */
   readonly usage: ReadonlyMap<string, number>;
 }
 
 /**
- * Slows those filling tasks that disturb a serving task over its target for
- * the tail latency, and lets them speed up when it is well below.
+ * Slows the filling tasks that disturb a serving task over its target for the
+ * tail latency, those with the strongest effect first, and lets them speed up
+ * as far as the model of interference leaves room.
  */
 export class Pacing {
   private readonly overSince = new WeakMap<Run, Millis>();
@@ -52,19 +60,21 @@
   /** Learns and decides after a report of the worker. */
   onReport(worker: WorkerState): void {
     const mixture = this.mixtureOf(worker);
-    if (mixture.serving.length === 0) return;
+    if (mixture.serving.length === 0) {
+      for (const run of mixture.filling) this.change(run, 100);
+      return;
+    }
     for (const {task, gauge} of mixture.serving) {
       const {image, targetMs} = task.step.shape;
       this.interference.observe(image, gauge / targetMs, mixture.usage);
     }
     if (mixture.filling.length === 0) return;
-    const blamed = this.blamed(mixture);
-    const isCalm = mixture.serving.every(run => tail(run) < SPEED_UP_AT);
+    const paces = this.slowDowns(mixture);
+    this.addSpeedUps(mixture, paces);
     for (const run of mixture.filling) {
-      const factor = blamed.get(run);
-      if (factor !== undefined && run.pace === 0) this.evict(run);
-      else if (factor !== undefined) this.slowDown(run, factor);
-      else if (isCalm) this.change(run, run.pace + SPEED_UP_POINTS);
+      const pace = paces.get(run) ?? run.pace;
+      if (pace !== run.pace) this.change(run, pace);
+      else this.moveIfSlow(run);
     }
   }
 
@@ -77,21 +87,20 @@
     for (const run of worker.runs.values()) {
       if (run.phase !== RunPhase.RUNNING) continue;
       const {shape} = run.task.step;
-      const isSettled = now - run.confirmedAt >= SETTLED_AFTER;
       if (shape.targetMs > 0 && run.percent === 100) serving.push(run);
       if (!shape.fills) continue;
       filling.push(run);
-      if (!isSettled) continue;
+      if (now - run.confirmedAt < SETTLED_AFTER) continue;
       const share = run.gauge / capacity;
       usage.set(shape.image, (usage.get(shape.image) ?? 0) + share);
     }
-    return {serving, filling, usage};
+    return {capacity, serving, filling, usage};
   }
 
-  /** Fillers that are to slow down, with the factor. */
-  private blamed(mixture: Mixture): ReadonlyMap<Run, number> {
+  /** Lower paces for the fillers that disturb, the strongest effect first. */
+  private slowDowns(mixture: Mixture): Map<Run, number> {
     const now = this.state.now();
-    const blamed = new Map<Run, number>();
+    const paces = new Map<Run, number>();
     for (const victim of mixture.serving) {
       if (tail(victim) < SLOW_DOWN_AT) {
         this.overSince.delete(victim);
@@ -99,47 +108,83 @@
       }
       const since = this.overSince.get(victim) ?? now;
       this.overSince.set(victim, since);
-      const isLasting = now - since > HALT_AFTER;
-      for (const run of this.disturbers(victim, mixture, isLasting)) {
-        blamed.set(run, isLasting ? 0 : SLOW_DOWN_FACTOR);
+      if (now - since > HALT_ALL_AFTER) {
+        for (const run of mixture.filling) paces.set(run, 0);
+        return paces;
       }
+      this.shed(victim, mixture, paces);
     }
-    return blamed;
+    return paces;
   }
 
-  private *disturbers(
-    victim: Run,
-    {filling}: Mixture,
-    all: boolean,
-  ): Generator<Run> {
-    const {image} = victim.task.step.shape;
-    const effect = (run: Run) =>
-      this.interference.weight(image, run.task.step.shape.image) *
-      run.task.step.shape.cpuMilli *
-      run.pace;
-    const total = filling.reduce((sum, run) => sum + effect(run), 0);
-    for (const run of filling) {
-      if (all || effect(run) >= LEAST_CONTRIBUTION * total) yield run;
+  private shed(victim: Run, mixture: Mixture, paces: Map<Run, number>): void {
+    let excess = Math.log(tail(victim) / SLOW_DOWN_TO);
+    const strongestFirst = [...mixture.filling].sort(
+      (a, b) => this.weight(b, victim) - this.weight(a, victim),
+    );
+    for (const run of strongestFirst) {
+      const pace = paces.get(run) ?? run.pace;
+      const effect = this.effect(run, victim, pace, mixture);
+      if (effect < LEAST_EFFECT) continue;
+      if (excess <= 0) return;
+      const kept = Math.max(0, 1 - excess / effect);
+      paces.set(run, Math.floor(pace * kept));
+      excess -= effect;
+    }
+  }
+
+  /** Raises paces as far as no serving task comes near its target. */
+  private addSpeedUps(mixture: Mixture, paces: Map<Run, number>): void {
+    const room = new Map<Run, number>();
+    for (const victim of mixture.serving) {
+      room.set(victim, Math.log(SPEED_UP_TO / tail(victim)));
+    }
+    for (const run of mixture.filling) {
+      if (run.pace === 100 || paces.has(run)) continue;
+      let points = 100 - run.pace;
+      for (const [victim, left] of room) {
+        const effect = this.effect(run, victim, points, mixture);
+        if (effect < LEAST_EFFECT || effect <= left) continue;
+        points = Math.max(0, Math.floor((points * left) / effect));
+      }
+      if (points < LEAST_CHANGE) continue;
+      paces.set(run, run.pace + points);
+      for (const [victim, left] of room) {
+        room.set(victim, left - this.effect(run, victim, points, mixture));
+      }
     }
   }
 
-  /** Moves a halted run to another worker if it keeps its progress. */
-  private evict(run: Run): void {
+  private weight(run: Run, victim: Run): number {
+    return this.interference.weight(
+      victim.task.step.shape.image,
+      run.task.step.shape.image,
+    );
+  }
+
+  /** Effect of a filler at a pace on ln(tail) of a serving run. */
+  private effect(
+    run: Run,
+    victim: Run,
+    percent: number,
+    {capacity}: Mixture,
+  ): number {
+    const {cpuMilli} = run.task.step.shape;
+    return (this.weight(run, victim) * cpuMilli * percent) / 100 / capacity;
+  }
+
+  /** Moves a run that could not speed up for a while. */
+  private moveIfSlow(run: Run): void {
+    if (run.pace > SLOW_PACE) return;
     const {task} = run;
-    const now = this.state.now();
-    const haltedFor = now - (this.changedAt.get(run) ?? now);
-    if (!task.step.shape.checkpoints && haltedFor < LONGEST_HALT) return;
+    const slowFor = this.state.now() - (this.changedAt.get(run) ?? 0);
+    const {checkpoints} = task.step.shape;
+    if (slowFor < (checkpoints ? MOVE_AFTER : RESTART_AFTER)) return;
     task.failedOn = run.worker.id;
     this.state.stop(run, 'it disturbs a serving task');
   }
 
-  private slowDown(run: Run, factor: number): void {
-    const percent = Math.floor(run.pace * factor);
-    this.change(run, percent < LEAST_PACE ? 0 : percent);
-  }
-
-  private change(run: Run, wanted: number): void {
-    const percent = Math.min(100, wanted);
+  private change(run: Run, percent: number): void {
     const now = this.state.now();
     if (percent === run.pace) return;
     if (now - (this.changedAt.get(run) ?? 0) < CHANGE_INTERVAL) return;
@@ -155,6 +200,7 @@
   }
 }
 
+/** Tail latency as a multiple of its target. */
 function tail(run: Run): number {
-  return run.gauge / run.task.step.shape.targetMs;
+  return Math.max(1, run.gauge) / run.task.step.shape.targetMs;
 }
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -1,6 +1,7 @@
 import {Millis} from '../base/clock.js';
 import {ActiveStep, ActiveTask, remainingChainMs} from './active_job.js';
 import {Interference} from './interference.js';
+import {SETTLED_AFTER} from './pacing.js';
 import {JobPhase, TaskPhase} from './job_records.js';
 import {CommandKind, SchedulerState} from './scheduler_state.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
@@ -8,9 +9,15 @@
 /** A worker that answered no renewal for this long gets no starts. */
 const FRESH_ANSWER: Millis = 2500;
 
-/** Share of a worker's processors that perpetual tasks leave to others. */
+/**
+ * Perpetual tasks leave the rest of a worker's processors to others, unless
+ * there is room for two of them.
+ */
 const PERPETUAL_SHARE = 0.85;
 
+/** Time that a perpetual task waits for a worker with room to spare. */
+const PATIENCE: Millis = 1000;
+
 /** Cost of work away from its data, against a worker's load of 0 to 1. */
 const REMOTE_COST = 3;
 
@@ -95,10 +102,7 @@
   ): void {
     for (const task of tasks) {
       const worker = this.best(task, workers);
-      if (worker === undefined) {
-        if (task.failedOn === '') return;
-        continue;
-      }
+      if (worker === undefined) continue;
       this.place(task, worker, task.attempt + 1);
     }
   }
@@ -141,8 +145,7 @@
   ): WorkerState | undefined {
     let best: WorkerState | undefined;
     let lowest = Infinity;
-    for (const worker of workers) {
-      if (!this.fits(task, worker)) continue;
+    for (const worker of this.candidates(task, workers)) {
       const cost = this.cost(task, worker);
       if (cost >= lowest) continue;
       lowest = cost;
@@ -151,6 +154,22 @@
     return best;
   }
 
+  /**
+   * Workers that have room. Perpetual tasks leave some room to others, but not
+   * for long if more than one worker could take them.
+   */
+  private candidates(
+    task: ActiveTask,
+    workers: readonly WorkerState[],
+  ): readonly WorkerState[] {
+    const fitting = workers.filter(worker => this.fits(task, worker));
+    if (!task.step.shape.perpetual) return fitting;
+    const roomy = fitting.filter(worker => leavesRoom(task, worker));
+    if (roomy.length > 0) return roomy;
+    const waited = this.state.now() - task.readySince;
+    return waited > PATIENCE && fitting.length > 1 ? fitting : [];
+  }
+
   private fits(task: ActiveTask, worker: WorkerState): boolean {
     const {shape} = task.step;
     const {used, listing} = worker;
@@ -163,8 +182,8 @@
     if (worker.onProbation && worker.runs.size > 0) return false;
     if (worker.runs.has(task.name)) return false;
     const cpu = shape.fills ? 0 : shape.cpuMilli;
-    const share = shape.perpetual ? PERPETUAL_SHARE : 1;
-    if (used.cpuMilli + cpu > capacity.cpuMilli * share) return false;
+    const free = capacity.cpuMilli - used.cpuMilli;
+    if (cpu > free) return false;
     if (used.memoryMb + shape.memoryMb > capacity.memoryMb) return false;
     if (used.gpus + shape.gpus > capacity.gpus) return false;
     return this.mayShare(task, worker);
@@ -196,14 +215,20 @@
   /** Predicted excess of tail latencies that a filling task adds. */
   private disturbance(task: ActiveTask, worker: WorkerState): number {
     const capacity = worker.listing!.capacity.cpuMilli;
+    const now = this.state.now();
     const usage = new Map<string, number>();
+    const unreported = new Map<string, number>();
     const serving: Run[] = [];
     for (const run of worker.runs.values()) {
       const {fills, image, cpuMilli, targetMs} = run.task.step.shape;
       if (targetMs > 0) serving.push(run);
       if (!fills) continue;
-      const share = ((cpuMilli / capacity) * run.pace) / 100;
-      usage.set(image, (usage.get(image) ?? 0) + share);
+      const share = cpuMilli / capacity;
+      addTo(usage, image, share);
+      const isReported =
+        run.confirmedAt > 0 && now - run.confirmedAt > SETTLED_AFTER;
+      const reportedShare = isReported ? (share * run.pace) / 100 : 0;
+      addTo(unreported, image, share - reportedShare);
     }
     const {image, cpuMilli} = task.step.shape;
     const share = cpuMilli / capacity;
@@ -212,7 +237,7 @@
       const name = victim.task.step.shape.image;
       const before = Math.max(
         this.interference.predict(name, usage),
-        victim.gauge > 0 ? lnTail(victim) : -Infinity,
+        lnTail(victim) + this.interference.effect(name, unreported),
       );
       const after = before + this.interference.weight(name, image) * share;
       excess += Math.max(0, after - SAFE_TAIL);
@@ -283,7 +308,20 @@
   return serving === 0 ? NEW_IMAGE_COST : strangers / serving;
 }
 
+/** Whether a perpetual task leaves room for others, or for one more of it. */
+function leavesRoom(task: ActiveTask, worker: WorkerState): boolean {
+  const {cpuMilli} = task.step.shape;
+  const capacity = worker.listing!.capacity.cpuMilli;
+  const free = capacity - worker.used.cpuMilli;
+  const reserve = capacity * (1 - PERPETUAL_SHARE);
+  return free >= Math.min(cpuMilli + reserve, 2 * cpuMilli);
+}
+
 /** Observed ln(tail / target) of a serving run. */
 function lnTail(run: Run): number {
-  return Math.log(run.gauge / run.task.step.shape.targetMs);
+  return Math.log(Math.max(1, run.gauge) / run.task.step.shape.targetMs);
+}
+
+function addTo(sums: Map<string, number>, key: string, value: number): void {
+  sums.set(key, (sums.get(key) ?? 0) + value);
 }
