--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -1,11 +1,14 @@
+import {Millis} from '../base/clock.js';
+import {RidgeRegression} from './ridge_regression.js';
+
 /**
  * Learns from reported tail latencies which filling images disturb which
  * serving images, and by how much.
  *
  * The model is linear in the logarithm: ln(tail / target) of a serving image is
  * a base plus, for each filling image, a weight times the share of the worker's
- * processors that it uses. Weights are fitted by normalized least mean squares,
- * since pairs differ widely, reports lag and load moves the tail besides.
+ * processors that it uses. Most pairs don't disturb each other, some do by a
+ * factor of ten at a tenth of the processors.
  */
 
 /** Share of a worker's processors in use, by filling image. */
@@ -17,45 +20,51 @@
 /** Weight of a pair before it is known; a fraction of a disturbing pair's. */
 const FIRST_WEIGHT = 2;
 
-/** Bounds of a weight; a disturbing pair's is usually 6 to 10. */
-const LEAST_WEIGHT = 0;
-const LARGEST_WEIGHT = 20;
+/** Weights of these expectations, in squares of the features. */
+const BASE_CONFIDENCE = 3;
+const WEIGHT_CONFIDENCE = 0.03;
+
+/** Samples fade: load and disturbance change within seconds. */
+const MEMORY = 0.998;
 
-/** Step sizes of the fit. */
-const WEIGHT_STEP = 0.15;
-const BASE_STEP = 0.05;
+/** Bounds of the observed ln(tail / target), against outliers. */
+const LOWEST = Math.log(0.05);
+const HIGHEST = Math.log(8);
 
-/** Largest error that one report contributes; bounds the effect of outliers. */
-const LARGEST_ERROR = 2;
+/** Least time between two fits of one image's model. */
+const FIT_INTERVAL: Millis = 300;
 
-/** Keeps steps small when little is in use. */
-const REGULARIZATION = 0.01;
+/** Name of the base among the features; images are never named so. */
+const BASE = '';
+
+interface ImageModel {
+  readonly regression: RidgeRegression;
+  fittedAt: Millis;
+}
 
 /** Model of the disturbance between images. */
 export class Interference {
-  private readonly bases = new Map<string, number>();
-  private readonly weights = new Map<string, Map<string, number>>();
+  private readonly models = new Map<string, ImageModel>();
 
   /** Takes in the tail of one serving task, as a multiple of its target. */
-  observe(image: string, tailOfTarget: number, usage: FillingUsage): void {
+  observe(
+    image: string,
+    tailOfTarget: number,
+    usage: FillingUsage,
+    now: Millis,
+  ): void {
     if (tailOfTarget <= 0) return;
-    const value = Math.log(tailOfTarget);
-    const error = clamp(value - this.predict(image, usage), LARGEST_ERROR);
-    let squares = 0;
-    for (const share of usage.values()) squares += share * share;
-    if (squares === 0) {
-      this.bases.set(image, this.base(image) + BASE_STEP * error);
-      return;
-    }
-    const weights = this.weightsOf(image);
-    const step = (WEIGHT_STEP * error) / (squares + REGULARIZATION);
-    for (const [filling, share] of usage) {
-      const weight = this.weight(image, filling) + step * share;
-      weights.set(
-        filling,
-        Math.min(LARGEST_WEIGHT, Math.max(LEAST_WEIGHT, weight)),
-      );
+    const model = this.model(image);
+    const features = new Map([...usage, [BASE, 1]]);
+    for (const filling of usage.keys()) {
+      const prior = {mean: FIRST_WEIGHT, weight: WEIGHT_CONFIDENCE};
+      model.regression.define(filling, prior);
     }
+    const value = Math.log(tailOfTarget);
+    model.regression.add(features, Math.min(HIGHEST, Math.max(LOWEST, value)));
+    if (now - model.fittedAt < FIT_INTERVAL) return;
+    model.fittedAt = now;
+    model.regression.solve();
   }
 
   /** Predicted ln(tail / target) of a serving image beside filling tasks. */
@@ -74,23 +83,22 @@
 
   /** How strongly a filling image disturbs a serving image. */
   weight(image: string, filling: string): number {
-    return this.weights.get(image)?.get(filling) ?? FIRST_WEIGHT;
+    const {regression} = this.model(image);
+    return Math.max(0, regression.coefficient(filling) ?? FIRST_WEIGHT);
   }
 
   private base(image: string): number {
-    return this.bases.get(image) ?? FIRST_BASE;
+    return this.model(image).regression.coefficient(BASE) ?? FIRST_BASE;
   }
 
-  private weightsOf(image: string): Map<string, number> {
-    let weights = this.weights.get(image);
-    if (weights === undefined) {
-      weights = new Map();
-      this.weights.set(image, weights);
+  private model(image: string): ImageModel {
+    let model = this.models.get(image);
+    if (model === undefined) {
+      model = {regression: new RidgeRegression(MEMORY), fittedAt: -Infinity};
+      const prior = {mean: FIRST_BASE, weight: BASE_CONFIDENCE};
+      model.regression.define(BASE, prior);
+      this.models.set(image, model);
     }
-    return weights;
+    return model;
   }
 }
-
-function clamp(value: number, bound: number): number {
-  return Math.max(-bound, Math.min(bound, value));
-}
--- a/src/common/batch/pacing.ts
+++ b/src/common/batch/pacing.ts
@@ -34,6 +34,9 @@
 /** A run must have been at work this long before its usage is reported. */
 export const SETTLED_AFTER: Millis = 600;
 
+/** Least time between two samples of one run; a gauge covers half a second. */
+const SAMPLE_INTERVAL: Millis = 400;
+
 /** What a report shows of a worker's serving and filling runs. */
 interface Mixture {
   readonly capacity: number;
@@ -51,6 +54,7 @@
 export class Pacing {
   private readonly overSince = new WeakMap<Run, Millis>();
   private readonly changedAt = new WeakMap<Run, Millis>();
+  private readonly sampledAt = new WeakMap<Run, Millis>();
 
   constructor(
     private readonly state: SchedulerState,
@@ -64,10 +68,7 @@
       for (const run of mixture.filling) this.change(run, 100);
       return;
     }
-    for (const {task, gauge} of mixture.serving) {
-      const {image, targetMs} = task.step.shape;
-      this.interference.observe(image, gauge / targetMs, mixture.usage);
-    }
+    this.learn(mixture);
     if (mixture.filling.length === 0) return;
     const paces = this.slowDowns(mixture);
     this.addSpeedUps(mixture, paces);
@@ -78,6 +79,23 @@
     }
   }
 
+  /** Takes samples from mixtures that have not changed within a gauge. */
+  private learn({serving, filling, usage}: Mixture): void {
+    const now = this.state.now();
+    const isSettled = filling.every(
+      run =>
+        now - run.confirmedAt >= SETTLED_AFTER &&
+        now - (this.changedAt.get(run) ?? 0) >= SETTLED_AFTER,
+    );
+    if (!isSettled) return;
+    for (const run of serving) {
+      if (now - (this.sampledAt.get(run) ?? 0) < SAMPLE_INTERVAL) continue;
+      this.sampledAt.set(run, now);
+      const {image} = run.task.step.shape;
+      this.interference.observe(image, tail(run), usage, now);
+    }
+  }
+
   private mixtureOf(worker: WorkerState): Mixture {
     const now = this.state.now();
     const serving: Run[] = [];
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -30,9 +30,16 @@
 /** ln(tail / target) up to which a serving task counts as undisturbed. */
 const SAFE_TAIL = Math.log(0.6);
 
-/** Cost of the first serving task on a worker. */
+/** Cost of the first serving task on a worker, against a load of 0 to 1. */
 const NEW_IMAGE_COST = 0.4;
 
+/** Share of reserved processors that is in use, roughly, in the mean. */
+const RESERVED_IN_USE = 0.55;
+
+/** Cost of each worker's worth of load beyond what a worker carries well. */
+const OVERLOAD_COST = 8;
+const FULL_LOAD = 0.85;
+
 /** Tasks of a step that wait for a worker. */
 interface WaitingStep {
   readonly step: ActiveStep;
@@ -201,15 +208,14 @@
 
   private cost(task: ActiveTask, worker: WorkerState): number {
     const {shape} = task.step;
-    const {used, fillingCpuMilli, listing} = worker;
-    const capacity = listing!.capacity.cpuMilli;
-    const wanted = used.cpuMilli + fillingCpuMilli + shape.cpuMilli;
-    let cost = wanted / capacity;
+    let cost = 0;
     if (shape.dataRack && shape.dataRack !== worker.rack) cost += REMOTE_COST;
     if (task.failedOn === worker.id) cost += FAILED_HERE_COST;
-    if (shape.fills) cost += this.disturbance(task, worker);
-    if (shape.targetMs > 0) cost += strangerShare(task, worker);
-    return cost;
+    if (shape.fills) {
+      return cost + fillingLoad(task, worker) + this.disturbance(task, worker);
+    }
+    if (shape.targetMs > 0) return cost + servingCost(task, worker);
+    return cost + reservedLoad(task, worker);
   }
 
   /** Predicted excess of tail latencies that a filling task adds. */
@@ -292,11 +298,28 @@
   }
 }
 
+/** Share of a worker's processors that is reserved with the task. */
+function reservedLoad(task: ActiveTask, worker: WorkerState): number {
+  const reserved = worker.used.cpuMilli + task.step.shape.cpuMilli;
+  return reserved / worker.listing!.capacity.cpuMilli;
+}
+
+/** Cost of the load with a filling task; steep where processors run out. */
+function fillingLoad(task: ActiveTask, worker: WorkerState): number {
+  const wanted =
+    worker.used.cpuMilli * RESERVED_IN_USE +
+    worker.fillingCpuMilli +
+    task.step.shape.cpuMilli;
+  const load = wanted / worker.listing!.capacity.cpuMilli;
+  return load + OVERLOAD_COST * Math.max(0, load - FULL_LOAD);
+}
+
 /**
- * Cost of a serving task beside serving tasks of other images: fillers disturb
- * some images only, so workers that serve one image leave them more room.
+ * Cost of a serving task. Serving tasks share workers as densely as they fit,
+ * best with those of the same image: fillers disturb some images only, and
+ * workers without serving tasks leave them most room.
  */
-function strangerShare(task: ActiveTask, worker: WorkerState): number {
+function servingCost(task: ActiveTask, worker: WorkerState): number {
   let serving = 0;
   let strangers = 0;
   for (const run of worker.runs.values()) {
@@ -305,7 +328,8 @@
     serving++;
     if (image !== task.step.shape.image) strangers++;
   }
-  return serving === 0 ? NEW_IMAGE_COST : strangers / serving;
+  const mixed = serving === 0 ? NEW_IMAGE_COST : strangers / serving;
+  return mixed + reservedLoad(task, worker);
 }
 
 /** Whether a perpetual task leaves room for others, or for one more of it. */
