--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -301,10 +301,13 @@
     let next = end;
     const claimedAt = clock.now();
     this.view.scheduler = record;
-    while (!(await this.intakeTail.refresh())) await sleep(ELECTION_INTERVAL);
     this.workersTail.resume(-1);
+    for (const tail of [this.intakeTail, this.workersTail]) {
+      while (!(await tail.refresh())) await sleep(ELECTION_INTERVAL);
+    }
     const scheduler = this.createScheduler(record.epoch);
     scheduler.restore(this.view);
+    scheduler.onWorkers(this.workers);
     scheduler.leases.confirmAuthority(claimedAt);
     const host = {
       log,
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -255,6 +255,10 @@
     task: string,
     attempt: number,
   ): Promise<OrderAnswer> {
+    // The worker may not be listed yet, or not any more.
+    if (worker.address === '') {
+      return Promise.resolve({result: OrderResult.NOT_SENT});
+    }
     const token = this.scheduler.state.token(worker);
     return this.host.calls.stop(worker, task, attempt, token);
   }
