--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -10,6 +10,12 @@
 import {Queue, StepShape, taskName} from './types.js';
 import {Run} from './worker_state.js';
 
+/** Share of the estimated time that work may take at the least. */
+const OPTIMISTIC_SHARE = 0.6;
+
+/** Factor by which the objective may turn out longer than estimated. */
+const LATENESS_TOLERANCE = 1.15;
+
 /** A task of a job that the scheduler works on. */
 export interface ActiveTask {
   readonly name: string;
@@ -23,6 +29,8 @@
   run?: Run;
   /** Worker on which the task failed last. */
   failedOn: string;
+  /** How often the task was moved because it disturbed others. */
+  moves: number;
   /** Time since which the task could run. */
   readySince: Millis;
 }
@@ -60,6 +68,7 @@
     failures: 0,
     checkpoint: '',
     failedOn: '',
+    moves: 0,
     readySince: now,
   };
 }
@@ -189,3 +198,25 @@
   }
   return step.shape.estimateMs + longest;
 }
+
+/** Time from a job's acceptance to its objective, by the estimates. */
+export function allowedMs(step: ActiveStep): Millis {
+  const {job} = step.occurrence;
+  const {stretch, latencyMs} = job.queue;
+  const firstSteps = step.occurrence.steps.filter(
+    ({shape}) => shape.after.length === 0,
+  );
+  const chain = Math.max(...firstSteps.map(remainingChainMs));
+  return stretch * chain + latencyMs;
+}
+
+/**
+ * Whether a job can't meet its objective any more. Estimates are rough, so
+ * part of what is left may turn out shorter.
+ */
+export function isLate(step: ActiveStep, now: Millis): boolean {
+  const {job} = step.occurrence;
+  const expected =
+    now - job.acceptedAt + remainingChainMs(step) * OPTIMISTIC_SHARE;
+  return expected > allowedMs(step) * LATENESS_TOLERANCE;
+}
--- a/src/common/batch/pacing.ts
+++ b/src/common/batch/pacing.ts
@@ -1,4 +1,5 @@
 import {Millis} from '../base/clock.js';
+import {isLate} from './active_job.js';
 import {Interference} from './interference.js';
 import {CommandKind, SchedulerState} from './scheduler_state.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
@@ -21,6 +22,9 @@
 /** A filler with less effect on ln(tail) keeps its pace. */
 const LEAST_EFFECT = 0.03;
 
+/** Factor by which a late job's runs are blamed more. */
+const LATE_BLAME = 3;
+
 /** Time over target after which all fillers beside the task are halted. */
 const HALT_ALL_AFTER: Millis = 2500;
 
@@ -28,6 +32,9 @@
 const SLOW_PACE = 35;
 const MOVE_AFTER: Millis = 1000;
 
+/** Moves of one task; each costs the time to stop and to restore. */
+const MOST_MOVES = 2;
+
 /** Time after which a slowed run without checkpoints starts anew elsewhere. */
 const RESTART_AFTER: Millis = 3000;
 
@@ -138,7 +145,7 @@
   private shed(victim: Run, mixture: Mixture, paces: Map<Run, number>): void {
     let excess = Math.log(tail(victim) / SLOW_DOWN_TO);
     const strongestFirst = [...mixture.filling].sort(
-      (a, b) => this.weight(b, victim) - this.weight(a, victim),
+      (a, b) => this.blame(b, victim) - this.blame(a, victim),
     );
     for (const run of strongestFirst) {
       const pace = paces.get(run) ?? run.pace;
@@ -173,6 +180,12 @@
     }
   }
 
+  /** Runs with more blame slow down first; late jobs before others. */
+  private blame(run: Run, victim: Run): number {
+    const late = isLate(run.task.step, this.state.now()) ? LATE_BLAME : 1;
+    return this.weight(run, victim) * late;
+  }
+
   private weight(run: Run, victim: Run): number {
     return this.interference.weight(
       victim.task.step.shape.image,
@@ -198,6 +211,8 @@
     const slowFor = this.state.now() - (this.changedAt.get(run) ?? 0);
     const {checkpoints} = task.step.shape;
     if (slowFor < (checkpoints ? MOVE_AFTER : RESTART_AFTER)) return;
+    if (task.moves >= MOST_MOVES || isLate(task.step, this.state.now())) return;
+    task.moves++;
     task.failedOn = run.worker.id;
     this.state.stop(run, 'it disturbs a serving task');
   }
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -1,11 +1,30 @@
-import {Millis} from '../base/clock.js';
-import {ActiveStep, ActiveTask, remainingChainMs} from './active_job.js';
+import {Millis, SECOND} from '../base/clock.js';
+import {
+  ActiveStep,
+  ActiveTask,
+  allowedMs,
+  isLate,
+  remainingChainMs,
+} from './active_job.js';
 import {Interference} from './interference.js';
 import {SETTLED_AFTER} from './pacing.js';
 import {JobPhase, TaskPhase} from './job_records.js';
 import {CommandKind, SchedulerState} from './scheduler_state.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
+/** Distance of priorities, and of late jobs, in ms of slack. */
+const PRIORITY_CLASS = 1e9;
+const LATE_CLASS = 1e8;
+
+/**
+ * Disturbance that a filling task may cause at once, what it may cause more
+ * for each second of waiting, and at most. Late jobs wait for safe workers.
+ */
+const ACCEPTED_DISTURBANCE = 0.2;
+const DISTURBANCE_PER_SECOND = 0.3;
+const LARGEST_DISTURBANCE = 1.2;
+const LATE_DISTURBANCE = 0.4;
+
 /** A worker that answered no renewal for this long gets no starts. */
 const FRESH_ANSWER: Millis = 2500;
 
@@ -40,6 +59,9 @@
 const OVERLOAD_COST = 8;
 const FULL_LOAD = 0.85;
 
+/** Load up to which filling tasks are placed; more would slow all of them. */
+const MOST_FILLING_LOAD = 1.05;
+
 /** Tasks of a step that wait for a worker. */
 interface WaitingStep {
   readonly step: ActiveStep;
@@ -91,15 +113,17 @@
       .sort((a, b) => a.urgency - b.urgency);
   }
 
-  /** Lower is more urgent: the priority first, then the slack that is left. */
+  /**
+   * Lower is more urgent: the priority first, then the slack that is left. A
+   * job that is late already waits for those that can still be in time.
+   */
   private urgency(step: ActiveStep, now: Millis): number {
     const {job} = step.occurrence;
-    const {priority, stretch, latencyMs} = job.queue;
-    const chain = remainingChainMs(step);
-    const allowed = stretch * chain + latencyMs;
-    const slack = job.acceptedAt + allowed - now;
+    const slack =
+      job.acceptedAt + allowedMs(step) - remainingChainMs(step) - now;
     const perpetual = step.shape.perpetual ? 1 : 0;
-    return (priority + perpetual) * 1e9 + slack;
+    const late = !perpetual && isLate(step, now) ? LATE_CLASS : 0;
+    return (job.queue.priority + perpetual) * PRIORITY_CLASS + late + slack;
   }
 
   private placeTasks(
@@ -193,6 +217,9 @@
     if (cpu > free) return false;
     if (used.memoryMb + shape.memoryMb > capacity.memoryMb) return false;
     if (used.gpus + shape.gpus > capacity.gpus) return false;
+    if (shape.fills && worker.fillingCpuMilli > 0) {
+      if (fillingShare(task, worker) > MOST_FILLING_LOAD) return false;
+    }
     return this.mayShare(task, worker);
   }
 
@@ -212,12 +239,24 @@
     if (shape.dataRack && shape.dataRack !== worker.rack) cost += REMOTE_COST;
     if (task.failedOn === worker.id) cost += FAILED_HERE_COST;
     if (shape.fills) {
-      return cost + fillingLoad(task, worker) + this.disturbance(task, worker);
+      const disturbance = this.disturbance(task, worker);
+      if (disturbance > this.acceptedDisturbance(task)) return Infinity;
+      return cost + fillingLoad(task, worker) + disturbance;
     }
     if (shape.targetMs > 0) return cost + servingCost(task, worker);
     return cost + reservedLoad(task, worker);
   }
 
+  private acceptedDisturbance(task: ActiveTask): number {
+    const now = this.state.now();
+    const waitedS = (now - task.readySince) / SECOND;
+    const accepted = ACCEPTED_DISTURBANCE + waitedS * DISTURBANCE_PER_SECOND;
+    const most = isLate(task.step, now)
+      ? LATE_DISTURBANCE
+      : LARGEST_DISTURBANCE;
+    return Math.min(accepted, most);
+  }
+
   /** Predicted excess of tail latencies that a filling task adds. */
   private disturbance(task: ActiveTask, worker: WorkerState): number {
     const capacity = worker.listing!.capacity.cpuMilli;
@@ -304,13 +343,18 @@
   return reserved / worker.listing!.capacity.cpuMilli;
 }
 
-/** Cost of the load with a filling task; steep where processors run out. */
-function fillingLoad(task: ActiveTask, worker: WorkerState): number {
+/** Share of a worker's processors in use with a filling task. */
+function fillingShare(task: ActiveTask, worker: WorkerState): number {
   const wanted =
     worker.used.cpuMilli * RESERVED_IN_USE +
     worker.fillingCpuMilli +
     task.step.shape.cpuMilli;
-  const load = wanted / worker.listing!.capacity.cpuMilli;
+  return wanted / worker.listing!.capacity.cpuMilli;
+}
+
+/** Cost of the load with a filling task; steep where processors run out. */
+function fillingLoad(task: ActiveTask, worker: WorkerState): number {
+  const load = fillingShare(task, worker);
   return load + OVERLOAD_COST * Math.max(0, load - FULL_LOAD);
 }
 
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -177,6 +177,7 @@
     const now = this.state.now();
     run.born = worker.born;
     if (run.phase === RunPhase.ORDERED || run.phase === RunPhase.UNVERIFIED) {
+      if (run.phase === RunPhase.UNVERIFIED) this.resetPace(run);
       run.phase = RunPhase.RUNNING;
       run.confirmedAt = now;
     }
@@ -186,6 +187,13 @@
     if (entry.checkpoint !== '') run.task.checkpoint = entry.checkpoint;
   }
 
+  /** An earlier scheduler may have slowed the run. */
+  private resetPace(run: Run): void {
+    if (!run.task.step.shape.fills) return;
+    run.pace = 100;
+    this.state.urgent.push({kind: CommandKind.PACE, run, percent: run.pace});
+  }
+
   /** Processes that a report doesn't show a run. */
   private onAbsent(run: Run, born: number, sentAt: Millis): void {
     const {phase} = run;
