Bound the wait for lost workers after a takeover; evacuate draining workers

Terms give leases of 6 s only, a scheduler that resigned has no authority left, and drained workers that are removed and silent have left. Ruled out: capacity (half free).

--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -8,7 +8,7 @@
 } from './active_job.js';
 import {isFinal, JobPhase, TaskPhase} from './job_records.js';
 import {KnownJob} from './job_view.js';
-import {SchedulerState} from './scheduler_state.js';
+import {LEASE_MARGIN, SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunEnd} from './types.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
@@ -93,9 +93,8 @@
     };
     task.run = run;
     worker.add(run);
-    // The earlier scheduler may have renewed leases until its authority ended.
-    const {authorityMs, longestLeaseMs} = state.times;
-    worker.noteLease(authorityMs + longestLeaseMs, 0, now);
+    const {leaseMs} = state.times;
+    worker.noteLease(state.earlierAuthorityMs + leaseMs, LEASE_MARGIN, now);
   }
 
   /** Opens the occurrences that are due. */
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -1,4 +1,5 @@
 import {Millis} from '../base/clock.js';
+import {Evacuation} from './evacuation.js';
 import {Interference} from './interference.js';
 import {JobLifecycle} from './job_lifecycle.js';
 import {packProgress, RecordKind} from './job_records.js';
@@ -7,7 +8,7 @@
 import {Placement} from './placement.js';
 import {Command, SchedulerState} from './scheduler_state.js';
 import {KeyedRecord} from './store.js';
-import {BatchConfiguration, WorkerListing} from './types.js';
+import {BatchConfiguration, WorkerListing, WorkerPhase} from './types.js';
 import {OrderAnswer, Renewal, RenewalAnswer} from './worker_calls.js';
 import {OrderNext, WorkerLeases} from './worker_leases.js';
 import {Run, WorkerState} from './worker_state.js';
@@ -31,6 +32,7 @@
   private readonly lifecycle: JobLifecycle;
   private readonly placement: Placement;
   private readonly pacing: Pacing;
+  private readonly evacuation: Evacuation;
 
   constructor(readonly state: SchedulerState) {
     this.lifecycle = new JobLifecycle(state);
@@ -38,6 +40,7 @@
     const interference = new Interference();
     this.placement = new Placement(state, interference);
     this.pacing = new Pacing(state, interference);
+    this.evacuation = new Evacuation(state);
   }
 
   /** Takes over all jobs that the log holds. */
@@ -69,6 +72,7 @@
       }
       worker.listing = listing;
       worker.address = listing.address;
+      worker.isLeaving = listing.phase === WorkerPhase.DRAINING;
     }
     for (const worker of this.state.workers.values()) {
       if (worker.listing === undefined || listings.has(worker.id)) continue;
@@ -102,6 +106,7 @@
   /** Processes what depends on time alone. */
   tick(): void {
     this.leases.expire();
+    this.evacuation.run();
     this.lifecycle.openDue();
   }
 
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -37,8 +37,6 @@
 export interface SchedulerTimes {
   /** Lease that each renewal gives a worker's runs. */
   readonly leaseMs: Millis;
-  /** Longest lease that a worker grants. */
-  readonly longestLeaseMs: Millis;
   /** How long leases are renewed without a sign from the log. */
   readonly authorityMs: Millis;
   /** Longest time that a worker takes to stop a run. */
@@ -72,8 +70,13 @@
   /** Tasks that could run. */
   readonly waiting = new Set<ActiveTask>();
 
+  /**
+   * @param earlierAuthorityMs how much longer earlier schedulers may renew
+   *     leases; 0 after one that resigned.
+   */
   constructor(
     readonly epoch: number,
+    readonly earlierAuthorityMs: Millis,
     readonly times: SchedulerTimes,
     readonly clock: Clock,
     readonly wallClock: Clock,
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -14,6 +14,9 @@
 /** How long a worker holds a renewal when no run ends. */
 const RENEWAL_WAIT: Millis = 1000;
 
+/** Silence after which a drained worker that isn't listed has left. */
+const LEFT_AFTER: Millis = 1500;
+
 /** What the caller of a start or stop does next. */
 export const OrderNext = {SETTLED: 'settled', REPEAT: 'repeat'} as const;
 export type OrderNext = (typeof OrderNext)[keyof typeof OrderNext];
@@ -269,15 +272,23 @@
   expire(): void {
     const now = this.state.now();
     for (const worker of this.state.workers.values()) {
-      if (worker.answering || now < worker.leaseEnd) continue;
-      for (const run of [...worker.runs.values()]) {
-        if (run.phase === RunPhase.STAGED) continue;
-        this.lose(run, 'the lease of its worker ran out');
+      if (worker.answering) continue;
+      if (now >= worker.leaseEnd) {
+        this.loseAll(worker, 'the lease of its worker ran out');
+      } else if (hasLeft(worker, now)) {
+        this.loseAll(worker, 'its worker drained and left');
       }
       this.forgetIfGone(worker);
     }
   }
 
+  private loseAll(worker: WorkerState, reason: string): void {
+    for (const run of [...worker.runs.values()]) {
+      if (run.phase === RunPhase.STAGED) continue;
+      this.lose(run, reason);
+    }
+  }
+
   private forgetIfGone(worker: WorkerState): void {
     if (worker.listing !== undefined || worker.runs.size > 0) return;
     this.state.workers.delete(worker.id);
@@ -291,3 +302,12 @@
     }
   }
 }
+
+/** Whether a worker announced that it leaves, was removed and is silent. */
+function hasLeft(worker: WorkerState, now: Millis): boolean {
+  return (
+    worker.isLeaving &&
+    worker.listing === undefined &&
+    now - worker.lastAnswerAt > LEFT_AFTER
+  );
+}
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -300,12 +300,17 @@
     const {log, calls, clock, decisions} = this.parts;
     let next = end;
     const claimedAt = clock.now();
+    const earlier = this.view.scheduler;
+    const earlierAuthorityMs =
+      earlier === undefined || earlier.resigned
+        ? 0
+        : this.parts.times.authorityMs;
     this.view.scheduler = record;
     this.workersTail.resume(-1);
     for (const tail of [this.intakeTail, this.workersTail]) {
       while (!(await tail.refresh())) await sleep(ELECTION_INTERVAL);
     }
-    const scheduler = this.createScheduler(record.epoch);
+    const scheduler = this.createScheduler(record.epoch, earlierAuthorityMs);
     scheduler.restore(this.view);
     scheduler.onWorkers(this.workers);
     scheduler.leases.confirmAuthority(claimedAt);
@@ -333,12 +338,16 @@
     return next;
   }
 
-  private createScheduler(epoch: number): Scheduler {
+  private createScheduler(
+    epoch: number,
+    earlierAuthorityMs: Millis,
+  ): Scheduler {
     const {times, clock, wallClock, decisions} = this.parts;
     const configuration = this.configuration!;
     return new Scheduler(
       new SchedulerState(
         epoch,
+        earlierAuthorityMs,
         times,
         clock,
         wallClock,
