Answer 503 where the log can't be read, never that a job doesn't exist

A read under way when the request came could also miss a record, so another one follows it. Ruled out: a lost cancellation (no record of it was ever appended).

--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -1,5 +1,6 @@
 import {randomBytes, randomInt} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {Either, Left, Right} from 'purify-ts';
 import {Clock, Millis, SECOND} from '../../common/base/clock.js';
 import {Election} from '../../common/batch/election.js';
 import {
@@ -59,6 +60,13 @@
   worker(record: KeyedRecord): WorkerListing | undefined;
 }
 
+/** The log can't be read, so nobody knows whether a job exists. */
+export class LogUnavailable extends Error {
+  constructor() {
+    super('The log can not be read at present. Ask again in a second.');
+  }
+}
+
 /** What an instance is built from. */
 export interface BatchInstanceParts {
   readonly name: string;
@@ -161,22 +169,33 @@
   }
 
   /** Phase of a job; reads the log before it says that there is none. */
-  async phase(id: string): Promise<JobPhase | undefined> {
+  async phase(
+    id: string,
+  ): Promise<Either<LogUnavailable, JobPhase | undefined>> {
     const known = this.view.phase(id);
-    if (known !== undefined) return known;
-    await this.intakeTail.refresh();
-    return this.view.phase(id);
+    if (known !== undefined) return Right(known);
+    const isCurrent = await this.intakeTail.refresh();
+    const phase = this.view.phase(id);
+    if (phase === undefined && !isCurrent) return Left(new LogUnavailable());
+    return Right(phase);
   }
 
   /** Cancels a job; undefined if there is none. */
   async cancel(
     id: string,
     deadline: Millis,
-  ): Promise<IntakeResult | undefined> {
-    const phase = await this.phase(id);
-    if (phase === undefined) return undefined;
-    if (isFinal(phase)) return IntakeResult.STORED;
-    return this.intake.cancel(id, deadline);
+  ): Promise<Either<LogUnavailable, IntakeResult | undefined>> {
+    const found = await this.phase(id);
+    return found
+      .map(async phase => {
+        if (phase === undefined) return undefined;
+        if (isFinal(phase)) return IntakeResult.STORED;
+        return this.intake.cancel(id, deadline);
+      })
+      .caseOf<Promise<Either<LogUnavailable, IntakeResult | undefined>>>({
+        Left: error => Promise.resolve(Left(error)),
+        Right: async result => Right(await result),
+      });
   }
 
   private tail(
--- a/src/node/batch/log_tail.ts
+++ b/src/node/batch/log_tail.ts
@@ -33,6 +33,7 @@
   private stopped = false;
   private paused = false;
   private refreshing: Promise<boolean> | undefined;
+  private refreshingNext: Promise<boolean> | undefined;
 
   constructor(
     private readonly log: KeyedLog,
@@ -71,12 +72,22 @@
     }
   }
 
-  /** Reads up to the present end; returns whether that succeeded. */
-  async refresh(): Promise<boolean> {
-    this.refreshing ??= this.readToEnd().finally(() => {
-      this.refreshing = undefined;
+  /**
+   * Reads up to the end as it is now; returns whether that succeeded. A read
+   * that is under way may have passed the end earlier, so another follows it.
+   */
+  refresh(): Promise<boolean> {
+    if (this.refreshing === undefined) {
+      this.refreshing = this.readToEnd().finally(() => {
+        this.refreshing = undefined;
+      });
+      return this.refreshing;
+    }
+    this.refreshingNext ??= this.refreshing.then(() => {
+      this.refreshingNext = undefined;
+      return this.refresh();
     });
-    return this.refreshing;
+    return this.refreshingNext;
   }
 
   private async readToEnd(): Promise<boolean> {
