Test the scheduler against simulated workers and a simulated store

Fifteen cases: durability before starts, leases of lost workers, restarted workers, lost answers, takeover, cancellation, attempts, quarantine, draining.

--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -3,6 +3,7 @@
   testEnvironment: 'node',
   roots: [
     '<rootDir>/src',
+    '<rootDir>/platform',
     '<rootDir>/tests',
     '<rootDir>/test_support',
     '<rootDir>/bench',
--- /dev/null
+++ b/src/common/batch/scheduler.test.ts
@@ -0,0 +1,186 @@
+import {JobPhase} from './job_records.js';
+import {SimulatedFleet} from './simulated_fleet.test_support.js';
+import {RunEnd, WorkerPhase} from './types.js';
+
+const JOB = '00000000000000aa';
+const FIRST_TASK = `${JOB}.0.0.0`;
+
+describe('Scheduler', () => {
+  let fleet: SimulatedFleet;
+
+  beforeEach(() => {
+    fleet = new SimulatedFleet();
+  });
+
+  it('starts a step when the steps before it are done, and completes', () => {
+    const worker = fleet.addWorker('w1');
+    fleet.submit(JOB, [{count: 2}, {count: 1, after: [0]}]);
+    fleet.run(500);
+    expect(worker.starts).toEqual([FIRST_TASK, `${JOB}.0.0.1`]);
+    fleet.run(2500);
+    expect(worker.starts[2]).toBe(`${JOB}.0.1.0`);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.COMPLETE);
+  });
+
+  it('never gives a worker more than its capacity', () => {
+    const worker = fleet.addWorker('w1', 4000, 250);
+    fleet.submit(JOB, [{count: 6, memoryMb: 100}]);
+    for (let step = 0; step < 60; step++) {
+      fleet.run(50);
+      expect(worker.runs.size).toBeLessThanOrEqual(2);
+    }
+    fleet.run(2000);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.COMPLETE);
+  });
+
+  it('starts nothing whose record is not durable', () => {
+    const worker = fleet.addWorker('w1');
+    fleet.run(200);
+    fleet.storeIsUp = false;
+    fleet.submit(JOB, [{}]);
+    fleet.run(1000);
+    expect(worker.starts).toEqual([]);
+    fleet.storeIsUp = true;
+    fleet.run(200);
+    expect(worker.starts).toEqual([FIRST_TASK]);
+  });
+
+  it('does not start a task elsewhere before its lease has run out', () => {
+    const lost = fleet.addWorker('w1');
+    fleet.taskMs = 60_000;
+    fleet.submit(JOB, [{}]);
+    fleet.run(500);
+    lost.isSilent = true;
+    const spare = fleet.addWorker('w2');
+    fleet.run(5500);
+    expect(spare.starts).toEqual([]);
+    fleet.run(1500);
+    expect(spare.starts).toEqual([FIRST_TASK]);
+  });
+
+  it('restarts a task at once when its worker started anew', () => {
+    const worker = fleet.addWorker('w1');
+    fleet.taskMs = 5000;
+    fleet.submit(JOB, [{}]);
+    fleet.run(500);
+    worker.restart();
+    fleet.run(500);
+    expect(worker.starts).toEqual([FIRST_TASK, FIRST_TASK]);
+    // A higher token keeps out orders to the incarnation before.
+    expect(worker.token).toBe(1001);
+  });
+
+  it('finds a run whose start was carried out but not answered', () => {
+    const worker = fleet.addWorker('w1');
+    worker.losesStartAnswers = true;
+    fleet.submit(JOB, [{}]);
+    fleet.run(1500);
+    expect(worker.starts).toEqual([FIRST_TASK]);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.COMPLETE);
+  });
+
+  it('keeps runs over a change of the scheduler', () => {
+    const worker = fleet.addWorker('w1');
+    fleet.taskMs = 3000;
+    fleet.submit(JOB, [{count: 2}]);
+    fleet.run(500);
+    fleet.takeOver();
+    fleet.run(4000);
+    expect(worker.starts).toHaveLength(2);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.COMPLETE);
+  });
+
+  it('restarts a run that its worker lost around a change', () => {
+    const worker = fleet.addWorker('w1');
+    fleet.taskMs = 3000;
+    fleet.submit(JOB, [{}]);
+    fleet.run(500);
+    worker.runs.clear();
+    fleet.takeOver();
+    fleet.run(500);
+    expect(worker.starts).toHaveLength(2);
+  });
+
+  it('stops a run that belongs to no task', () => {
+    const worker = fleet.addWorker('w1');
+    fleet.run(200);
+    const stray = '00000000000000bb.0.0.0';
+    const run = {attempt: 1, endsAt: Infinity, percent: 0, gauge: 0};
+    worker.runs.set(stray, run);
+    fleet.run(200);
+    expect(worker.stops).toEqual([stray]);
+  });
+
+  it('stops the runs of a cancelled job and starts no more of it', () => {
+    const worker = fleet.addWorker('w1', 1000);
+    fleet.submit(JOB, [{count: 3}]);
+    fleet.run(500);
+    fleet.cancel(JOB);
+    fleet.run(3000);
+    expect(worker.starts).toEqual([FIRST_TASK]);
+    expect(worker.stops).toEqual([FIRST_TASK]);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.CANCELLED);
+  });
+
+  it('stops runs of a cancelled job after a change of the scheduler', () => {
+    const worker = fleet.addWorker('w1');
+    fleet.taskMs = 20_000;
+    fleet.submit(JOB, [{}]);
+    fleet.run(500);
+    worker.isSilent = true;
+    fleet.cancel(JOB);
+    fleet.run(100);
+    fleet.takeOver();
+    worker.isSilent = false;
+    fleet.run(500);
+    expect(worker.runs.size).toBe(0);
+  });
+
+  it('fails a job whose task failed as often as its queue allows', () => {
+    const worker = fleet.addWorker('w1');
+    worker.outcome = RunEnd.FAILED;
+    fleet.submit(JOB, [{}]);
+    fleet.run(5000);
+    expect(worker.starts).toHaveLength(2);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.FAILED);
+  });
+
+  it('puts a worker aside on which tasks of several jobs fail', () => {
+    const broken = fleet.addWorker('w1', 8000);
+    broken.outcome = RunEnd.FAILED;
+    for (const id of ['a1', 'a2', 'a3']) {
+      fleet.submit(id.padStart(16, '0'), [{}]);
+    }
+    fleet.run(1400);
+    const healthy = fleet.addWorker('w2', 8000);
+    fleet.run(2000);
+    expect(fleet.decisions).toContain('quarantine');
+    expect(broken.starts).toHaveLength(3);
+    expect(healthy.starts).toHaveLength(3);
+  });
+
+  it('gives a draining worker no starts and moves its lasting runs', () => {
+    const leaving = fleet.addWorker('w1');
+    fleet.submit(JOB, [{perpetual: true}]);
+    fleet.run(500);
+    leaving.phase = WorkerPhase.DRAINING;
+    const other = fleet.addWorker('w2');
+    fleet.run(500);
+    expect(leaving.runs.size).toBe(0);
+    expect(other.runs.size).toBe(1);
+  });
+
+  it('takes runs as gone when their worker drained and left', () => {
+    const leaving = fleet.addWorker('w1');
+    fleet.taskMs = 10_000;
+    fleet.submit(JOB, [{checkpoints: false, estimateMs: 100}]);
+    fleet.run(500);
+    leaving.phase = WorkerPhase.DRAINING;
+    fleet.run(100);
+    leaving.isListed = false;
+    leaving.isSilent = true;
+    const other = fleet.addWorker('w2');
+    fleet.run(2500);
+    expect(other.starts).toEqual([FIRST_TASK]);
+  });
+});
--- /dev/null
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -0,0 +1,334 @@
+import {ManualClock} from '../base/manual_clock.js';
+import {Millis} from '../base/clock.js';
+import {JobView} from './job_view.js';
+import {packRecord, RecordKind} from './job_records.js';
+import {Scheduler} from './scheduler.js';
+import {Command, CommandKind, SchedulerState} from './scheduler_state.js';
+import {
+  BatchConfiguration,
+  JobShape,
+  Queue,
+  ReportedEnd,
+  RunEnd,
+  StepShape,
+  WorkerListing,
+  WorkerPhase,
+} from './types.js';
+import {OrderResult, RenewalAnswer} from './worker_calls.js';
+import {OrderNext} from './worker_leases.js';
+import {RunPhase} from './worker_state.js';
+
+export const QUEUE: Queue = {
+  name: 'cuts',
+  host: 'shop.example',
+  pathPrefix: '/cuts/',
+  service: 'desk',
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 2,
+  latencyMs: 1000,
+  advised: false,
+};
+
+export const STEP: StepShape = {
+  cpuMilli: 1000,
+  memoryMb: 100,
+  gpus: 0,
+  count: 1,
+  estimateMs: 1000,
+  after: [],
+  checkpoints: false,
+  gang: false,
+  sameRack: false,
+  requiredLabel: '',
+  dataRack: '',
+  maxPerWorker: 0,
+  speculative: false,
+  perpetual: false,
+  image: '',
+  targetMs: 0,
+  fills: false,
+  mayMiss: 0,
+};
+
+/** A run on a simulated worker. */
+interface SimulatedRun {
+  readonly attempt: number;
+  readonly endsAt: Millis;
+  percent: number;
+  gauge: number;
+}
+
+/** A worker that starts, ends and stops runs as it is told. */
+export class SimulatedWorker {
+  readonly runs = new Map<string, SimulatedRun>();
+  readonly starts: string[] = [];
+  readonly stops: string[] = [];
+  readonly paces: number[] = [];
+  ends: ReportedEnd[] = [];
+  phase: WorkerPhase = WorkerPhase.READY;
+  isListed = true;
+  /** Renewals and orders get no answer. */
+  isSilent = false;
+  /** Start orders are carried out but not answered. */
+  losesStartAnswers = false;
+  /** How runs end. */
+  outcome: RunEnd = RunEnd.DONE;
+  born = 1;
+  token = 0;
+  private sequence = 0;
+
+  constructor(
+    readonly id: string,
+    readonly cpuMilli: number,
+    readonly memoryMb: number,
+  ) {}
+
+  restart(): void {
+    this.runs.clear();
+    this.ends = [];
+    this.sequence = 0;
+    this.token = 0;
+    this.born++;
+  }
+
+  end(task: string, end: RunEnd): void {
+    const run = this.runs.get(task);
+    if (run === undefined) return;
+    this.runs.delete(task);
+    this.ends.push({
+      sequence: ++this.sequence,
+      task,
+      attempt: run.attempt,
+      end,
+      checkpoint: '',
+    });
+  }
+
+  listing(): WorkerListing {
+    return {
+      id: this.id,
+      born: this.born,
+      service: QUEUE.service,
+      address: `${this.id}:1`,
+      dataCentre: 'a',
+      phase: this.phase,
+      remainingMs: this.phase === WorkerPhase.DRAINING ? 4000 : undefined,
+      warmupMs: 0,
+      capacity: {cpuMilli: this.cpuMilli, memoryMb: this.memoryMb, gpus: 0},
+      labels: ['kind', 'rack-1'],
+    };
+  }
+}
+
+const TICK: Millis = 50;
+
+/** A scheduler with simulated workers and a log that stores at once. */
+export class SimulatedFleet {
+  readonly clock = new ManualClock(1000);
+  readonly wallClock = new ManualClock(1_000_000);
+  readonly workers = new Map<string, SimulatedWorker>();
+  readonly view = new JobView(key => {
+    throw new Error(`record ${key} can not be decoded`);
+  });
+  readonly decisions: string[] = [];
+  /** Whether batches can be stored. */
+  storeIsUp = true;
+  scheduler: Scheduler;
+  /** Run time of tasks on simulated workers. */
+  taskMs: Millis = 1000;
+  private epoch = 0;
+
+  constructor(private readonly queues: readonly Queue[] = [QUEUE]) {
+    this.scheduler = this.newScheduler();
+  }
+
+  /** Lets another scheduler take over from what the log holds. */
+  takeOver(): void {
+    this.scheduler = this.newScheduler();
+    this.scheduler.restore(this.view);
+  }
+
+  addWorker(id: string, cpuMilli = 4000, memoryMb = 4000): SimulatedWorker {
+    const worker = new SimulatedWorker(id, cpuMilli, memoryMb);
+    this.workers.set(id, worker);
+    return worker;
+  }
+
+  submit(id: string, steps: readonly Partial<StepShape>[], queue = QUEUE) {
+    const shape: JobShape = {
+      spec: '',
+      steps: steps.map(step => ({...STEP, ...step})),
+      repeats: 0,
+      startMs: 0,
+      periodMs: 0,
+    };
+    const acceptedAt = this.wallClock.now();
+    this.take(
+      RecordKind.SUBMISSION + id,
+      packRecord({queue, acceptedAt, shape}),
+    );
+  }
+
+  cancel(id: string): void {
+    this.take(RecordKind.CANCELLATION + id, Uint8Array.of(1));
+  }
+
+  /** Advances the time in small steps. */
+  run(duration: Millis): void {
+    const end = this.clock.now() + duration;
+    while (this.clock.now() < end) this.tick();
+  }
+
+  /** All tasks that workers run, with the worker. */
+  running(): [string, string][] {
+    return [...this.workers.values()].flatMap(worker =>
+      [...worker.runs.keys()].map((task): [string, string] => [
+        task,
+        worker.id,
+      ]),
+    );
+  }
+
+  private take(key: string, value: Uint8Array): void {
+    this.view.apply({key, value}, this.clock.now());
+    this.scheduler.onJob(this.view.jobs.get(key.slice(1))!);
+  }
+
+  private newScheduler(): Scheduler {
+    const configuration: BatchConfiguration = {
+      version: 1,
+      queues: this.queues,
+      pools: [{name: QUEUE.service, guarded: false}],
+      maxBodyBytes: 1000,
+    };
+    const times = {
+      leaseMs: 6000,
+      authorityMs: 5000,
+      stopMs: 400,
+      keepEndedMs: 120_000,
+      earlyMs: 250,
+      remoteFactor: 2,
+    };
+    const log = {decide: (decision: string) => this.decisions.push(decision)};
+    const isFirst = this.epoch++ === 0;
+    const state = new SchedulerState(
+      this.epoch,
+      isFirst ? 0 : times.authorityMs,
+      times,
+      this.clock,
+      this.wallClock,
+      log,
+      configuration,
+    );
+    return new Scheduler(state);
+  }
+
+  private tick(): void {
+    this.clock.advance(TICK);
+    this.wallClock.advance(TICK);
+    const {scheduler} = this;
+    const listed = [...this.workers.values()].filter(({isListed}) => isListed);
+    scheduler.onWorkers(
+      new Map(listed.map(worker => [worker.id, worker.listing()])),
+    );
+    for (const worker of this.workers.values()) this.endRuns(worker);
+    this.store();
+    for (const worker of this.workers.values()) this.renew(worker);
+    scheduler.tick();
+    this.store();
+  }
+
+  private endRuns(worker: SimulatedWorker): void {
+    for (const [task, {endsAt}] of [...worker.runs]) {
+      if (endsAt <= this.clock.now()) worker.end(task, worker.outcome);
+    }
+  }
+
+  private store(): void {
+    const {scheduler} = this;
+    for (const command of scheduler.takeUrgent()) this.carryOut(command);
+    if (!this.storeIsUp) return;
+    const batch = scheduler.takeBatch();
+    for (const record of batch.records) {
+      this.view.apply(record, this.clock.now());
+    }
+    scheduler.leases.confirmAuthority(this.clock.now());
+    scheduler.onStored(batch);
+    for (const command of batch.commands) this.carryOut(command);
+  }
+
+  private renew(worker: SimulatedWorker): void {
+    const state = this.scheduler.state.workers.get(worker.id);
+    if (state === undefined) return;
+    const renewal = this.scheduler.leases.renewal(state);
+    const sentAt = this.clock.now();
+    const answer = this.answer(worker, renewal.token, renewal.acknowledged);
+    this.scheduler.onRenewal(state, renewal, sentAt, answer);
+  }
+
+  private answer(
+    worker: SimulatedWorker,
+    token: number,
+    acknowledged: number,
+  ): RenewalAnswer {
+    if (worker.isSilent) return {result: OrderResult.UNKNOWN};
+    if (token < worker.token) return {result: OrderResult.FENCED};
+    worker.token = token;
+    worker.ends = worker.ends.filter(({sequence}) => sequence > acknowledged);
+    const running = [...worker.runs].map(([task, run]) => ({
+      task,
+      attempt: run.attempt,
+      checkpoint: '',
+      percent: run.percent,
+      gauge: run.gauge,
+    }));
+    const clockMs = this.clock.now();
+    const report = {born: worker.born, clockMs, running, ends: worker.ends};
+    return {result: OrderResult.ACCEPTED, clockMs, report};
+  }
+
+  private carryOut(command: Command): void {
+    if (command.kind === CommandKind.START) this.start(command);
+    else if (command.kind === CommandKind.STOP) this.stop(command);
+    else if (command.kind === CommandKind.STOP_STRAY) {
+      const worker = this.workers.get(command.worker.id)!;
+      worker.stops.push(command.task);
+      worker.end(command.task, RunEnd.STOPPED);
+    } else {
+      this.workers.get(command.run.worker.id)?.paces.push(command.percent);
+    }
+  }
+
+  private start({run}: Command & {kind: typeof CommandKind.START}): void {
+    if (run.phase !== RunPhase.STAGED) return;
+    run.phase = RunPhase.ORDERED;
+    this.scheduler.leases.startLease(run.worker);
+    const worker = this.workers.get(run.worker.id)!;
+    if (!worker.isSilent) {
+      worker.starts.push(run.task.name);
+      const {perpetual} = run.task.step.shape;
+      worker.runs.set(run.task.name, {
+        attempt: run.attempt,
+        endsAt: perpetual ? Infinity : this.clock.now() + this.taskMs,
+        percent: perpetual ? 100 : 0,
+        gauge: 0,
+      });
+    }
+    const isLost = worker.isSilent || worker.losesStartAnswers;
+    const result = isLost ? OrderResult.UNKNOWN : OrderResult.ACCEPTED;
+    this.scheduler.onStartAnswer(run, {result});
+  }
+
+  private stop(command: Command & {kind: typeof CommandKind.STOP}): void {
+    const {run} = command;
+    const worker = this.workers.get(run.worker.id)!;
+    const result = worker.isSilent ? OrderResult.UNKNOWN : OrderResult.ACCEPTED;
+    if (!worker.isSilent) {
+      worker.stops.push(run.task.name);
+      worker.end(run.task.name, RunEnd.STOPPED);
+    }
+    const next = this.scheduler.onStopAnswer(run, {result});
+    if (next === OrderNext.REPEAT) this.scheduler.state.urgent.push(command);
+  }
+}
