Learn from mixtures with young runs; trust samples sooner

Cause: samples counted only while no filler was younger than 600 ms, which is rare under load, and a pair's first expectation outweighed several samples: a pair of true weight 10 stood at 1.6 after seconds (tail 9.8 times its target).

--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -22,7 +22,7 @@
 
 /** Weights of these expectations, in squares of the features. */
 const BASE_CONFIDENCE = 3;
-const WEIGHT_CONFIDENCE = 0.03;
+const WEIGHT_CONFIDENCE = 0.01;
 
 /** Samples fade: load and disturbance change within seconds. */
 const MEMORY = 0.998;
--- a/src/common/batch/pacing.ts
+++ b/src/common/batch/pacing.ts
@@ -49,7 +49,7 @@
   readonly capacity: number;
   readonly serving: readonly Run[];
   readonly filling: readonly Run[];
-  /** Usage of the filling runs that have been at work for a while. */
+  /** Share of the processors that filling images used lately. */
   readonly usage: ReadonlyMap<string, number>;
 }
 
@@ -86,13 +86,11 @@
     }
   }
 
-  /** Takes samples from mixtures that have not changed within a gauge. */
+  /** Takes samples from mixtures whose paces have not changed lately. */
   private learn({serving, filling, usage}: Mixture): void {
     const now = this.state.now();
     const isSettled = filling.every(
-      run =>
-        now - run.confirmedAt >= SETTLED_AFTER &&
-        now - (this.changedAt.get(run) ?? 0) >= SETTLED_AFTER,
+      run => now - (this.changedAt.get(run) ?? 0) >= SETTLED_AFTER,
     );
     if (!isSettled) return;
     for (const run of serving) {
@@ -115,8 +113,12 @@
       if (shape.targetMs > 0 && run.percent === 100) serving.push(run);
       if (!shape.fills) continue;
       filling.push(run);
-      if (now - run.confirmedAt < SETTLED_AFTER) continue;
-      const share = run.gauge / capacity;
+      const age = now - run.confirmedAt;
+      // A gauge covers the last half second; a younger run counts in part.
+      const share =
+        age < SETTLED_AFTER
+          ? (shape.cpuMilli / capacity) * (age / SETTLED_AFTER)
+          : run.gauge / capacity;
       usage.set(shape.image, (usage.get(shape.image) ?? 0) + share);
     }
     return {capacity, serving, filling, usage};
