--- a/src/common/batch/interference.test.ts
+++ b/src/common/batch/interference.test.ts
@@ -43,6 +43,17 @@
     expect(model.weight('shop', 'heavy')).toBeGreaterThan(7);
   });
 
+  it('hands on what it learned', () => {
+    // Guards against learning anew, at the users' cost, after each takeover.
+    const model = new Interference();
+    teach(model, 'heavy', 10);
+    const next = new Interference(model.learned());
+    expect(next.weight('shop', 'heavy')).toBeCloseTo(
+      model.weight('shop', 'heavy'),
+      3,
+    );
+  });
+
   it('never gives an image a negative weight', () => {
     const model = new Interference();
     teach(model, 'calming', -5);
--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -24,6 +24,9 @@
 const BASE_CONFIDENCE = 3;
 const WEIGHT_CONFIDENCE = 0.01;
 
+/** Factor by which what an earlier scheduler learned counts more. */
+const LEARNED_CONFIDENCE = 10;
+
 /** Samples fade: load and disturbance change within seconds. */
 const MEMORY = 0.998;
 
@@ -42,10 +45,36 @@
   fittedAt: Millis;
 }
 
+/** Coefficients by serving image and feature, as an earlier scheduler left. */
+export type LearnedInterference = Readonly<
+  Record<string, Readonly<Record<string, number>>>
+>;
+
 /** Model of the disturbance between images. */
 export class Interference {
   private readonly models = new Map<string, ImageModel>();
 
+  constructor(earlier: LearnedInterference = {}) {
+    for (const [image, coefficients] of Object.entries(earlier)) {
+      const {regression} = this.model(image, coefficients[BASE]);
+      for (const [filling, mean] of Object.entries(coefficients)) {
+        if (filling === BASE) continue;
+        const weight = WEIGHT_CONFIDENCE * LEARNED_CONFIDENCE;
+        regression.define(filling, {mean, weight});
+      }
+      regression.solve();
+    }
+  }
+
+  /** What was learned, for the next scheduler. */
+  learned(): LearnedInterference {
+    const all: Record<string, Record<string, number>> = {};
+    for (const [image, {regression}] of this.models) {
+      all[image] = Object.fromEntries(regression.coefficients());
+    }
+    return all;
+  }
+
   /** Takes in the tail of one serving task, as a multiple of its target. */
   observe(
     image: string,
@@ -91,11 +120,11 @@
     return this.model(image).regression.coefficient(BASE) ?? FIRST_BASE;
   }
 
-  private model(image: string): ImageModel {
+  private model(image: string, base = FIRST_BASE): ImageModel {
     let model = this.models.get(image);
     if (model === undefined) {
       model = {regression: new RidgeRegression(MEMORY), fittedAt: -Infinity};
-      const prior = {mean: FIRST_BASE, weight: BASE_CONFIDENCE};
+      const prior = {mean: base, weight: BASE_CONFIDENCE};
       model.regression.define(BASE, prior);
       this.models.set(image, model);
     }
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -1,4 +1,5 @@
 import {Packr} from 'msgpackr';
+import {LearnedInterference} from './interference.js';
 import {JobShape, Queue} from './types.js';
 
 /** State of a job as callers see it. */
@@ -76,11 +77,16 @@
   CANCELLATION: 'c',
   PROGRESS: 's',
   SCHEDULER: 'l',
+  /** What the scheduler learned of images that disturb each other. */
+  INTERFERENCE: 'm',
 } as const;
 
 /** Key of the scheduler's record. */
 export const SCHEDULER_KEY = RecordKind.SCHEDULER;
 
+/** Key of what the scheduler learned. */
+export const INTERFERENCE_KEY = RecordKind.INTERFERENCE;
+
 const packr = new Packr({useRecords: false});
 
 type PackedTask = 0 | [number, number, number, string, number, string];
@@ -147,7 +153,7 @@
 
 /** Encodes any other record. */
 export function packRecord(
-  record: SubmissionRecord | SchedulerRecord,
+  record: SubmissionRecord | SchedulerRecord | LearnedInterference,
 ): Uint8Array {
   return packr.pack(record);
 }
@@ -157,6 +163,11 @@
   return packr.unpack(bytes) as SubmissionRecord;
 }
 
+/** Decodes what a scheduler learned. */
+export function unpackInterference(bytes: Uint8Array): LearnedInterference {
+  return packr.unpack(bytes) as LearnedInterference;
+}
+
 /** Decodes a scheduler's claim. */
 export function unpackScheduler(bytes: Uint8Array): SchedulerRecord {
   const record = packr.unpack(bytes) as SchedulerRecord | undefined;
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -1,11 +1,14 @@
 import {Millis} from '../base/clock.js';
+import {LearnedInterference} from './interference.js';
 import {
+  INTERFERENCE_KEY,
   JobPhase,
   ProgressRecord,
   RecordKind,
   SCHEDULER_KEY,
   SchedulerRecord,
   SubmissionRecord,
+  unpackInterference,
   unpackProgress,
   unpackScheduler,
   unpackSubmission,
@@ -32,6 +35,7 @@
 export class JobView {
   readonly jobs = new Map<string, KnownJob>();
   scheduler: SchedulerRecord | undefined;
+  interference: LearnedInterference = {};
 
   constructor(private readonly onFault: RecordFault) {}
 
@@ -67,6 +71,10 @@
       if (value.length > 0) this.scheduler = unpackScheduler(value);
       return;
     }
+    if (key === INTERFERENCE_KEY) {
+      this.interference = unpackInterference(value);
+      return;
+    }
     const id = key.slice(1);
     if (value.length === 0) {
       this.jobs.delete(id);
--- a/src/common/batch/ridge_regression.ts
+++ b/src/common/batch/ridge_regression.ts
@@ -51,6 +51,14 @@
     return position === undefined ? undefined : this.solution[position];
   }
 
+  /** All features that have been fitted. */
+  *coefficients(): Generator<[string, number]> {
+    for (const [name, position] of this.positions) {
+      const value = this.solution[position];
+      if (value !== undefined) yield [name, value];
+    }
+  }
+
   /** Brings the coefficients up to date with the samples. */
   solve(): void {
     if (this.isSolved) return;
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -1,8 +1,13 @@
-import {Millis} from '../base/clock.js';
+import {Millis, SECOND} from '../base/clock.js';
 import {Evacuation} from './evacuation.js';
-import {Interference} from './interference.js';
+import {Interference, LearnedInterference} from './interference.js';
 import {JobLifecycle} from './job_lifecycle.js';
-import {packProgress, RecordKind} from './job_records.js';
+import {
+  INTERFERENCE_KEY,
+  packProgress,
+  packRecord,
+  RecordKind,
+} from './job_records.js';
 import {JobView, KnownJob} from './job_view.js';
 import {Pacing} from './pacing.js';
 import {Placement} from './placement.js';
@@ -13,6 +18,9 @@
 import {OrderNext, WorkerLeases} from './worker_leases.js';
 import {Run, WorkerState} from './worker_state.js';
 
+/** Time between two records of what was learned. */
+const LEARNED_INTERVAL: Millis = 2 * SECOND;
+
 /** Records to store, and what follows once they are durable. */
 export interface Batch {
   readonly records: readonly KeyedRecord[];
@@ -29,15 +37,22 @@
  */
 export class Scheduler {
   readonly leases: WorkerLeases;
+  private readonly interference: Interference;
+  private learnedAt: Millis;
   private readonly lifecycle: JobLifecycle;
   private readonly placement: Placement;
   private readonly pacing: Pacing;
   private readonly evacuation: Evacuation;
 
-  constructor(readonly state: SchedulerState) {
+  constructor(
+    readonly state: SchedulerState,
+    earlier: LearnedInterference = {},
+  ) {
     this.lifecycle = new JobLifecycle(state);
     this.leases = new WorkerLeases(state, this.lifecycle);
-    const interference = new Interference();
+    this.interference = new Interference(earlier);
+    const {interference} = this;
+    this.learnedAt = state.now();
     this.placement = new Placement(state, interference);
     this.pacing = new Pacing(state, interference);
     this.evacuation = new Evacuation(state);
@@ -122,6 +137,7 @@
       });
     }
     state.dirty.clear();
+    records.push(...this.learnedRecords());
     return {
       records,
       commands: state.staged.splice(0),
@@ -129,6 +145,15 @@
     };
   }
 
+  /** Records from time to time what the next scheduler shall know. */
+  private learnedRecords(): readonly KeyedRecord[] {
+    const now = this.state.now();
+    if (now - this.learnedAt < LEARNED_INTERVAL) return [];
+    this.learnedAt = now;
+    const value = packRecord(this.interference.learned());
+    return [{key: INTERFERENCE_KEY, value}];
+  }
+
   /** Notes that a batch is durable. */
   onStored(batch: Batch): void {
     for (const [worker, born, sequence] of batch.ends) {
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -296,7 +296,7 @@
       worker.stops.push(command.task);
       worker.end(command.task, RunEnd.STOPPED);
     } else {
-      this.workers.get(command.run.worker.id)?.paces.push(command.percent);
+      this.pace(command);
     }
   }
 
@@ -307,12 +307,12 @@
     const worker = this.workers.get(run.worker.id)!;
     if (!worker.isSilent) {
       worker.starts.push(run.task.name);
-      const {perpetual} = run.task.step.shape;
+      const {perpetual, cpuMilli} = run.task.step.shape;
       worker.runs.set(run.task.name, {
         attempt: run.attempt,
         endsAt: perpetual ? Infinity : this.clock.now() + this.taskMs,
         percent: perpetual ? 100 : 0,
-        gauge: 0,
+        gauge: perpetual ? 0 : cpuMilli,
       });
     }
     const isLost = worker.isSilent || worker.losesStartAnswers;
@@ -320,6 +320,17 @@
     this.scheduler.onStartAnswer(run, {result});
   }
 
+  private pace({
+    run,
+    percent,
+  }: Command & {kind: typeof CommandKind.PACE}): void {
+    const worker = this.workers.get(run.worker.id)!;
+    worker.paces.push(percent);
+    const simulated = worker.runs.get(run.task.name);
+    if (simulated === undefined) return;
+    simulated.gauge = (run.task.step.shape.cpuMilli * percent) / 100;
+  }
+
   private stop(command: Command & {kind: typeof CommandKind.STOP}): void {
     const {run} = command;
     const worker = this.workers.get(run.worker.id)!;
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -373,6 +373,7 @@
         decisions,
         configuration,
       ),
+      this.view.interference,
     );
   }
 }
