Bound surprises in the fit and take out slow workers; keep listings for 3 s

Cause: on slow workers all tails are long, and the fit blamed every filler on them for seconds; a second load of the list of workers at the beginning of a term showed none of them for a moment, and none got work.

--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -30,9 +30,8 @@
 /** Samples fade: load and disturbance change within seconds. */
 const MEMORY = 0.998;
 
-/** Bounds of the observed ln(tail / target), against outliers. */
-const LOWEST = Math.log(0.05);
-const HIGHEST = Math.log(8);
+/** Largest difference to the expected ln(tail) that a sample counts with. */
+const LARGEST_SURPRISE = 1.2;
 
 /** Least time between two fits of one image's model. */
 const FIT_INTERVAL: Millis = 300;
@@ -90,7 +89,8 @@
       model.regression.define(filling, prior);
     }
     const value = Math.log(tailOfTarget);
-    model.regression.add(features, Math.min(HIGHEST, Math.max(LOWEST, value)));
+    const expected = this.predict(image, usage);
+    model.regression.add(features, clamp(value, expected, LARGEST_SURPRISE));
     if (now - model.fittedAt < FIT_INTERVAL) return;
     model.fittedAt = now;
     model.regression.solve();
@@ -131,3 +131,7 @@
     return model;
   }
 }
+
+function clamp(value: number, center: number, distance: number): number {
+  return Math.min(center + distance, Math.max(center - distance, value));
+}
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -18,6 +18,9 @@
 import {OrderNext, WorkerLeases} from './worker_leases.js';
 import {Run, WorkerState} from './worker_state.js';
 
+/** Time for which a worker that answers may be missing from the list. */
+const LISTING_GRACE: Millis = 3 * SECOND;
+
 /** Time between two records of what was learned. */
 const LEARNED_INTERVAL: Millis = 2 * SECOND;
 
@@ -90,15 +93,25 @@
       worker.isLeaving = listing.phase === WorkerPhase.DRAINING;
     }
     for (const worker of this.state.workers.values()) {
-      if (worker.listing === undefined || listings.has(worker.id)) continue;
-      worker.listing = undefined;
-      this.state.log.decide('worker-unlisted', {
-        worker: worker.id,
-        runs: worker.runs.size,
-      });
+      if (listings.has(worker.id)) worker.unlistedSince = undefined;
+      else if (worker.listing !== undefined) this.unlist(worker);
     }
   }
 
+  /** Entries that lapse with the store are back soon if the worker lives. */
+  private unlist(worker: WorkerState): void {
+    const now = this.state.now();
+    worker.unlistedSince ??= now;
+    const missing = now - worker.unlistedSince;
+    if (worker.answering && missing < LISTING_GRACE) return;
+    worker.listing = undefined;
+    this.state.log.decide('worker-unlisted', {
+      worker: worker.id,
+      runs: worker.runs.size,
+      missing,
+    });
+  }
+
   /** Processes the answer to a renewal. */
   onRenewal(
     worker: WorkerState,
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -75,6 +75,8 @@
   quarantines = 0;
   /** Jobs whose tasks failed here since the last success. */
   readonly failedJobs = new Set<string>();
+  /** Time since which the worker is missing from the list. */
+  unlistedSince: Millis | undefined;
   /** The worker was listed as draining in this incarnation. */
   isLeaving = false;
   /** Failure streak: a single task is tried before the worker is trusted. */
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -46,6 +46,9 @@
 /** Pause between two checks whether the office is vacant. */
 const ELECTION_INTERVAL: Millis = 100;
 
+/** Pause between two checks whether a topic is loaded. */
+const LOAD_CHECK_INTERVAL: Millis = 5;
+
 /** Longest wait for the answer to a claim. */
 const CLAIM_TIMEOUT: Millis = 800;
 
@@ -326,9 +329,8 @@
         : this.parts.times.authorityMs;
     this.view.scheduler = record;
     this.workersTail.resume(-1);
-    for (const tail of [this.intakeTail, this.workersTail]) {
-      while (!(await tail.refresh())) await sleep(ELECTION_INTERVAL);
-    }
+    while (!(await this.intakeTail.refresh())) await sleep(ELECTION_INTERVAL);
+    while (!this.workersTail.isLoaded) await sleep(LOAD_CHECK_INTERVAL);
     const scheduler = this.createScheduler(record.epoch, earlierAuthorityMs);
     scheduler.restore(this.view);
     scheduler.onWorkers(this.workers);
