--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -10,6 +10,7 @@
 import {KnownJob} from './job_view.js';
 import {LEASE_MARGIN, SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunEnd} from './types.js';
+import {WorkerSpeeds} from './worker_speeds.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
 /** Consecutive failures of different jobs that put a worker aside. */
@@ -21,6 +22,8 @@
 
 /** Moves jobs and tasks from state to state. */
 export class JobLifecycle {
+  private readonly speeds = new WorkerSpeeds();
+
   constructor(private readonly state: SchedulerState) {}
 
   /** Adds a job from the log; restores its progress, if there is any. */
@@ -234,6 +237,7 @@
     worker.failedJobs.clear();
     worker.onProbation = false;
     worker.quarantines = 0;
+    this.speeds.onDone(run, this.state.now());
     if (step.shape.perpetual) {
       this.requeue(task);
       return;
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -40,6 +40,12 @@
 /** Cost of work away from its data, against a worker's load of 0 to 1. */
 const REMOTE_COST = 3;
 
+/** Slowness from which a worker is avoided: run times vary by themselves. */
+const TOLERATED_SLOWNESS = 1.7;
+
+/** Cost of a worker that is slow after its start for longer than the task. */
+const WARMUP_COST = 0.5;
+
 /** Cost of the worker on which the task failed last. */
 const FAILED_HERE_COST = 2;
 
@@ -238,6 +244,8 @@
     let cost = 0;
     if (shape.dataRack && shape.dataRack !== worker.rack) cost += REMOTE_COST;
     if (task.failedOn === worker.id) cost += FAILED_HERE_COST;
+    if (worker.slowness > TOLERATED_SLOWNESS) cost += worker.slowness - 1;
+    if (worker.listing!.warmupMs > shape.estimateMs) cost += WARMUP_COST;
     if (shape.fills) {
       const disturbance = this.disturbance(task, worker);
       if (disturbance > this.acceptedDisturbance(task)) return Infinity;
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -12,6 +12,7 @@
 import {Pacing} from './pacing.js';
 import {Placement} from './placement.js';
 import {Command, SchedulerState} from './scheduler_state.js';
+import {Standstill} from './standstill.js';
 import {KeyedRecord} from './store.js';
 import {BatchConfiguration, WorkerListing, WorkerPhase} from './types.js';
 import {OrderAnswer, Renewal, RenewalAnswer} from './worker_calls.js';
@@ -46,6 +47,7 @@
   private readonly placement: Placement;
   private readonly pacing: Pacing;
   private readonly evacuation: Evacuation;
+  private readonly standstill: Standstill;
 
   constructor(
     readonly state: SchedulerState,
@@ -59,6 +61,7 @@
     this.placement = new Placement(state, interference);
     this.pacing = new Pacing(state, interference);
     this.evacuation = new Evacuation(state);
+    this.standstill = new Standstill(state, this.lifecycle);
   }
 
   /** Takes over all jobs that the log holds. */
@@ -135,6 +138,7 @@
   tick(): void {
     this.leases.expire();
     this.evacuation.run();
+    this.standstill.run();
     this.lifecycle.openDue();
   }
 
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -79,6 +79,8 @@
   unlistedSince: Millis | undefined;
   /** The worker was listed as draining in this incarnation. */
   isLeaving = false;
+  /** Run time of tasks here against elsewhere; 1 is as expected. */
+  slowness = 1;
   /** Failure streak: a single task is tried before the worker is trusted. */
   onProbation = false;
 
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -43,6 +43,9 @@
 /** How long the store may hold a read; a silent connection shows after it. */
 const READ_WAIT: Millis = 1 * SECOND;
 
+/** Time without a successful read after which callers go elsewhere. */
+const LONGEST_READ_GAP: Millis = 3 * SECOND;
+
 /** Pause between two checks whether the office is vacant. */
 const ELECTION_INTERVAL: Millis = 100;
 
@@ -134,8 +137,13 @@
 
   /** Whether callers may be sent here. */
   get isReady(): boolean {
+    const {readAt} = this.intakeTail;
+    const isReachable = this.parts.clock.now() - readAt < LONGEST_READ_GAP;
+    return !this.stopping && this.isLoaded && isReachable;
+  }
+
+  private get isLoaded(): boolean {
     return (
-      !this.stopping &&
       this.configuration !== undefined &&
       this.progressTail.isLoaded &&
       this.intakeTail.isLoaded
@@ -210,6 +218,7 @@
     return new LogTail(
       this.parts.log,
       topic,
+      this.parts.clock,
       {waitMs: READ_WAIT, intervalMs},
       {onRecords, onRead},
     );
@@ -274,7 +283,7 @@
   private async elections(): Promise<void> {
     while (!this.stopping) {
       await sleep(ELECTION_INTERVAL);
-      if (!this.isReady) continue;
+      if (!this.isLoaded) continue;
       const due = this.election.dueIn(this.parts.clock.now());
       if (due !== undefined && due <= 0) await this.claim();
     }
--- a/src/node/batch/intake.ts
+++ b/src/node/batch/intake.ts
@@ -25,6 +25,9 @@
 /** Longest wait for the answer to one append. */
 const APPEND_TIMEOUT: Millis = 700;
 
+/** Time after which a caller is sent to another instance. */
+const REJECTION_PATIENCE: Millis = 150;
+
 /** Pause before an append is repeated; doubles up to the longest. */
 const FIRST_PAUSE: Millis = 40;
 const LONGEST_PAUSE: Millis = 320;
@@ -84,6 +87,7 @@
 
   private async append(batch: readonly Waiter[]): Promise<void> {
     let open = batch;
+    const startedAt = this.clock.now();
     let isUncertain = false;
     let pause = FIRST_PAUSE;
     while (open.length > 0) {
@@ -101,6 +105,10 @@
         return;
       }
       if (result === AppendResult.UNKNOWN) isUncertain = true;
+      if (!isUncertain && this.clock.now() - startedAt > REJECTION_PATIENCE) {
+        for (const {settle} of open) settle(IntakeResult.REJECTED);
+        return;
+      }
       await sleep(pause);
       pause = Math.min(pause * 2, LONGEST_PAUSE);
       open = this.giveUpLate(open, isUncertain);
--- a/src/node/batch/log_tail.ts
+++ b/src/node/batch/log_tail.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Millis} from '../../common/base/clock.js';
+import {Clock, Millis} from '../../common/base/clock.js';
 import {
   KeyedLog,
   ReadAnswer,
@@ -30,6 +30,8 @@
 export class LogTail {
   /** Offset to read from next; -1 before the first load. */
   next = -1;
+  /** Local time of the last read that succeeded. */
+  readAt: Millis = -Infinity;
   private stopped = false;
   private paused = false;
   private refreshing: Promise<boolean> | undefined;
@@ -38,6 +40,7 @@
   constructor(
     private readonly log: KeyedLog,
     readonly topic: Topic,
+    private readonly clock: Clock,
     private readonly options: TailOptions,
     private readonly listener: TailListener,
   ) {}
@@ -113,6 +116,7 @@
       return this.read(0);
     }
     const succeeded = answer.result === ReadResult.READ;
+    if (succeeded) this.readAt = this.clock.now();
     this.listener.onRead(succeeded);
     if (!succeeded) return undefined;
     // A concurrent read may have got further, or the tail was paused.
