--- a/src/common/batch/election.ts
+++ b/src/common/batch/election.ts
@@ -2,10 +2,10 @@
 import {SchedulerRecord} from './job_records.js';
 
 /** Silence of the scheduler after which another instance claims its office. */
-export const SCHEDULER_SILENCE: Millis = 1700;
+export const SCHEDULER_SILENCE: Millis = 1100;
 
 /** Time between two signs of life of the scheduler. */
-export const SIGN_INTERVAL: Millis = 400;
+export const SIGN_INTERVAL: Millis = 300;
 
 /**
  * Decides when this instance claims the office of the scheduler. Only time in
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -252,7 +252,8 @@
       return cost + fillingLoad(task, worker) + disturbance;
     }
     if (shape.targetMs > 0) return cost + servingCost(task, worker);
-    return cost + reservedLoad(task, worker);
+    // Short tasks take what is too small for serving tasks.
+    return cost + 1 - reservedLoad(task, worker);
   }
 
   private acceptedDisturbance(task: ActiveTask): number {
