--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -7,7 +7,7 @@
   isStepReady,
 } from './active_job.js';
 import {isFinal, JobPhase, TaskPhase} from './job_records.js';
-import {KnownJob} from './job_view.js';
+import {KnownJob, LostWorker} from './job_view.js';
 import {LEASE_MARGIN, SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunEnd} from './types.js';
 import {WorkerSpeeds} from './worker_speeds.js';
@@ -24,6 +24,9 @@
 export class JobLifecycle {
   private readonly speeds = new WorkerSpeeds();
 
+  /** Workers that earlier schedulers lost touch with. */
+  lostWorkers: ReadonlyMap<string, LostWorker> = new Map();
+
   constructor(private readonly state: SchedulerState) {}
 
   /** Adds a job from the log; restores its progress, if there is any. */
@@ -96,6 +99,12 @@
     };
     task.run = run;
     worker.add(run);
+    const lost = this.lostWorkers.get(workerId);
+    if (lost !== undefined && lost.born === born) {
+      worker.isMarkedLost = true;
+      worker.leaseEnd = Math.max(worker.leaseEnd, lost.leaseEnd);
+      return;
+    }
     const {leaseMs} = state.times;
     worker.noteLease(state.earlierAuthorityMs + leaseMs, LEASE_MARGIN, now);
   }
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -71,12 +71,21 @@
   readonly resigned: boolean;
 }
 
+/** A worker that is out of reach, as recorded for the next scheduler. */
+export interface LostWorkerRecord {
+  readonly born: number;
+  /** Time from the writing of the record until all its leases are over. */
+  readonly leaseLeftMs: number;
+}
+
 /** Kinds of record, by the first letter of the key. */
 export const RecordKind = {
   SUBMISSION: 'j',
   CANCELLATION: 'c',
   PROGRESS: 's',
   SCHEDULER: 'l',
+  /** A worker that the scheduler lost touch with. */
+  LOST_WORKER: 'w',
   /** What the scheduler learned of images that disturb each other. */
   INTERFERENCE: 'm',
 } as const;
@@ -153,7 +162,8 @@
 
 /** Encodes any other record. */
 export function packRecord(
-  record: SubmissionRecord | SchedulerRecord | LearnedInterference,
+  record:
+    SubmissionRecord | SchedulerRecord | LearnedInterference | LostWorkerRecord,
 ): Uint8Array {
   return packr.pack(record);
 }
@@ -163,6 +173,11 @@
   return packr.unpack(bytes) as SubmissionRecord;
 }
 
+/** Decodes the record of a lost worker. */
+export function unpackLostWorker(bytes: Uint8Array): LostWorkerRecord {
+  return packr.unpack(bytes) as LostWorkerRecord;
+}
+
 /** Decodes what a scheduler learned. */
 export function unpackInterference(bytes: Uint8Array): LearnedInterference {
   return packr.unpack(bytes) as LearnedInterference;
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -9,6 +9,7 @@
   SchedulerRecord,
   SubmissionRecord,
   unpackInterference,
+  unpackLostWorker,
   unpackProgress,
   unpackScheduler,
   unpackSubmission,
@@ -25,6 +26,13 @@
   readonly seenAt: Millis;
 }
 
+/** A worker that an earlier scheduler lost touch with. */
+export interface LostWorker {
+  readonly born: number;
+  /** Local time at which all its leases are over. */
+  readonly leaseEnd: Millis;
+}
+
 /** Reports a record that could not be decoded. */
 export type RecordFault = (key: string, error: unknown) => void;
 
@@ -36,6 +44,7 @@
   readonly jobs = new Map<string, KnownJob>();
   scheduler: SchedulerRecord | undefined;
   interference: LearnedInterference = {};
+  readonly lostWorkers = new Map<string, LostWorker>();
 
   constructor(private readonly onFault: RecordFault) {}
 
@@ -76,6 +85,10 @@
       return;
     }
     const id = key.slice(1);
+    if (key[0] === RecordKind.LOST_WORKER) {
+      this.applyLostWorker(id, value, now);
+      return;
+    }
     if (value.length === 0) {
       this.jobs.delete(id);
       return;
@@ -91,6 +104,16 @@
     }
   }
 
+  private applyLostWorker(id: string, value: Uint8Array, now: Millis): void {
+    if (value.length === 0) {
+      this.lostWorkers.delete(id);
+      return;
+    }
+    const {born, leaseLeftMs} = unpackLostWorker(value);
+    // The record was written before now, so its leases end no later.
+    this.lostWorkers.set(id, {born, leaseEnd: now + leaseLeftMs});
+  }
+
   private job(id: string, now: Millis): KnownJob {
     let job = this.jobs.get(id);
     if (job === undefined) {
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -99,6 +99,7 @@
     const now = this.state.now();
     const {listing} = worker;
     if (listing === undefined || worker.draining) return false;
+    if (worker.isMarkedLost) return false;
     if (!worker.answering || now - worker.lastAnswerAt > FRESH_ANSWER) {
       return false;
     }
--- a/src/common/batch/scheduler.test.ts
+++ b/src/common/batch/scheduler.test.ts
@@ -159,6 +159,40 @@
     expect(healthy.starts).toHaveLength(3);
   });
 
+  it('waits no longer for a lost worker because schedulers change', () => {
+    // Each takeover used to extend the wait by authority and lease.
+    const lost = fleet.addWorker('w1');
+    fleet.submit(JOB, [{perpetual: true}]);
+    fleet.run(500);
+    lost.isSilent = true;
+    lost.isListed = false;
+    const spare = fleet.addWorker('w2');
+    fleet.run(3000);
+    fleet.takeOver();
+    fleet.run(2000);
+    fleet.takeOver();
+    fleet.run(2000);
+    expect(spare.starts).toEqual([FIRST_TASK]);
+  });
+
+  it('gives a lost worker no lease before the log takes its loss back', () => {
+    const lost = fleet.addWorker('w1');
+    fleet.submit(JOB, [{perpetual: true}]);
+    fleet.run(500);
+    lost.isSilent = true;
+    fleet.run(2000);
+    expect(fleet.view.lostWorkers.has('w1')).toBe(true);
+    fleet.storeIsUp = false;
+    lost.isSilent = false;
+    fleet.run(200);
+    const worker = fleet.scheduler.state.workers.get('w1')!;
+    expect(fleet.scheduler.leases.renewal(worker).leaseUntil).toBeUndefined();
+    fleet.storeIsUp = true;
+    fleet.run(200);
+    expect(fleet.view.lostWorkers.has('w1')).toBe(false);
+    expect(fleet.scheduler.leases.renewal(worker).leaseUntil).toBeDefined();
+  });
+
   it('gives a draining worker no starts and moves its lasting runs', () => {
     const leaving = fleet.addWorker('w1');
     fleet.submit(JOB, [{perpetual: true}]);
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -66,6 +66,7 @@
 
   /** Takes over all jobs that the log holds. */
   restore(view: JobView): void {
+    this.lifecycle.lostWorkers = view.lostWorkers;
     for (const job of view.jobs.values()) this.lifecycle.add(job);
   }
 
@@ -154,7 +155,7 @@
       });
     }
     state.dirty.clear();
-    records.push(...this.learnedRecords());
+    records.push(...this.learnedRecords(), ...this.leases.lossRecords());
     return {
       records,
       commands: state.staged.splice(0),
@@ -173,6 +174,7 @@
 
   /** Notes that a batch is durable. */
   onStored(batch: Batch): void {
+    for (const record of batch.records) this.leases.onLossRecordStored(record);
     for (const [worker, born, sequence] of batch.ends) {
       if (worker.born !== born) continue;
       worker.acknowledged = Math.max(worker.acknowledged, sequence);
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -1,5 +1,7 @@
 import {Millis} from '../base/clock.js';
 import {JobLifecycle} from './job_lifecycle.js';
+import {packRecord, RecordKind} from './job_records.js';
+import {KeyedRecord} from './store.js';
 import {CommandKind, LEASE_MARGIN, SchedulerState} from './scheduler_state.js';
 import {ReportedRun, WorkerReport} from './types.js';
 import {
@@ -14,6 +16,9 @@
 /** How long a worker holds a renewal when no run ends. */
 const RENEWAL_WAIT: Millis = 1000;
 
+/** Silence after which the log says that a worker is lost. */
+const MARK_AFTER: Millis = 1500;
+
 /** Silence after which a drained worker that isn't listed has left. */
 const LEFT_AFTER: Millis = 1500;
 
@@ -54,7 +59,10 @@
       token: this.state.token(worker),
       acknowledged: worker.acknowledged,
     };
-    if (!worker.answering || !this.hasAuthority) return {...base, waitMs: 0};
+    // No new lease before the log has taken back that the worker is lost.
+    if (!worker.answering || !this.hasAuthority || worker.isMarkedLost) {
+      return {...base, waitMs: 0};
+    }
     worker.noteLease(leaseMs, LEASE_MARGIN, now);
     const leaseUntil = worker.clockEstimate(now) + leaseMs;
     return {...base, leaseUntil, waitMs: RENEWAL_WAIT};
@@ -294,6 +302,35 @@
     this.state.workers.delete(worker.id);
   }
 
+  /** Records for the next scheduler which workers are out of reach. */
+  *lossRecords(): Generator<KeyedRecord> {
+    const now = this.state.now();
+    for (const worker of this.state.workers.values()) {
+      const key = RecordKind.LOST_WORKER + worker.id;
+      if (worker.isMarkedLost && worker.answering) {
+        yield {key, value: new Uint8Array()};
+      } else if (this.isNewlyLost(worker, now)) {
+        worker.isMarkedLost = true;
+        const leaseLeftMs = Math.max(0, worker.leaseEnd - now);
+        yield {key, value: packRecord({born: worker.born, leaseLeftMs})};
+      }
+    }
+  }
+
+  private isNewlyLost(worker: WorkerState, now: Millis): boolean {
+    if (worker.answering || worker.isMarkedLost || worker.born === 0) {
+      return false;
+    }
+    return worker.runs.size > 0 && now - worker.lastAnswerAt > MARK_AFTER;
+  }
+
+  /** Notes that the log holds what `lossRecords` returned. */
+  onLossRecordStored({key, value}: KeyedRecord): void {
+    if (key[0] !== RecordKind.LOST_WORKER || value.length > 0) return;
+    const worker = this.state.workers.get(key.slice(1));
+    if (worker !== undefined) worker.isMarkedLost = false;
+  }
+
   /** Acknowledges ends once the records that follow from them are durable. */
   *processedEnds(): Generator<[WorkerState, number, number]> {
     for (const worker of this.state.workers.values()) {
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -68,6 +68,8 @@
   /** Local time after which nothing that was ordered can still run. */
   leaseEnd: Millis = 0;
   lastAnswerAt: Millis = 0;
+  /** The log says, or is about to say, that the worker is lost. */
+  isMarkedLost = false;
   /** Whether the last renewal was answered; no new lease otherwise. */
   answering = false;
   /** Local time until which the worker gets no starts. */
--- a/src/node/batch/intake.ts
+++ b/src/node/batch/intake.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {AdaptiveTimeout} from '../../common/base/adaptive_timeout.js';
 import {Clock, Millis} from '../../common/base/clock.js';
 import {
   packRecord,
@@ -22,8 +23,9 @@
 } as const;
 export type IntakeResult = (typeof IntakeResult)[keyof typeof IntakeResult];
 
-/** Longest wait for the answer to one append. */
-const APPEND_TIMEOUT: Millis = 700;
+/** Shortest and longest wait for the answer to one append. */
+const LEAST_APPEND_TIMEOUT: Millis = 200;
+const LONGEST_APPEND_TIMEOUT: Millis = 700;
 
 /** Time after which a caller is sent to another instance. */
 const REJECTION_PATIENCE: Millis = 150;
@@ -45,6 +47,10 @@
 export class Intake {
   private waiting: Waiter[] = [];
   private isWriting = false;
+  private readonly timeout = new AdaptiveTimeout(
+    LEAST_APPEND_TIMEOUT,
+    LONGEST_APPEND_TIMEOUT,
+  );
 
   constructor(
     private readonly log: KeyedLog,
@@ -91,12 +97,7 @@
     let isUncertain = false;
     let pause = FIRST_PAUSE;
     while (open.length > 0) {
-      const {result} = await this.log.append(
-        Topic.INTAKE,
-        open.map(({record}) => record),
-        {},
-        APPEND_TIMEOUT,
-      );
+      const result = await this.appendOnce(open.map(({record}) => record));
       if (result === AppendResult.STORED) {
         for (const {record, settle} of open) {
           this.onStored(record);
@@ -115,6 +116,21 @@
     }
   }
 
+  private async appendOnce(
+    records: readonly KeyedRecord[],
+  ): Promise<AppendResult> {
+    const sentAt = this.clock.now();
+    const {result} = await this.log.append(
+      Topic.INTAKE,
+      records,
+      {},
+      this.timeout.value,
+    );
+    if (result === AppendResult.UNKNOWN) this.timeout.onTimeout();
+    else this.timeout.onAnswer(this.clock.now() - sentAt);
+    return result;
+  }
+
   private giveUpLate(
     open: readonly Waiter[],
     isUncertain: boolean,
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {AdaptiveTimeout} from '../../common/base/adaptive_timeout.js';
 import {Clock, Millis} from '../../common/base/clock.js';
 import {SIGN_INTERVAL} from '../../common/batch/election.js';
 import {
@@ -23,8 +24,9 @@
 /** Name under which the scheduler's appends are fenced. */
 export const WRITER_NAME = 'scheduler';
 
-/** Longest wait for the answer to one append of progress. */
-const APPEND_TIMEOUT: Millis = 800;
+/** Shortest and longest wait for the answer to one append of progress. */
+const LEAST_APPEND_TIMEOUT: Millis = 150;
+const LONGEST_APPEND_TIMEOUT: Millis = 800;
 
 /** Least time from one append to the next; bounds the calls to the store. */
 const APPEND_INTERVAL: Millis = 12;
@@ -64,6 +66,10 @@
   private wake: () => void = () => {};
   private committed: Promise<void>;
   private onCommitted: () => void = () => {};
+  private readonly timeout = new AdaptiveTimeout(
+    LEAST_APPEND_TIMEOUT,
+    LONGEST_APPEND_TIMEOUT,
+  );
   private readonly loops = new Set<WorkerState>();
   private isSignalled = false;
   private storedAt: Millis = -Infinity;
@@ -193,17 +199,22 @@
     }
   }
 
-  private appendOnce(
+  /** Repeats are stored once, so a lost answer need not be waited for. */
+  private async appendOnce(
     records: readonly KeyedRecord[],
     sequence: number,
   ): Promise<AppendAnswer> {
     const {epoch} = this.host.record;
-    return this.host.log.append(
+    const sentAt = this.host.clock.now();
+    const answer = await this.host.log.append(
       Topic.PROGRESS,
       records,
       {writer: {name: WRITER_NAME, epoch, sequence}},
-      APPEND_TIMEOUT,
+      this.timeout.value,
     );
+    if (answer.result === AppendResult.UNKNOWN) this.timeout.onTimeout();
+    else this.timeout.onAnswer(this.host.clock.now() - sentAt);
+    return answer;
   }
 
   private sendUrgent(): void {
