--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -31,6 +31,8 @@
   failedOn: string;
   /** How often the task was moved because it disturbed others. */
   moves: number;
+  /** Time before which the task is not placed, after a refused start. */
+  notBefore: Millis;
   /** Time since which the task could run. */
   readySince: Millis;
 }
@@ -69,6 +71,7 @@
     checkpoint: '',
     failedOn: '',
     moves: 0,
+    notBefore: 0,
     readySince: now,
   };
 }
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -109,12 +109,13 @@
 
   private waitingSteps(): WaitingStep[] {
     const groups = new Map<ActiveStep, ActiveTask[]>();
+    const now = this.state.now();
     for (const task of this.state.waiting) {
+      if (task.notBefore > now) continue;
       const tasks = groups.get(task.step);
       if (tasks === undefined) groups.set(task.step, [task]);
       else tasks.push(task);
     }
-    const now = this.state.now();
     return [...groups]
       .map(([step, tasks]) => ({step, tasks, urgency: this.urgency(step, now)}))
       .sort((a, b) => a.urgency - b.urgency);
--- a/src/common/batch/scheduler.test.ts
+++ b/src/common/batch/scheduler.test.ts
@@ -193,6 +193,15 @@
     expect(fleet.scheduler.leases.renewal(worker).leaseUntil).toBeDefined();
   });
 
+  it('forgets a job some time after its end', () => {
+    fleet.addWorker('w1');
+    fleet.submit(JOB, [{}]);
+    fleet.run(2000);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.COMPLETE);
+    fleet.run(122_000);
+    expect(fleet.view.jobs.has(JOB)).toBe(false);
+  });
+
   it('gives a draining worker no starts and moves its lasting runs', () => {
     const leaving = fleet.addWorker('w1');
     fleet.submit(JOB, [{perpetual: true}]);
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -28,6 +28,8 @@
 /** Records to store, and what follows once they are durable. */
 export interface Batch {
   readonly records: readonly KeyedRecord[];
+  /** Jobs whose records may be removed from the intake. */
+  readonly expired: readonly string[];
   /** Orders to send after the records are durable. */
   readonly commands: readonly Command[];
   /** Ends that may be acknowledged after the records are durable. */
@@ -155,9 +157,14 @@
       });
     }
     state.dirty.clear();
+    const expired = this.takeExpired();
+    for (const id of expired) {
+      records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
+    }
     records.push(...this.learnedRecords(), ...this.leases.lossRecords());
     return {
       records,
+      expired,
       commands: state.staged.splice(0),
       ends: [...this.leases.processedEnds()],
     };
@@ -187,7 +194,7 @@
   }
 
   /** Ids of jobs whose state need not be kept any longer. */
-  takeExpired(): string[] {
+  private takeExpired(): string[] {
     const {ended, wallClock, times} = this.state;
     const expired: string[] = [];
     for (const [id, endedAt] of ended) {
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -16,6 +16,9 @@
 /** How long a worker holds a renewal when no run ends. */
 const RENEWAL_WAIT: Millis = 1000;
 
+/** Time before a task is placed again whose start was refused. */
+const REFUSAL_PAUSE: Millis = 250;
+
 /** Silence after which the log says that a worker is lost. */
 const MARK_AFTER: Millis = 1500;
 
@@ -256,6 +259,7 @@
     if (run.uncertain) {
       this.state.stop(run, 'an earlier order may still be carried out');
     } else {
+      run.task.notBefore = now + REFUSAL_PAUSE;
       this.lose(run, `start refused: ${result}`);
     }
     return OrderNext.SETTLED;
--- /dev/null
+++ b/src/node/batch/store_faults.test.ts
@@ -0,0 +1,150 @@
+import {ManualClock} from '../../common/base/manual_clock.js';
+import {
+  AppendAnswer,
+  AppendResult,
+  KeyedLog,
+  KeyedRecord,
+  ReadAnswer,
+  ReadResult,
+  Topic,
+} from '../../common/batch/store.js';
+import {QUEUE, STEP} from '../../common/batch/simulated_fleet.test_support.js';
+import {SystemClock} from '../system_clock.js';
+import {Intake, IntakeResult} from './intake.js';
+import {LogTail} from './log_tail.js';
+
+const SUBMISSION = {
+  queue: QUEUE,
+  acceptedAt: 0,
+  shape: {spec: '', steps: [STEP], repeats: 0, startMs: 0, periodMs: 0},
+};
+
+/** A log whose answers a test scripts. */
+class ScriptedLog implements KeyedLog {
+  appends: AppendResult[] = [];
+  reads: ReadAnswer[] = [];
+  appended: (readonly KeyedRecord[])[] = [];
+  newestReads = 0;
+
+  append(
+    _topic: Topic,
+    records: readonly KeyedRecord[],
+  ): Promise<AppendAnswer> {
+    this.appended.push(records);
+    const result = this.appends.shift() ?? AppendResult.STORED;
+    return Promise.resolve({result});
+  }
+
+  read(): Promise<ReadAnswer> {
+    return Promise.resolve(this.reads.shift() ?? FAILED);
+  }
+
+  newest(): Promise<ReadAnswer> {
+    this.newestReads++;
+    return Promise.resolve({...FAILED, result: ReadResult.READ});
+  }
+}
+
+const FAILED: ReadAnswer = {
+  result: ReadResult.FAILED,
+  records: [],
+  next: 0,
+  end: 0,
+};
+
+describe('Intake', () => {
+  const clock = new SystemClock();
+  let log: ScriptedLog;
+  let intake: Intake;
+
+  beforeEach(() => {
+    log = new ScriptedLog();
+    intake = new Intake(log, clock, () => {});
+  });
+
+  it('repeats an append whose answer was lost and then says stored', async () => {
+    log.appends = [AppendResult.UNKNOWN, AppendResult.STORED];
+    const result = await intake.submit('a', SUBMISSION, clock.now() + 2000);
+    expect(result).toBe(IntakeResult.STORED);
+    expect(log.appended).toHaveLength(2);
+  });
+
+  it('never says rejected after an append without an answer', async () => {
+    // The job may be stored after all and then run: a false refusal.
+    log.appends = [AppendResult.UNKNOWN];
+    for (let call = 0; call < 50; call++) {
+      log.appends.push(AppendResult.REJECTED);
+    }
+    const result = await intake.submit('a', SUBMISSION, clock.now() + 200);
+    expect(result).toBe(IntakeResult.UNKNOWN);
+  });
+
+  it('rejects soon when the store certainly stored nothing', async () => {
+    log.appends = new Array<AppendResult>(50).fill(AppendResult.REJECTED);
+    const result = await intake.submit('a', SUBMISSION, clock.now() + 60_000);
+    expect(result).toBe(IntakeResult.REJECTED);
+    expect(log.appended.length).toBeLessThan(10);
+  });
+
+  it('stores records that arrive together with one append', async () => {
+    const deadline = clock.now() + 2000;
+    const first = intake.submit('a', SUBMISSION, deadline);
+    const rest = ['b', 'c', 'd'].map(id =>
+      intake.submit(id, SUBMISSION, deadline),
+    );
+    await Promise.all([first, ...rest]);
+    expect(log.appended.map(records => records.length)).toEqual([1, 3]);
+  });
+});
+
+describe('LogTail', () => {
+  const listener = {onRecords: () => {}, onRead: () => {}};
+  const options = {waitMs: 0, intervalMs: () => 0};
+  const page = (next: number, end: number): ReadAnswer => ({
+    result: ReadResult.READ,
+    records: [],
+    next,
+    end,
+  });
+
+  function newTail(log: ScriptedLog): LogTail {
+    const clock = new ManualClock();
+    return new LogTail(log, Topic.INTAKE, clock, options, listener);
+  }
+
+  it('reads to the end on a refresh', async () => {
+    const log = new ScriptedLog();
+    log.reads = [page(5, 9), page(9, 9)];
+    const tail = newTail(log);
+    tail.resume(0);
+    expect(await tail.refresh()).toBe(true);
+    expect(tail.next).toBe(9);
+  });
+
+  it('says that a refresh failed', async () => {
+    // Guards against answering that a job doesn't exist without having read.
+    const tail = newTail(new ScriptedLog());
+    tail.resume(0);
+    expect(await tail.refresh()).toBe(false);
+  });
+
+  it('reads once more for a request that came during a refresh', async () => {
+    const log = new ScriptedLog();
+    log.reads = [page(1, 1), page(2, 2)];
+    const tail = newTail(log);
+    tail.resume(0);
+    const first = tail.refresh();
+    const second = tail.refresh();
+    await Promise.all([first, second]);
+    expect(tail.next).toBe(2);
+  });
+
+  it('loads the newest records when its offset has expired', async () => {
+    const log = new ScriptedLog();
+    log.reads = [{...FAILED, result: ReadResult.EXPIRED}];
+    const tail = newTail(log);
+    tail.resume(3);
+    await tail.refresh();
+    expect(log.newestReads).toBe(1);
+  });
+});
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -4,6 +4,7 @@
 import {SIGN_INTERVAL} from '../../common/batch/election.js';
 import {
   packRecord,
+  RecordKind,
   SCHEDULER_KEY,
   SchedulerRecord,
 } from '../../common/batch/job_records.js';
@@ -166,11 +167,22 @@
     }
     this.scheduler.onStored(batch);
     for (const command of batch.commands) this.send(command);
+    if (batch.expired.length > 0) void this.removeExpired(batch.expired);
     const release = this.onCommitted;
     this.committed = this.nextCommit();
     release();
   }
 
+  /** Sent once: what remains of an expired job does no harm. */
+  private async removeExpired(ids: readonly string[]): Promise<void> {
+    const kinds = [RecordKind.SUBMISSION, RecordKind.CANCELLATION];
+    const records = ids.flatMap(id =>
+      kinds.map(kind => ({key: kind + id, value: new Uint8Array()})),
+    );
+    const timeout = LONGEST_APPEND_TIMEOUT;
+    await this.host.log.append(Topic.INTAKE, records, {}, timeout);
+  }
+
   /** Adds a sign of life when one is due and there is no progress. */
   private recordsOf(batch: Batch, now: Millis): readonly KeyedRecord[] {
     if (batch.records.length > 0) return batch.records;
