Count a failed run once however often its end is listed

Cause: a worker lists an end until it is acknowledged. After a takeover the new scheduler took a failure that was already recorded for one more, and a job with attempts left was shown as failed. Ruled out: nothing else was examined. Test: scheduler.test.ts fails without the check. Attempts that failed are recorded in place of their number.

--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -23,7 +23,8 @@
   readonly step: ActiveStep;
   phase: TaskPhase;
   attempt: number;
-  failures: number;
+  /** Attempts that ended as failed. */
+  failures: readonly number[];
   checkpoint: string;
   /** The run that was placed last and whose end is not known. */
   run?: Run;
@@ -67,7 +68,7 @@
     step,
     phase: TaskPhase.WAITING,
     attempt: 0,
-    failures: 0,
+    failures: [],
     checkpoint: '',
     failedOn: '',
     moves: 0,
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -174,7 +174,7 @@
         worker: worker.id,
         end: end.end,
       });
-      if (end.end === RunEnd.FAILED) this.countStaleFailure(end.task);
+      if (end.end === RunEnd.FAILED) this.countStaleFailure(end);
       return;
     }
     this.state.log.decide('run-ended', {
@@ -190,15 +190,18 @@
     this.dropIfSettled(run.task.step.occurrence.job);
   }
 
-  /** A failure counts against the task's attempts however late it is known. */
-  private countStaleFailure(name: string): void {
-    const position = parseTaskName(name);
+  /**
+   * A failure counts against the task's attempts however late it is known, but
+   * once: a worker lists an end again until it is acknowledged.
+   */
+  private countStaleFailure(end: ReportedEnd): void {
+    const position = parseTaskName(end.task);
     if (position === undefined) return;
     const job = this.state.jobs.get(position.job);
     const occurrence = job?.occurrences.get(position.occurrence);
     const task = occurrence?.steps[position.step]?.tasks[position.index];
     if (job === undefined || task === undefined) return;
-    task.failures++;
+    countFailure(task, end.attempt);
     this.state.dirty.add(job);
   }
 
@@ -286,13 +289,13 @@
   private onFailed(run: Run): void {
     const {task, worker} = run;
     const {job} = task.step.occurrence;
-    task.failures++;
+    countFailure(task, run.attempt);
     task.failedOn = worker.id;
     this.noteFailure(worker, job.id);
     const {perpetual, gang} = task.step.shape;
     const failures = gang
-      ? task.step.tasks.reduce((sum, {failures}) => sum + failures, 0)
-      : task.failures;
+      ? task.step.tasks.reduce((sum, {failures}) => sum + failures.length, 0)
+      : task.failures.length;
     if (!perpetual && failures >= job.queue.maxAttempts) {
       if (!isFinal(job.phase)) {
         this.finish(job, JobPhase.FAILED, `task ${task.name} failed`);
@@ -323,3 +326,8 @@
     this.state.log.decide('quarantine', {worker: worker.id, duration, reason});
   }
 }
+
+function countFailure(task: ActiveTask, attempt: number): void {
+  if (task.failures.includes(attempt)) return;
+  task.failures = [...task.failures, attempt];
+}
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -26,8 +26,8 @@
   readonly phase: TaskPhase;
   /** Number of the latest start; 0 before the first. */
   readonly attempt: number;
-  /** Runs that ended as failed. */
-  readonly failures: number;
+  /** Attempts that ended as failed; an end may be listed more than once. */
+  readonly failures: readonly number[];
   /** Worker and incarnation of the latest start. */
   readonly worker: string;
   readonly born: number;
@@ -98,7 +98,8 @@
 
 const packr = new Packr({useRecords: false});
 
-type PackedTask = 0 | [number, number, number, string, number, string];
+type PackedTask =
+  0 | [number, number, readonly number[], string, number, string];
 
 function packTask(task: TaskRecord): PackedTask {
   if (task.phase === TaskPhase.WAITING && task.attempt === 0) return 0;
@@ -110,7 +111,7 @@
 const NEW_TASK: TaskRecord = {
   phase: TaskPhase.WAITING,
   attempt: 0,
-  failures: 0,
+  failures: [],
   worker: '',
   born: 0,
   checkpoint: '',
--- a/src/common/batch/job_view.test.ts
+++ b/src/common/batch/job_view.test.ts
@@ -25,7 +25,7 @@
           {
             phase: TaskPhase.PLACED,
             attempt: 2,
-            failures: 1,
+            failures: [1],
             worker: 'w1',
             born: 7,
             checkpoint: 'c',
@@ -33,7 +33,7 @@
           {
             phase: TaskPhase.WAITING,
             attempt: 0,
-            failures: 0,
+            failures: [],
             worker: '',
             born: 0,
             checkpoint: '',
--- a/src/common/batch/scheduler.test.ts
+++ b/src/common/batch/scheduler.test.ts
@@ -145,6 +145,31 @@
     expect(fleet.view.phase(JOB)).toBe(JobPhase.FAILED);
   });
 
+  it('counts a failure once that is listed again after a takeover', () => {
+    // Counted twice, one failure used to fail a job with two attempts.
+    const worker = fleet.addWorker('w1');
+    worker.outcome = RunEnd.FAILED;
+    fleet.submit(JOB, [{}]);
+    fleet.run(1150);
+    expect(worker.starts).toHaveLength(2);
+    worker.outcome = RunEnd.DONE;
+    worker.ends = [
+      {
+        sequence: 1,
+        task: FIRST_TASK,
+        attempt: 1,
+        end: RunEnd.FAILED,
+        checkpoint: '',
+      },
+    ];
+    fleet.takeOver();
+    fleet.run(200);
+    const task = fleet.scheduler.state.jobs.get(JOB)!.tasks().next().value!;
+    expect(task.failures).toEqual([1]);
+    fleet.run(2000);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.COMPLETE);
+  });
+
   it('puts a worker aside on which tasks of several jobs fail', () => {
     const broken = fleet.addWorker('w1', 8000);
     broken.outcome = RunEnd.FAILED;
