Report a job as cancelled only once the scheduler has stored it

Cause: cancellations and progress are in different topics. An instance that had read a cancellation and not yet the stored "complete" returned "cancelled" as final, without a refresh. Change: JobView.phase is the stored phase alone; a cancellation changes it when the scheduler stores it.

--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -65,11 +65,14 @@
     }
   }
 
-  /** Phase of a job as reported to callers; undefined for an unknown job. */
+  /**
+   * Phase of a job as the scheduler stored it; undefined for an unknown job. A
+   * cancellation that was read doesn't decide it: the scheduler may have stored
+   * that the job is complete, in a record that this instance has not read yet.
+   */
   phase(id: string): JobPhase | undefined {
     const job = this.jobs.get(id);
     if (job?.submission === undefined) return undefined;
-    if (job.cancelled) return JobPhase.CANCELLED;
     return job.progress?.phase ?? JobPhase.QUEUED;
   }
 
