Let the check of refused jobs in the soak fail

Cause: provenNotRun was set to false before each submission and never to true, so checkRefusals had no job to check, in any run. Change: a caller whose submissions were all answered as certainly not run may give up; its job must never start. The id of a job is known before it is accepted.

--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -1,3 +1,5 @@
+import {checkRefusals} from '../src/common/jobs/invariant_checks.test_support.js';
+import {FakeDataCentre} from '../src/common/jobs/fake_data_centre.test_support.js';
 import {runSoak} from './soak_run.js';
 
 /** Fixed seeds, so that every CI run has the same result. */
@@ -11,4 +13,22 @@
     }
     expect(finished).toBeGreaterThan(0);
   });
+
+  it('has callers whose jobs were refused', () => {
+    // Guards against a check of refused jobs that has no job to check.
+    const refused = SEEDS.map(seed => runSoak(seed).refused);
+    expect(Math.max(...refused)).toBeGreaterThan(0);
+  });
+
+  it('finds a job that ran although it was refused as not run', () => {
+    // Guards against a check that passes whatever ran.
+    const ledger = [{job: 'a'}, {job: 'b'}];
+    const callers = [
+      {job: 'b', provenNotRun: true},
+      {job: 'c', provenNotRun: true},
+      {job: 'a', provenNotRun: false},
+    ];
+    const checked = {ledger, callers} as unknown as FakeDataCentre;
+    expect(checkRefusals(checked)).toHaveLength(1);
+  });
 });
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {Millis, MINUTE, SECOND} from '../src/common/base/clock.js';
 import {Ran} from '../src/common/base/refusal.js';
+import {jobIdOf} from '../src/common/jobs/job_id.js';
 import {FakeDataCentre} from '../src/common/jobs/fake_data_centre.test_support.js';
 import {
   FakeWorker,
@@ -22,7 +23,7 @@
 import {SimulatedProcess} from '../src/common/leadership/testing/simulated_process.js';
 import {SimulatedDataCentre} from '../src/common/leadership/testing/simulated_data_centre.js';
 import {Urgency} from '../src/common/tickets/types.js';
-import {SoakApplication} from './soak_application.js';
+import {DATA_CENTRE, SoakApplication} from './soak_application.js';
 
 const PROCESS_COUNT = 3;
 const WORKER_COUNT = 4;
@@ -40,17 +41,26 @@
 /** Interval at which a caller submits an unaccepted job. */
 const RETRY_INTERVAL_MS: Millis = 2 * SECOND;
 
+/**
+ * Probability that a caller submits again after a refusal; the others make up
+ * the jobs that were refused and must never run.
+ */
+const RETRY_PROBABILITY = 0.7;
+
 /**
  * A caller that submits until its job is accepted. The checks get it by a cast in
  * place of a `FakeCaller`, so its fields keep the names of that class.
  */
 interface SoakCaller {
   readonly submission: Submission;
-  /** Id of the job; empty until it is accepted. */
-  job: string;
+  readonly job: string;
   accepted: boolean;
-  /** Whether no submission can have been accepted: false from the first on. */
+  /** Whether every submission was refused as certainly not run. */
   provenNotRun: boolean;
+  /** Submissions without an answer; each of them may be accepted. */
+  openSubmissions: number;
+  /** Whether an answer left open whether the job was accepted. */
+  isUncertain: boolean;
   cancelRequested: boolean;
 }
 
@@ -62,6 +72,8 @@
   readonly starts: number;
   /** Finished tasks. */
   readonly finished: number;
+  /** Callers that gave up after refusals as certainly not run. */
+  readonly refused: number;
   /** Views in the log. */
   readonly views: number;
   readonly trace: readonly string[];
@@ -118,6 +130,7 @@
       violations,
       starts: this.ledger.filter(({event}) => event === 'start').length,
       finished: this.ledger.filter(({event}) => event === 'finished').length,
+      refused: this.callers.filter(({provenNotRun}) => provenNotRun).length,
       views: sim.log.filter(({data}) => data.kind === 'view').length,
       trace: sim.trace,
     };
@@ -152,9 +165,10 @@
 
   private addCaller(index: number): void {
     const {sim} = this;
+    const key = `job-${index}`;
     const caller: SoakCaller = {
       submission: {
-        key: `job-${index}`,
+        key,
         jobClass: 'cut',
         team: 'team',
         urgency: Urgency.NORMAL,
@@ -166,9 +180,11 @@
         runMs: sim.randomBetween(200, 8000),
         idempotent: sim.random() < 0.5,
       },
-      job: '',
+      job: jobIdOf(DATA_CENTRE, key),
       accepted: false,
-      provenNotRun: true,
+      provenNotRun: false,
+      openSubmissions: 0,
+      isUncertain: false,
       cancelRequested: false,
     };
     this.callers.push(caller);
@@ -179,7 +195,7 @@
 
   /** Submits to a lease holder, or to any process; retries until accepted. */
   private submit(caller: SoakCaller): void {
-    if (caller.accepted) return;
+    if (caller.accepted || caller.provenNotRun) return;
     const {sim} = this;
     sim.queue.after(RETRY_INTERVAL_MS, () => this.submit(caller));
     const processes = [...sim.processes.values()];
@@ -188,24 +204,33 @@
       holders[0] ?? processes[Math.floor(sim.random() * processes.length)];
     if (process === undefined) return;
     const request = `r${++this.requestCount}`;
-    caller.provenNotRun = false;
+    caller.openSubmissions++;
     const {submission} = caller;
     this.applications
       .get(process)
       ?.sendRequest(request, {kind: 'submit', request, submission}, answer =>
         answer.caseOf({
-          Left: ({ran}) => {
-            if (ran === Ran.NO && !caller.accepted) caller.provenNotRun = false;
-          },
+          Left: ({ran}) => this.onRefused(caller, ran),
           Right: value => {
             if (value.kind !== 'job') return;
             caller.accepted = true;
-            caller.job = value.job.id;
+            if (value.job.id !== caller.job) {
+              throw new Error(`${caller.job} was accepted as ${value.job.id}`);
+            }
           },
         }),
       );
   }
 
+  /** Makes some callers give up whose submissions were all refused. */
+  private onRefused(caller: SoakCaller, ran: Ran): void {
+    caller.openSubmissions--;
+    if (ran !== Ran.NO) caller.isUncertain = true;
+    const isCertain = !caller.isUncertain && caller.openSubmissions === 0;
+    if (!isCertain || this.sim.random() < RETRY_PROBABILITY) return;
+    caller.provenNotRun = true;
+  }
+
   /** Kills or disconnects a random worker; ends the fault if it has one. */
   private changeWorkerFault(): void {
     const {sim} = this;
