--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -1,6 +1,7 @@
 import {Millis} from '../base/clock.js';
 import {
   JobPhase,
+  JobStateRecord,
   OccurrenceRecord,
   ProgressRecord,
   SubmissionRecord,
@@ -91,6 +92,8 @@
   nextOccurrence = 0;
   /** Wall-clock time of the final phase, in ms since 1970; 0 before it. */
   endedAt = 0;
+  /** Phase in the last state record; no record is needed for QUEUED. */
+  publishedPhase: JobPhase = JobPhase.QUEUED;
   /** Occurrences that are not over, by number. */
   readonly occurrences = new Map<number, ActiveOccurrence>();
 
@@ -166,6 +169,14 @@
     }
   }
 
+  /** Returns the state to write to the log; undefined if it is written. */
+  takeStateChange(): JobStateRecord | undefined {
+    const {phase, hasStarted, endedAt} = this;
+    if (phase === this.publishedPhase) return undefined;
+    this.publishedPhase = phase;
+    return {phase, hasStarted, endedAt};
+  }
+
   /** Returns the progress to write to the log. */
   toRecord(): ProgressRecord {
     return {
--- a/src/common/batch/election.test.ts
+++ b/src/common/batch/election.test.ts
@@ -83,4 +83,31 @@
     election.onHeartbeat({...OTHER, incarnation: 'a1'}, 1000);
     expect(election.timeUntilClaim(1000)).toBe(100);
   });
+
+  it('waits longer after several quick takeovers in a row', () => {
+    // Guards against takeovers that follow each other without end: a scheduler
+    // that is slow under its load is silent at times, and a takeover adds load.
+    let record = OTHER;
+    let now = 1000;
+    const timeouts: number[] = [];
+    for (let epoch = 2; epoch <= 6; epoch++) {
+      election.onHeartbeat(record, now);
+      timeouts.push(election.timeUntilClaim(now)! - 100);
+      now += 3000;
+      const quickTakeovers = election.quickTakeovers(now);
+      record = {...OTHER, epoch, quickTakeovers};
+    }
+    expect(timeouts.map(timeout => timeout / SCHEDULER_TIMEOUT_MS)).toEqual([
+      1, 1, 2, 4, 4,
+    ]);
+  });
+
+  it('counts no quick takeover after a long term or a resignation', () => {
+    // Guards against a slow takeover from a scheduler that has failed.
+    const record = {...OTHER, quickTakeovers: 3};
+    election.onHeartbeat(record, 1000);
+    expect(election.quickTakeovers(60_000)).toBe(0);
+    election.onHeartbeat({...record, epoch: 2, resigned: true}, 61_000);
+    expect(election.quickTakeovers(62_000)).toBe(0);
+  });
 });
--- a/src/common/batch/election.ts
+++ b/src/common/batch/election.ts
@@ -4,6 +4,15 @@
 /** Time without a heartbeat after which another instance claims the role. */
 export const SCHEDULER_TIMEOUT_MS: Millis = 1100;
 
+/**
+ * Time since the start of a term within which its replacement counts as a quick
+ * takeover. From the second one in a row, the timeout doubles with each, up to
+ * the maximum exponent: a scheduler that is slow under its load is silent at
+ * times, and each takeover adds to the load.
+ */
+const QUICK_TAKEOVER_MS: Millis = 10_000;
+const MAX_TIMEOUT_DOUBLINGS = 2;
+
 /** Time between two heartbeats of the scheduler. */
 export const HEARTBEAT_INTERVAL_MS: Millis = 300;
 
@@ -38,6 +47,8 @@
   private readableSince: Millis | undefined;
   /** Record of the latest claim; undefined before any was read. */
   private schedulerRecord: SchedulerRecord | undefined;
+  /** Local time at which the latest claim was read. */
+  private termSeenAt: Millis = -Infinity;
   /** Whether another instance has far more processors. */
   private isWeak = false;
 
@@ -53,8 +64,9 @@
     this.lastHeartbeat = now;
   }
 
-  /** Handles records of the progress topic, which serve as heartbeats. */
+  /** Handles records of the states topic, which serve as heartbeats. */
   onHeartbeat(current: SchedulerRecord | undefined, now: Millis): void {
+    if (current?.epoch !== this.schedulerRecord?.epoch) this.termSeenAt = now;
     this.schedulerRecord = current;
     this.lastHeartbeat = now;
   }
@@ -83,11 +95,27 @@
     return Math.max(0, silentSince + wait + this.delayMs - now);
   }
 
+  /** Number of quick takeovers in a row if this instance claims now. */
+  quickTakeovers(now: Millis): number {
+    if (this.schedulerRecord === undefined || this.isRoleVacant) return 0;
+    if (now - this.termSeenAt > QUICK_TAKEOVER_MS) return 0;
+    return (this.schedulerRecord.quickTakeovers ?? 0) + 1;
+  }
+
+  private get isRoleVacant(): boolean {
+    return (
+      this.schedulerRecord?.resigned === true ||
+      this.schedulerRecord?.incarnation === this.incarnation
+    );
+  }
+
   private heartbeatTimeout(): Millis {
     if (this.schedulerRecord === undefined) return FIRST_CLAIM_DELAY_MS;
-    const isRoleVacant =
-      this.schedulerRecord.resigned ||
-      this.schedulerRecord.incarnation === this.incarnation;
-    return isRoleVacant ? 0 : SCHEDULER_TIMEOUT_MS;
+    if (this.isRoleVacant) return 0;
+    const quickTakeovers = this.schedulerRecord.quickTakeovers ?? 0;
+    const doublings = Math.max(0, quickTakeovers - 1);
+    return (
+      SCHEDULER_TIMEOUT_MS * 2 ** Math.min(doublings, MAX_TIMEOUT_DOUBLINGS)
+    );
   }
 }
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -6,7 +6,7 @@
   isStepDone,
   isStepReady,
 } from './active_job.js';
-import {isFinal, JobPhase, TaskPhase} from './job_records.js';
+import {isFinal, JobPhase, ProgressRecord, TaskPhase} from './job_records.js';
 import {KnownJob, LostWorker} from './job_view.js';
 import {LEASE_EXPIRY_MARGIN_MS, SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunOutcome} from './types.js';
@@ -38,11 +38,16 @@
    */
   add(known: KnownJob): void {
     const {state} = this;
-    const {submission, progress, id} = known;
+    const {submission, id} = known;
     if (submission === undefined || state.jobs.has(id)) return;
     if (state.endedJobs.has(id)) return;
+    const progress = restoredProgress(known);
     if (progress !== undefined && isFinal(progress.phase)) {
       state.endedJobs.set(id, progress.endedAt);
+      if (known.state?.phase !== progress.phase) {
+        const {phase, hasStarted, endedAt} = progress;
+        state.statesToStore.set(id, {phase, hasStarted, endedAt});
+      }
     }
     const job = new ActiveJob(
       id,
@@ -51,6 +56,7 @@
       known.seenAt,
     );
     const now = state.now();
+    job.publishedPhase = known.state?.phase ?? JobPhase.QUEUED;
     if (progress !== undefined) {
       for (const [task, record] of job.restore(progress, now)) {
         this.restoreRun(task, record.worker, record.born);
@@ -65,6 +71,7 @@
       return;
     }
     state.jobs.set(id, job);
+    if (job.phase !== job.publishedPhase) state.jobsToStore.add(job);
     this.logAdded(job);
     if (submission.shape.repeats === 0 && !job.occurrences.has(0)) {
       job.addOccurrence(0, now);
@@ -383,6 +390,19 @@
   }
 }
 
+/**
+ * Progress of a job as recorded. A final phase that was stored as the job's
+ * state stands, whatever the record of its tasks says.
+ */
+function restoredProgress({
+  state,
+  progress,
+}: KnownJob): ProgressRecord | undefined {
+  if (state === undefined || !isFinal(state.phase)) return progress;
+  const tasks = {nextOccurrence: 0, occurrences: [], ...progress};
+  return {...tasks, ...state};
+}
+
 /** Adds an attempt to the failures of a task, once. */
 function countFailure(task: ActiveTask, attempt: number): void {
   if (task.failures.includes(attempt)) return;
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -65,6 +65,15 @@
   readonly endedAt: number;
 }
 
+/** The state of a job that all instances know. */
+export interface JobStateRecord {
+  readonly phase: JobPhase;
+  /** Whether any task was ever placed. */
+  readonly hasStarted: boolean;
+  /** Wall-clock time of the final phase, in ms since 1970; 0 before it. */
+  readonly endedAt: number;
+}
+
 /** An accepted job as written to the log. */
 export interface SubmissionRecord {
   /** The queue as configured when the job was accepted. */
@@ -82,6 +91,11 @@
   readonly incarnation: string;
   /** Whether the instance has resigned from the scheduler role. */
   readonly resigned: boolean;
+  /**
+   * Number of takeovers in a row, up to this one, from a scheduler that had
+   * begun only shortly before and did not resign.
+   */
+  readonly quickTakeovers?: number;
 }
 
 /** An unreachable worker, as recorded for the next scheduler. */
@@ -104,6 +118,8 @@
   SUBMISSION: 'j',
   /** A job's cancellation by its caller. */
   CANCELLATION: 'c',
+  /** State of a job. */
+  STATE: 't',
   /** Progress of a job. */
   PROGRESS: 's',
   /** Claim, heartbeat or resignation of the scheduler. */
@@ -193,6 +209,21 @@
   };
 }
 
+/** Encodes a job's state by position, without field names. */
+export function packState(record: JobStateRecord): Uint8Array {
+  return packr.pack([record.phase, record.hasStarted, record.endedAt]);
+}
+
+/** Decodes a job's state. */
+export function unpackState(bytes: Uint8Array): JobStateRecord {
+  const [phase, hasStarted, endedAt] = packr.unpack(bytes) as [
+    JobPhase,
+    boolean,
+    number,
+  ];
+  return {phase, hasStarted, endedAt};
+}
+
 /** Encodes any other record, with its field names. */
 export function packRecord(
   record:
--- a/src/common/batch/job_view.test.ts
+++ b/src/common/batch/job_view.test.ts
@@ -1,7 +1,9 @@
 import {
   JobPhase,
+  JobStateRecord,
   packProgress,
   packRecord,
+  packState,
   ProgressRecord,
   RecordKind,
   SCHEDULER_KEY,
@@ -45,6 +47,12 @@
   endedAt: 0,
 };
 
+const RUNNING: JobStateRecord = {
+  phase: JobPhase.RUNNING,
+  hasStarted: true,
+  endedAt: 0,
+};
+
 const SUBMISSION = packRecord({
   queue: QUEUE,
   acceptedAt: 5,
@@ -76,15 +84,15 @@
     apply(RecordKind.SUBMISSION + ID, SUBMISSION);
     expect(view.phase(ID)).toBe(JobPhase.QUEUED);
     expect(view.pending(QUEUE.name)).toBe(1);
-    apply(RecordKind.PROGRESS + ID, packProgress(PROGRESS));
+    apply(RecordKind.STATE + ID, packState(RUNNING));
     expect(view.phase(ID)).toBe(JobPhase.RUNNING);
     expect(view.pending(QUEUE.name)).toBe(0);
   });
 
   it('reports no phase for a job without a submission', () => {
     // Guards against a phase of a job whose submission isn't read yet: the
-    // topics are read independently, so progress may arrive first.
-    apply(RecordKind.PROGRESS + ID, packProgress(PROGRESS));
+    // topics are read independently, so its state may arrive first.
+    apply(RecordKind.STATE + ID, packState(RUNNING));
     expect(view.phase(ID)).toBeUndefined();
   });
 
@@ -93,11 +101,11 @@
     // complete at another: the instance had read the cancellation and not yet
     // the progress, which is in another topic (soak, seed 511).
     apply(RecordKind.SUBMISSION + ID, SUBMISSION);
-    apply(RecordKind.PROGRESS + ID, packProgress(PROGRESS));
+    apply(RecordKind.STATE + ID, packState(RUNNING));
     apply(RecordKind.CANCELLATION + ID, Uint8Array.of(1));
     expect(view.phase(ID)).toBe(JobPhase.RUNNING);
-    const cancelled = {...PROGRESS, phase: JobPhase.CANCELLED};
-    apply(RecordKind.PROGRESS + ID, packProgress(cancelled));
+    const cancelled = {...RUNNING, phase: JobPhase.CANCELLED, endedAt: 7};
+    apply(RecordKind.STATE + ID, packState(cancelled));
     expect(view.phase(ID)).toBe(JobPhase.CANCELLED);
   });
 
@@ -111,12 +119,32 @@
   it('keeps a complete job as complete when it is cancelled', () => {
     // Guards against a final phase that changes after it was reported.
     apply(RecordKind.SUBMISSION + ID, SUBMISSION);
-    const complete = {...PROGRESS, phase: JobPhase.COMPLETE};
-    apply(RecordKind.PROGRESS + ID, packProgress(complete));
+    const complete = {...RUNNING, phase: JobPhase.COMPLETE, endedAt: 7};
+    apply(RecordKind.STATE + ID, packState(complete));
     apply(RecordKind.CANCELLATION + ID, Uint8Array.of(1));
     expect(view.phase(ID)).toBe(JobPhase.COMPLETE);
   });
 
+  it('ignores the record of an earlier scheduler that is read again', () => {
+    // Guards against a claim with an epoch that was used before: the pages of
+    // the newest records may be newer than the records read after them.
+    const record = {instance: 'e1', incarnation: 'x', resigned: false};
+    apply(SCHEDULER_KEY, packRecord({...record, epoch: 4}));
+    apply(SCHEDULER_KEY, packRecord({...record, epoch: 3}));
+    expect(view.scheduler?.epoch).toBe(4);
+  });
+
+  it('forgets the tasks of jobs after a takeover, not their states', () => {
+    // Guards against tasks of an earlier term that a later takeover restores,
+    // and against the memory that they take at every instance.
+    apply(RecordKind.SUBMISSION + ID, SUBMISSION);
+    apply(RecordKind.STATE + ID, packState(RUNNING));
+    apply(RecordKind.PROGRESS + ID, packProgress(PROGRESS));
+    view.dropProgress();
+    expect(view.jobs.get(ID)?.progress).toBeUndefined();
+    expect(view.phase(ID)).toBe(JobPhase.RUNNING);
+  });
+
   it('removes a job whose records were deleted', () => {
     // Guards against reporting a job after its records have expired.
     apply(RecordKind.SUBMISSION + ID, SUBMISSION);
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -3,6 +3,7 @@
 import {
   INTERFERENCE_KEY,
   JobPhase,
+  JobStateRecord,
   ProgressRecord,
   RecordKind,
   SCHEDULER_KEY,
@@ -13,6 +14,7 @@
   unpackLostWorker,
   unpackProgress,
   unpackScheduler,
+  unpackState,
   unpackSubmission,
 } from './job_records.js';
 import {KeyedRecord} from './store.js';
@@ -21,6 +23,8 @@
 export interface KnownJob {
   readonly id: string;
   submission?: SubmissionRecord;
+  state?: JobStateRecord;
+  /** Tasks of the job; known only during a takeover. */
   progress?: ProgressRecord;
   /** Whether the caller has cancelled the job before it ended. */
   cancelled: boolean;
@@ -41,7 +45,8 @@
 
 /**
  * In-memory replica of the job topics. Every instance keeps one to serve job
- * status requests and to restore the state of a newly elected scheduler.
+ * status requests. A new scheduler adds the records of the progress topic, to
+ * restore its state, and then forgets them.
  */
 export class JobView {
   readonly jobs = new Map<string, KnownJob>();
@@ -73,7 +78,7 @@
   phase(id: string): JobPhase | undefined {
     const job = this.jobs.get(id);
     if (job?.submission === undefined) return undefined;
-    return job.progress?.phase ?? JobPhase.QUEUED;
+    return job.state?.phase ?? JobPhase.QUEUED;
   }
 
   /** Number of jobs of a queue without a started task, less cancelled ones. */
@@ -81,14 +86,14 @@
     let count = 0;
     for (const job of this.jobs.values()) {
       if (job.submission?.queue.name !== queue || job.cancelled) continue;
-      if (!(job.progress?.hasStarted ?? false)) count++;
+      if (!(job.state?.hasStarted ?? false)) count++;
     }
     return count;
   }
 
   private applyDecoded({key, value}: KeyedRecord, now: Millis): void {
     if (key === SCHEDULER_KEY) {
-      if (value.length > 0) this.scheduler = unpackScheduler(value);
+      if (value.length > 0) this.applyScheduler(unpackScheduler(value));
       return;
     }
     if (key === INTERFERENCE_KEY) {
@@ -112,13 +117,27 @@
     if (key[0] === RecordKind.SUBMISSION) {
       job.submission ??= unpackSubmission(value);
     } else if (key[0] === RecordKind.CANCELLATION) {
-      job.cancelled = !isCompleteOrFailed(job.progress);
+      job.cancelled = !isCompleteOrFailed(job.state);
+    } else if (key[0] === RecordKind.STATE) {
+      job.state = unpackState(value);
+      if (isCompleteOrFailed(job.state)) job.cancelled = false;
     } else if (key[0] === RecordKind.PROGRESS) {
       job.progress = unpackProgress(value);
-      if (isCompleteOrFailed(job.progress)) job.cancelled = false;
     }
   }
 
+  /** Forgets the records of the progress topic. */
+  dropProgress(): void {
+    for (const job of this.jobs.values()) job.progress = undefined;
+    this.interference = {};
+  }
+
+  /** Ignores records of earlier schedulers that are read again. */
+  private applyScheduler(record: SchedulerRecord): void {
+    if (record.epoch < (this.scheduler?.epoch ?? 0)) return;
+    this.scheduler = record;
+  }
+
   private applyLostWorker(id: string, value: Uint8Array, now: Millis): void {
     if (value.length === 0) {
       this.lostWorkers.delete(id);
@@ -140,8 +159,6 @@
 }
 
 /** Whether a job completed or failed, so that a cancellation has no effect. */
-function isCompleteOrFailed(progress: ProgressRecord | undefined): boolean {
-  return (
-    progress?.phase === JobPhase.COMPLETE || progress?.phase === JobPhase.FAILED
-  );
+function isCompleteOrFailed(state: JobStateRecord | undefined): boolean {
+  return state?.phase === JobPhase.COMPLETE || state?.phase === JobPhase.FAILED;
 }
--- a/src/common/batch/scheduler.test.ts
+++ b/src/common/batch/scheduler.test.ts
@@ -189,6 +189,21 @@
     expect(fleet.view.phase(JOB)).toBe(JobPhase.CANCELLED);
   });
 
+  it('stores the state of a job whose end the predecessor did not tell', () => {
+    // Guards against a job that is shown as running for good: the predecessor
+    // stored the end of its last task and failed before it stored the state.
+    fleet.addWorker('w1');
+    fleet.submit(JOB, [{}]);
+    fleet.run(500);
+    fleet.dropsStates = true;
+    fleet.run(2000);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.RUNNING);
+    fleet.dropsStates = false;
+    fleet.takeOver();
+    fleet.run(100);
+    expect(fleet.view.phase(JOB)).toBe(JobPhase.COMPLETE);
+  });
+
   it('stops runs of a cancelled job after a takeover', () => {
     // Guards against runs that go on because the stop request was lost.
     const worker = fleet.addWorker('w1');
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -7,6 +7,7 @@
   INTERFERENCE_KEY,
   packProgress,
   packRecord,
+  packState,
   RecordKind,
 } from './job_records.js';
 import {JobView, KnownJob} from './job_view.js';
@@ -28,7 +29,13 @@
 
 /** Records to store, and the actions to take once they are durable. */
 export interface CommitBatch {
+  /** Records of the progress topic. */
   readonly records: readonly KeyedRecord[];
+  /**
+   * Records of the states topic, to store after the others: what callers are
+   * told must not be undone by a takeover.
+   */
+  readonly states: readonly KeyedRecord[];
   /** Ids of jobs whose submissions may be removed from the intake topic. */
   readonly expired: readonly string[];
   /** Commands to send after the records are durable. */
@@ -167,26 +174,44 @@
     this.placement.run();
     const {state} = this;
     const records: KeyedRecord[] = [];
+    const states = this.takeInheritedStates();
     for (const job of state.jobsToStore) {
       records.push({
         key: RecordKind.PROGRESS + job.id,
         value: packProgress(job.toRecord()),
       });
+      const change = job.takeStateChange();
+      if (change === undefined) continue;
+      states.push({key: RecordKind.STATE + job.id, value: packState(change)});
     }
     state.jobsToStore.clear();
     const expired = this.takeExpiredJobIds();
     for (const id of expired) {
       records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
+      states.push({key: RecordKind.STATE + id, value: new Uint8Array()});
     }
-    records.push(...this.weightRecords(), ...this.leases.lostWorkerRecords());
+    records.push(...this.weightRecords());
+    states.push(...this.leases.lostWorkerRecords());
     return {
       records,
+      states,
       expired,
       commands: state.afterCommit.splice(0),
       ends: [...this.leases.unacknowledgedEnds()],
     };
   }
 
+  /** States of jobs that ended under a predecessor that did not store them. */
+  private takeInheritedStates(): KeyedRecord[] {
+    const {statesToStore} = this.state;
+    const records = [...statesToStore].map(([id, record]) => ({
+      key: RecordKind.STATE + id,
+      value: packState(record),
+    }));
+    statesToStore.clear();
+    return records;
+  }
+
   /** Interference weights for the next scheduler, once per interval. */
   private weightRecords(): readonly KeyedRecord[] {
     const now = this.state.now();
@@ -198,9 +223,16 @@
     return [{key: INTERFERENCE_KEY, value}];
   }
 
-  /** Handles a batch that became durable: its ends are acknowledged. */
+  /** Handles records of the states topic that became durable. */
+  onStatesStored(states: readonly KeyedRecord[]): void {
+    for (const record of states) this.leases.onRecordStored(record);
+  }
+
+  /**
+   * Handles a batch whose progress records became durable: its ends are
+   * acknowledged.
+   */
   onBatchStored(batch: CommitBatch): void {
-    for (const record of batch.records) this.leases.onRecordStored(record);
     for (const [worker, born, sequence] of batch.ends) {
       if (worker.born !== born) continue;
       worker.durableEnd = Math.max(worker.durableEnd, sequence);
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -1,5 +1,6 @@
 import {Clock, Millis, SECOND} from '../base/clock.js';
 import {ActiveJob, ActiveTask} from './active_job.js';
+import {JobStateRecord} from './job_records.js';
 import {JobTimePredictor} from './job_time_predictor.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 import {BatchConfiguration} from './types.js';
@@ -71,6 +72,11 @@
   readonly workers = new Map<string, WorkerState>();
   /** Jobs whose progress has to be stored. */
   readonly jobsToStore = new Set<ActiveJob>();
+  /**
+   * States of jobs that are over and that a predecessor has not stored, by job
+   * id.
+   */
+  readonly statesToStore = new Map<string, JobStateRecord>();
   /** Commands to send at once. */
   readonly immediate: Command[] = [];
   /** Commands to send once the records of the next batch are durable. */
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -145,6 +145,8 @@
   readonly decisions: string[] = [];
   /** Whether batches can be stored. */
   isStoreAvailable = true;
+  /** Whether the scheduler fails before it stores the states of a batch. */
+  dropsStates = false;
   scheduler: Scheduler;
   /** Run time of tasks on simulated workers. */
   taskMs: Millis = 1000;
@@ -271,11 +273,13 @@
     for (const command of scheduler.takeImmediate()) this.execute(command);
     if (!this.isStoreAvailable) return;
     const batch = scheduler.takeBatch();
-    for (const record of batch.records) {
+    const states = this.dropsStates ? [] : batch.states;
+    for (const record of [...batch.records, ...states]) {
       this.view.apply(record, this.clock.now());
     }
     scheduler.leases.confirmAuthority(this.clock.now());
     scheduler.onBatchStored(batch);
+    scheduler.onStatesStored(states);
     for (const command of batch.commands) this.execute(command);
   }
 
--- a/src/common/batch/store.ts
+++ b/src/common/batch/store.ts
@@ -84,7 +84,15 @@
 export const Topic = {
   /** Accepted jobs, cancellations and instances, written by all instances. */
   INTAKE: 'intake',
-  /** Progress of jobs and state of the scheduler, which writes both. */
+  /**
+   * States of jobs and heartbeats of the scheduler, which writes both. All
+   * instances follow it, so its records are small.
+   */
+  STATES: 'states',
+  /**
+   * Tasks of each job and what else the next scheduler needs; written by the
+   * scheduler and read only at a takeover.
+   */
   PROGRESS: 'progress',
   /** The operator's configuration. */
   OPERATOR: 'operator',
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -21,6 +21,7 @@
   AppendResult,
   KeyedLog,
   KeyedRecord,
+  ReadResult,
   StoredRecord,
   Topic,
 } from '../../common/batch/store.js';
@@ -34,8 +35,10 @@
 import {IntakeWriter} from './intake_writer.js';
 import {IntakeResult} from './pending_write.js';
 import {JobLookup, LogUnavailableError} from './job_lookup.js';
+import {FencedWriter, WRITER_NAME} from './fenced_writer.js';
 import {LogTail} from './log_tail.js';
-import {Term, TermEndReason, WRITER_NAME} from './term.js';
+import {RoleWriter} from './role_writer.js';
+import {Term, TermEndReason} from './term.js';
 
 /**
  * Minimum interval between two reads of a topic; the scheduler reads the intake
@@ -43,7 +46,7 @@
  * Heartbeats of the scheduler must be read well within the time after which it
  * counts as failed.
  */
-const PROGRESS_READ_INTERVAL_MS: Millis = 250;
+const STATES_READ_INTERVAL_MS: Millis = 250;
 const INTAKE_READ_INTERVAL_MS: Millis = 600;
 const WORKERS_READ_INTERVAL_MS: Millis = 300;
 
@@ -115,7 +118,7 @@
   private readonly election: Election;
   /** Tells this process apart from earlier ones under the same name. */
   private readonly incarnation = randomBytes(6).toString('hex');
-  private readonly progressTail: LogTail;
+  private readonly statesTail: LogTail;
   private readonly intakeTail: LogTail;
   private readonly operatorTail: LogTail;
   private readonly workersTail: LogTail;
@@ -135,11 +138,11 @@
       () => this.intakeTail.consecutiveFailures,
     );
     this.election = new Election(this.incarnation, claimDelayMs, clock.now());
-    this.progressTail = this.createTail(
-      Topic.PROGRESS,
-      () => PROGRESS_READ_INTERVAL_MS,
-      records => this.onProgress(records),
-      succeeded => this.onProgressRead(succeeded),
+    this.statesTail = this.createTail(
+      Topic.STATES,
+      () => STATES_READ_INTERVAL_MS,
+      records => this.onStates(records),
+      succeeded => this.onStatesRead(succeeded),
     );
     this.intakeTail = this.createTail(
       Topic.INTAKE,
@@ -159,7 +162,7 @@
     this.lookup = new JobLookup({
       view: this.view,
       intakeTail: this.intakeTail,
-      progressTail: this.progressTail,
+      statesTail: this.statesTail,
       clock,
       writer: () => this.term,
     });
@@ -177,7 +180,7 @@
   private get isLoaded(): boolean {
     return (
       this.configuration !== undefined &&
-      this.progressTail.isLoaded &&
+      this.statesTail.isLoaded &&
       this.intakeTail.isLoaded
     );
   }
@@ -265,20 +268,20 @@
 
   private tails(): readonly LogTail[] {
     return [
-      this.progressTail,
+      this.statesTail,
       this.intakeTail,
       this.operatorTail,
       this.workersTail,
     ];
   }
 
-  private onProgress(records: readonly KeyedRecord[]): void {
+  private onStates(records: readonly KeyedRecord[]): void {
     const now = this.dependencies.clock.now();
     for (const record of records) this.view.apply(record, now);
     this.election.onHeartbeat(this.view.scheduler, now);
   }
 
-  private onProgressRead(succeeded: boolean): void {
+  private onStatesRead(succeeded: boolean): void {
     if (succeeded) this.election.onLogReadable(this.dependencies.clock.now());
     else this.election.onLogUnreadable();
   }
@@ -345,23 +348,28 @@
   /** Claims the scheduler role and, on success, runs a term until it ends. */
   private async claim(): Promise<void> {
     const {log, name, decisions} = this.dependencies;
-    this.progressTail.pause();
+    this.statesTail.pause();
     const epoch = (this.view.scheduler?.epoch ?? 0) + 1;
     const record: SchedulerRecord = {
       epoch,
       instance: name,
       incarnation: this.incarnation,
       resigned: false,
+      quickTakeovers: this.election.quickTakeovers(
+        this.dependencies.clock.now(),
+      ),
     };
     const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
-    const end = this.progressTail.nextOffset;
+    const end = this.statesTail.nextOffset;
     const response = await log.append(
-      Topic.PROGRESS,
+      Topic.STATES,
       [{key: SCHEDULER_KEY, value: packRecord(record)}],
       {expectedEnd: end, writer: {name: WRITER_NAME, epoch, sequence}},
       CLAIM_TIMEOUT_MS,
     );
-    decisions.decide('claim', {epoch, result: response.result, end});
+    const {quickTakeovers} = record;
+    const {result} = response;
+    decisions.decide('claim', {epoch, result, end, quickTakeovers});
     let nextOffset = end;
     if (response.result === AppendResult.STORED) {
       nextOffset = await this.runTerm(
@@ -374,16 +382,16 @@
     if (response.result === AppendResult.STORED) {
       this.election.onHeartbeat(this.view.scheduler, now);
     }
-    this.progressTail.resume(nextOffset);
+    this.statesTail.resume(nextOffset);
     // Gives the tail time to catch up before the next claim.
-    await sleep(PROGRESS_READ_INTERVAL_MS * 3);
+    await sleep(STATES_READ_INTERVAL_MS * 3);
   }
 
   /**
    * Runs a term until it ends.
    * @param sequence sequence number of its first append.
-   * @param end end of the progress topic after the claim.
-   * @returns the offset from which the progress topic is to be read on.
+   * @param end end of the states topic after the claim.
+   * @returns the offset from which the states topic is to be read on.
    */
   private async runTerm(
     record: SchedulerRecord,
@@ -399,38 +407,108 @@
         ? 0
         : this.dependencies.timings().authorityMs;
     this.view.scheduler = record;
-    this.workersTail.resume(-1);
-    while (!(await this.intakeTail.refresh())) await sleep(ELECTION_PERIOD_MS);
-    while (!this.workersTail.isLoaded) await sleep(LOAD_CHECK_INTERVAL_MS);
-    const scheduler = this.createScheduler(record.epoch, previousAuthorityMs);
-    scheduler.restore(this.view);
-    scheduler.onWorkerListings(this.workers);
-    scheduler.leases.confirmAuthority(claimedAt);
-    const host = {
-      log,
-      workerClient,
-      clock,
-      record,
-      onStored: (records: readonly KeyedRecord[], topicEnd?: number) => {
+    let isFenced = false;
+    let scheduler: Scheduler | undefined;
+    const onFenced = (): void => {
+      isFenced = true;
+      this.term?.onFenced();
+    };
+    const role = new RoleWriter(log, clock, record, sequence, {
+      onFenced,
+      onStored: (records, topicEnd, sentAt) => {
         nextOffset = topicEnd ?? nextOffset + records.length;
-        this.progressTail.markSynced();
+        this.statesTail.markSynced();
         for (const entry of records) this.view.apply(entry, clock.now());
+        scheduler?.leases.confirmAuthority(sentAt);
       },
-    };
-    this.term = new Term(scheduler, host, sequence);
-    decisions.decide('term-begins', {
-      epoch: record.epoch,
-      jobs: scheduler.state.jobs.size,
-      waiting: scheduler.state.waitingTasks.size,
     });
-    const reason = await this.term.run();
+    const progress = this.createProgressWriter(record.epoch, onFenced, sentAt =>
+      scheduler?.leases.confirmAuthority(sentAt),
+    );
+    await this.loadTopics(progress, () => isFenced);
+    let reason: TermEndReason = TermEndReason.FENCED;
+    if (!isFenced) {
+      scheduler = this.createScheduler(record.epoch, previousAuthorityMs);
+      scheduler.restore(this.view);
+      scheduler.onWorkerListings(this.workers);
+      scheduler.leases.confirmAuthority(claimedAt);
+      this.term = new Term(scheduler, {
+        log,
+        workerClient,
+        clock,
+        role,
+        progress,
+      });
+      decisions.decide('term-begins', {
+        epoch: record.epoch,
+        jobs: scheduler.state.jobs.size,
+        waiting: scheduler.state.waitingTasks.size,
+        takeoverMs: Math.round(clock.now() - claimedAt),
+      });
+      reason = await this.term.run();
+    }
     this.term = undefined;
+    role.close();
+    progress.close();
     this.workersTail.pause();
     decisions.decide('term-ends', {epoch: record.epoch, reason});
     if (reason === TermEndReason.FENCED) this.election.onLogUnreadable();
     return nextOffset;
   }
 
+  private createProgressWriter(
+    epoch: number,
+    onFenced: () => void,
+    onStored: (sentAt: Millis) => void,
+  ): FencedWriter {
+    const {log, clock} = this.dependencies;
+    return new FencedWriter(
+      log,
+      Topic.PROGRESS,
+      epoch,
+      randomInt(FIRST_SEQUENCE_LIMIT),
+      clock,
+      {onFenced, onStored: (_records, _end, sentAt) => onStored(sentAt)},
+    );
+  }
+
+  /**
+   * Fences the progress topic, so that no predecessor can change it, and loads
+   * all that a new scheduler needs. Ends early when this instance is fenced.
+   */
+  private async loadTopics(
+    progress: FencedWriter,
+    isFenced: () => boolean,
+  ): Promise<void> {
+    this.workersTail.resume(-1);
+    const intake = this.retryUntil(() => this.intakeTail.refresh(), isFenced);
+    if (await progress.fence()) {
+      this.view.dropProgress();
+      await this.retryUntil(() => this.loadProgress(), isFenced);
+    }
+    await intake;
+    while (!this.workersTail.isLoaded && !isFenced()) {
+      await sleep(LOAD_CHECK_INTERVAL_MS);
+    }
+  }
+
+  /** Repeats a step of a takeover until it succeeds or `isFenced`. */
+  private async retryUntil(
+    step: () => Promise<boolean>,
+    isFenced: () => boolean,
+  ): Promise<void> {
+    while (!isFenced() && !(await step())) await sleep(ELECTION_PERIOD_MS);
+  }
+
+  /** Reads the newest records of the progress topic; returns whether it did. */
+  private async loadProgress(): Promise<boolean> {
+    const {log, clock} = this.dependencies;
+    const {result, records} = await log.newest(Topic.PROGRESS);
+    if (result !== ReadResult.READ) return false;
+    for (const entry of records) this.view.apply(entry, clock.now());
+    return true;
+  }
+
   private createScheduler(
     epoch: number,
     previousAuthorityMs: Millis,
--- /dev/null
+++ b/src/node/batch/fenced_writer.ts
@@ -0,0 +1,184 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {AdaptiveTimeout} from '../../common/base/adaptive_timeout.js';
+import {Clock, Millis} from '../../common/base/clock.js';
+import {
+  AppendResponse,
+  AppendResult,
+  KeyedLog,
+  KeyedRecord,
+  Topic,
+} from '../../common/batch/store.js';
+
+/** Writer name by which the store fences the appends of earlier schedulers. */
+export const WRITER_NAME = 'scheduler';
+
+/** Bounds of the adaptive timeout of one append. */
+const MIN_APPEND_TIMEOUT_MS: Millis = 150;
+const MAX_APPEND_TIMEOUT_MS: Millis = 800;
+
+/** First and longest delay before an append is retried; it doubles. */
+const INITIAL_RETRY_DELAY_MS: Millis = 60;
+const MAX_RETRY_DELAY_MS: Millis = 500;
+
+/** Approximate limit of one append in bytes; the store accepts 2 MiB. */
+const MAX_APPEND_BYTES = 1_000_000;
+
+/** Receives the outcomes of a writer's appends. */
+export interface FencedWriterListener {
+  /**
+   * Called once records are durable.
+   * @param end end of the topic, if it is known.
+   * @param sentAt local time before the first attempt of the append.
+   */
+  onStored(
+    records: readonly KeyedRecord[],
+    end: number | undefined,
+    sentAt: Millis,
+  ): void;
+  /** Called when the store has seen a higher epoch. */
+  onFenced(): void;
+}
+
+/**
+ * Appends to one topic under the epoch of a term, one append at a time. An
+ * append is repeated until it is stored, fenced or the writer is closed.
+ */
+export class FencedWriter {
+  private nextSequence: number;
+  private isClosed = false;
+  private readonly timeout = new AdaptiveTimeout(
+    MIN_APPEND_TIMEOUT_MS,
+    MAX_APPEND_TIMEOUT_MS,
+  );
+  /** Resolves when the last append that was requested has ended. */
+  private last: Promise<boolean> = Promise.resolve(true);
+  private openAppends = 0;
+  /**
+   * Appends in flight or of unknown outcome, by record key; each resolves to
+   * whether it was stored.
+   */
+  private readonly unsettled = new Map<string, Promise<boolean>>();
+
+  /** @param firstSequence sequence number of the first append. */
+  constructor(
+    private readonly log: KeyedLog,
+    private readonly topic: Topic,
+    private readonly epoch: number,
+    firstSequence: number,
+    private readonly clock: Clock,
+    private readonly listener: FencedWriterListener,
+  ) {
+    this.nextSequence = firstSequence;
+  }
+
+  /** Whether an append is in flight or waits for another one. */
+  get isBusy(): boolean {
+    return this.openAppends > 0;
+  }
+
+  /** Makes no further attempts; an append in flight may still be stored. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  /**
+   * Appends records, split into calls of bounded size. Resolves to false if the
+   * writer was fenced or closed before all of them were stored.
+   */
+  async append(records: readonly KeyedRecord[]): Promise<boolean> {
+    for (const chunk of chunks(records)) {
+      if (!(await this.appendChunk(chunk))) return false;
+    }
+    return true;
+  }
+
+  /** Stores the epoch, so that writers with a lower one are refused. */
+  fence(): Promise<boolean> {
+    return this.appendChunk([]);
+  }
+
+  /**
+   * Resolves once no append of this key is in flight; to false unless the last
+   * one is known to be stored.
+   */
+  settled(key: string): Promise<boolean> {
+    return this.unsettled.get(key) ?? Promise.resolve(true);
+  }
+
+  private async appendChunk(records: readonly KeyedRecord[]): Promise<boolean> {
+    const {last} = this;
+    this.openAppends++;
+    const outcome = last.then(() => this.appendWithRetries(records));
+    this.last = outcome;
+    for (const {key} of records) this.unsettled.set(key, outcome);
+    const isStored = await outcome;
+    this.openAppends--;
+    if (!isStored) return false;
+    for (const {key} of records) {
+      if (this.unsettled.get(key) === outcome) this.unsettled.delete(key);
+    }
+    return true;
+  }
+
+  private async appendWithRetries(
+    records: readonly KeyedRecord[],
+  ): Promise<boolean> {
+    if (this.isClosed) return false;
+    const sequence = this.nextSequence++;
+    const sentAt = this.clock.now();
+    let delay = INITIAL_RETRY_DELAY_MS;
+    for (;;) {
+      const response = await this.appendOnce(records, sequence);
+      if (response.result === AppendResult.STORED) {
+        this.listener.onStored(records, response.end, sentAt);
+        return true;
+      }
+      if (response.result === AppendResult.FENCED) {
+        this.isClosed = true;
+        this.listener.onFenced();
+        return false;
+      }
+      if (this.isClosed) return false;
+      await sleep(delay);
+      delay = Math.min(delay * 2, MAX_RETRY_DELAY_MS);
+    }
+  }
+
+  /**
+   * The store keeps only one copy of a retried append, so the timeout can be
+   * short.
+   */
+  private async appendOnce(
+    records: readonly KeyedRecord[],
+    sequence: number,
+  ): Promise<AppendResponse> {
+    const sentAt = this.clock.now();
+    const response = await this.log.append(
+      this.topic,
+      records,
+      {writer: {name: WRITER_NAME, epoch: this.epoch, sequence}},
+      this.timeout.value,
+    );
+    if (response.result === AppendResult.UNKNOWN) this.timeout.onTimeout();
+    else this.timeout.onResponse(this.clock.now() - sentAt);
+    return response;
+  }
+}
+
+/** Splits records into appends of bounded size; one record is never split. */
+function* chunks(
+  records: readonly KeyedRecord[],
+): Generator<readonly KeyedRecord[]> {
+  let chunk: KeyedRecord[] = [];
+  let bytes = 0;
+  for (const record of records) {
+    if (bytes + record.value.length > MAX_APPEND_BYTES && chunk.length > 0) {
+      yield chunk;
+      chunk = [];
+      bytes = 0;
+    }
+    chunk.push(record);
+    bytes += record.value.length + record.key.length;
+  }
+  if (chunk.length > 0) yield chunk;
+}
--- a/src/node/batch/job_lookup.test.ts
+++ b/src/node/batch/job_lookup.test.ts
@@ -1,8 +1,8 @@
 import {ManualClock} from '../../common/base/manual_clock.js';
 import {
   JobPhase,
-  packProgress,
   packRecord,
+  packState,
   RecordKind,
 } from '../../common/batch/job_records.js';
 import {JobView} from '../../common/batch/job_view.js';
@@ -16,7 +16,7 @@
   StoredRecord,
   Topic,
 } from '../../common/batch/store.js';
-import {JobLookup, ProgressWriter} from './job_lookup.js';
+import {JobLookup, StateWriter} from './job_lookup.js';
 import {LogTail} from './log_tail.js';
 
 const ID = '00000000000000aa';
@@ -49,26 +49,20 @@
   }
 
   newest(): Promise<ReadResponse> {
-    return this.read(Topic.PROGRESS, 0);
+    return this.read(Topic.STATES, 0);
   }
 }
 
-function progress(phase: JobPhase): Uint8Array {
-  const base = {
-    hasStarted: true,
-    nextOccurrence: 1,
-    occurrences: [],
-    endedAt: 1,
-  };
-  return packProgress({phase, ...base});
+function stateOf(phase: JobPhase): Uint8Array {
+  return packState({phase, hasStarted: true, endedAt: 1});
 }
 
 describe('JobLookup', () => {
   let clock: ManualClock;
   let view: JobView;
   let intakeLog: InMemoryLog;
-  let progressLog: InMemoryLog;
-  let writer: ProgressWriter | undefined;
+  let statesLog: InMemoryLog;
+  let writer: StateWriter | undefined;
   let intakeTail: LogTail;
   let lookup: JobLookup;
 
@@ -89,7 +83,7 @@
     clock = new ManualClock();
     view = new JobView(() => {});
     intakeLog = new InMemoryLog();
-    progressLog = new InMemoryLog();
+    statesLog = new InMemoryLog();
     writer = undefined;
     const shape = {
       spec: '',
@@ -100,24 +94,24 @@
     };
     const submission = {queue: QUEUE, acceptedAt: 0, shape};
     intakeLog.add(RecordKind.SUBMISSION + ID, packRecord(submission));
-    progressLog.add(RecordKind.PROGRESS + ID, progress(JobPhase.RUNNING));
-    const progressTail = newTail(progressLog, Topic.PROGRESS);
+    statesLog.add(RecordKind.STATE + ID, stateOf(JobPhase.RUNNING));
+    const statesTail = newTail(statesLog, Topic.STATES);
     intakeTail = newTail(intakeLog, Topic.INTAKE);
     lookup = new JobLookup({
       view,
       intakeTail,
-      progressTail,
+      statesTail,
       clock,
       writer: () => writer,
     });
-    await progressTail.refresh();
+    await statesTail.refresh();
     await lookup.status(ID);
   });
 
   it('returns a complete job as complete although the replica lags', async () => {
     // Guards against a job that is complete at one instance and then running
     // at another whose replica lags (soak, seed 2).
-    progressLog.add(RecordKind.PROGRESS + ID, progress(JobPhase.COMPLETE));
+    statesLog.add(RecordKind.STATE + ID, stateOf(JobPhase.COMPLETE));
     const status = await lookup.status(ID);
     expect(status.extract()).toEqual({phase: JobPhase.COMPLETE, ageMs: 0});
   });
@@ -125,7 +119,7 @@
   it('returns the age of a state that it can not refresh', async () => {
     // Guards against an old state that is reported as current while the log
     // can't be read.
-    progressLog.isDown = true;
+    statesLog.isDown = true;
     clock.advance(1500);
     const status = await lookup.status(ID);
     expect(status.extract()).toEqual({phase: JobPhase.RUNNING, ageMs: 1500});
@@ -135,7 +129,7 @@
     // Guards against "cancelled" as a final state of a job that another instance
     // shows as complete (soak, seed 511).
     intakeLog.add(RecordKind.CANCELLATION + ID, Uint8Array.of(1));
-    progressLog.add(RecordKind.PROGRESS + ID, progress(JobPhase.COMPLETE));
+    statesLog.add(RecordKind.STATE + ID, stateOf(JobPhase.COMPLETE));
     await intakeTail.refresh();
     const status = await lookup.status(ID);
     expect(status.extract()).toEqual({phase: JobPhase.COMPLETE, ageMs: 0});
@@ -143,10 +137,10 @@
 
   it('does not read the topic that it writes itself', async () => {
     // Guards against a store call for every lookup at the scheduler.
-    const before = progressLog.reads;
+    const before = statesLog.reads;
     writer = {isAuthoritative: true, settled: () => Promise.resolve(true)};
     await lookup.status(ID);
-    expect(progressLog.reads).toBe(before);
+    expect(statesLog.reads).toBe(before);
   });
 
   it('waits for the response to its own append before it returns a state', async () => {
@@ -158,8 +152,8 @@
     writer = {isAuthoritative: true, settled: () => settled};
     const status = lookup.status(ID);
     await new Promise(resolve => setImmediate(resolve));
-    const value = progress(JobPhase.COMPLETE);
-    view.apply({key: RecordKind.PROGRESS + ID, value}, clock.now());
+    const value = stateOf(JobPhase.COMPLETE);
+    view.apply({key: RecordKind.STATE + ID, value}, clock.now());
     settle(true);
     const expected = {phase: JobPhase.COMPLETE, ageMs: 0};
     expect((await status).extract()).toEqual(expected);
--- a/src/node/batch/job_lookup.ts
+++ b/src/node/batch/job_lookup.ts
@@ -23,7 +23,7 @@
 }
 
 /** The term of an instance that holds the scheduler role. */
-export interface ProgressWriter {
+export interface StateWriter {
   /** Whether no other instance can have claimed the scheduler role by now. */
   readonly isAuthoritative: boolean;
   /**
@@ -37,10 +37,10 @@
 export interface JobLookupDependencies {
   readonly view: JobView;
   readonly intakeTail: LogTail;
-  readonly progressTail: LogTail;
+  readonly statesTail: LogTail;
   readonly clock: Clock;
   /** Returns undefined unless this instance holds the scheduler role. */
-  readonly writer: () => ProgressWriter | undefined;
+  readonly writer: () => StateWriter | undefined;
 }
 
 /**
@@ -67,7 +67,7 @@
     const known = view.phase(id);
     if (known === undefined) return Right(undefined);
     if (isFinal(known)) return Right({phase: known, ageMs: 0});
-    const isCurrent = await this.refreshProgress(id);
+    const isCurrent = await this.refreshState(id);
     const phase = view.phase(id) ?? known;
     const ageMs = isCurrent || isFinal(phase) ? 0 : this.age();
     return Right({phase, ageMs});
@@ -78,18 +78,18 @@
    * read a record before its writer got the response to the append, so the
    * writer waits for that response.
    */
-  private async refreshProgress(id: string): Promise<boolean> {
-    const {progressTail} = this.dependencies;
+  private async refreshState(id: string): Promise<boolean> {
+    const {statesTail} = this.dependencies;
     const writer = this.dependencies.writer();
     const refreshed = writer?.isAuthoritative
-      ? writer.settled(RecordKind.PROGRESS + id)
-      : progressTail.refresh();
+      ? writer.settled(RecordKind.STATE + id)
+      : statesTail.refresh();
     const timeout = sleep(REFRESH_TIMEOUT_MS, false, {ref: false});
     return Promise.race([refreshed, timeout]);
   }
 
   private age(): Millis {
-    const {clock, progressTail} = this.dependencies;
-    return clock.now() - progressTail.syncedAt;
+    const {clock, statesTail} = this.dependencies;
+    return clock.now() - statesTail.syncedAt;
   }
 }
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -1,13 +1,15 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {ManualClock} from '../../common/base/manual_clock.js';
 import {SCHEDULER_KEY} from '../../common/batch/job_records.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {SchedulerState} from '../../common/batch/scheduler_state.js';
-import {QUEUE} from '../../common/batch/simulated_fleet.test_support.js';
+import {QUEUE, STEP} from '../../common/batch/simulated_fleet.test_support.js';
 import {
   AppendResponse,
   AppendResult,
   KeyedLog,
   ReadResponse,
+  Topic,
 } from '../../common/batch/store.js';
 import {
   RunOutcome,
@@ -23,6 +25,8 @@
   WorkerCalls,
 } from '../../common/batch/worker_calls.js';
 import {SystemClock} from '../system_clock.js';
+import {FencedWriter} from './fenced_writer.js';
+import {RoleWriter} from './role_writer.js';
 import {Term, TermEndReason} from './term.js';
 
 const LISTING: WorkerListing = {
@@ -63,21 +67,25 @@
   }
 }
 
+/** Time that the fake worker takes to respond. */
+const RESPONSE_TIME_MS = 2;
+
 /** A worker that reports the end of one run in every response. */
 class FakeWorkerClient implements WorkerCalls {
   readonly renewals: LeaseRenewal[] = [];
   onRenewal: () => void = () => {};
 
-  renew(
+  async renew(
     _worker: WorkerAddress,
     renewal: LeaseRenewal,
   ): Promise<RenewalResponse> {
     this.renewals.push(renewal);
     this.onRenewal();
+    await sleep(RESPONSE_TIME_MS);
     const end = {sequence: 1, task: 'a.0.0.0', attempt: 1, checkpoint: ''};
     const ends = [{...end, end: RunOutcome.DONE}];
     const report = {born: 1, clockMs: 0, running: [], ends};
-    return Promise.resolve({result: WorkerCallResult.ACCEPTED, report});
+    return {result: WorkerCallResult.ACCEPTED, report};
   }
 
   start(): Promise<WorkerResponse> {
@@ -113,6 +121,10 @@
   const scheduler = new Scheduler(state);
   scheduler.onWorkerListings(new Map([[LISTING.id, LISTING]]));
   scheduler.leases.confirmAuthority(clock.now());
+  // A run of this job is the one whose end the worker reports.
+  const shape = {spec: '', steps: [STEP], repeats: 0, startMs: 0, periodMs: 0};
+  const submission = {queue: QUEUE, acceptedAt: 0, shape};
+  scheduler.onJob({id: 'a', submission, cancelled: false, seenAt: 0});
   return scheduler;
 }
 
@@ -131,8 +143,18 @@
       incarnation: 'x',
       resigned: false,
     };
-    const host = {log, workerClient, clock, record, onStored: () => {}};
-    term = new Term(newScheduler(clock), host, 0);
+    const listener = {onStored: () => {}, onFenced: () => term.onFenced()};
+    const role = new RoleWriter(log, clock, record, 0, listener);
+    const progress = new FencedWriter(
+      log,
+      Topic.PROGRESS,
+      record.epoch,
+      0,
+      clock,
+      listener,
+    );
+    const host = {log, workerClient, clock, role, progress};
+    term = new Term(newScheduler(clock), host);
   });
 
   // A term runs until its resignation is stored, so it is ended here even if a
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -1,25 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {AdaptiveTimeout} from '../../common/base/adaptive_timeout.js';
 import {Clock, Millis} from '../../common/base/clock.js';
-import {
-  SCHEDULER_TIMEOUT_MS,
-  HEARTBEAT_INTERVAL_MS,
-} from '../../common/batch/election.js';
-import {
-  packRecord,
-  RecordKind,
-  SCHEDULER_KEY,
-  SchedulerRecord,
-} from '../../common/batch/job_records.js';
-import {CommitBatch, Scheduler} from '../../common/batch/scheduler.js';
+import {RecordKind} from '../../common/batch/job_records.js';
+import {Scheduler} from '../../common/batch/scheduler.js';
 import {Command, CommandKind} from '../../common/batch/scheduler_state.js';
-import {
-  AppendResponse,
-  AppendResult,
-  KeyedLog,
-  KeyedRecord,
-  Topic,
-} from '../../common/batch/store.js';
+import {KeyedLog, Topic} from '../../common/batch/store.js';
 import {
   WorkerResponse,
   WorkerCallResult,
@@ -27,13 +11,8 @@
 import {WorkerCalls} from '../../common/batch/worker_calls.js';
 import {FollowUp} from '../../common/batch/worker_leases.js';
 import {Run, RunPhase, WorkerState} from '../../common/batch/worker_state.js';
-
-/** Writer name by which the store fences the appends of earlier schedulers. */
-export const WRITER_NAME = 'scheduler';
-
-/** Bounds of the adaptive timeout of one append to the progress topic. */
-const MIN_APPEND_TIMEOUT_MS: Millis = 150;
-const MAX_APPEND_TIMEOUT_MS: Millis = 800;
+import {FencedWriter} from './fenced_writer.js';
+import {RoleWriter} from './role_writer.js';
 
 /** Minimum delay between two appends; limits the call rate at the store. */
 const MIN_APPEND_DELAY_MS: Millis = 12;
@@ -44,18 +23,21 @@
 /** Delay before the next renewal for a worker without response or address. */
 const RENEWAL_RETRY_DELAY_MS: Millis = 200;
 
-/** First delay before an append or a worker call is retried; it doubles. */
+/** Longest wait for a signal before the next batch is taken. */
+const MAX_BATCH_WAIT_MS: Millis = 300;
+
+/** Timeout of the removal of expired jobs from the intake topic. */
+const REMOVAL_TIMEOUT_MS: Millis = 800;
+
+/** First delay before a worker call is retried; it doubles. */
 const INITIAL_RETRY_DELAY_MS: Millis = 60;
 
 /** Longest wait for a batch to be durable before a lease is renewed again. */
 const MAX_COMMIT_WAIT_MS: Millis = 500;
 
-/** Longest delay before an append or a worker call is retried. */
+/** Longest delay before a worker call is retried. */
 const MAX_RETRY_DELAY_MS: Millis = 500;
 
-/** Approximate limit of one append in bytes; the store accepts 2 MiB. */
-const MAX_APPEND_BYTES = 1_000_000;
-
 /** Why a term ended. */
 export const TermEndReason = {
   /** The instance resigned from the scheduler role. */
@@ -70,10 +52,10 @@
   readonly log: KeyedLog;
   readonly workerClient: WorkerCalls;
   readonly clock: Clock;
-  /** Record of this term's claim; repeated as the heartbeat. */
-  readonly record: SchedulerRecord;
-  /** Called once records are durable, with the topic's end if it is known. */
-  onStored(records: readonly KeyedRecord[], end: number | undefined): void;
+  /** Writes the states topic. */
+  readonly role: RoleWriter;
+  /** Writes the progress topic. */
+  readonly progress: FencedWriter;
 }
 
 /**
@@ -81,37 +63,22 @@
  * commands to the workers and renews their leases.
  */
 export class Term {
-  /** Sequence number of the next append, by which the store deduplicates. */
-  private nextSequence: number;
   private endReason: TermEndReason | undefined;
   /** Ends the wait for a signal. */
   private wake: () => void = () => {};
   /** Resolves when the next batch is durable. */
   private commitPromise: Promise<void>;
   private resolveCommit: () => void = () => {};
-  private readonly timeout = new AdaptiveTimeout(
-    MIN_APPEND_TIMEOUT_MS,
-    MAX_APPEND_TIMEOUT_MS,
-  );
   /** Workers whose leases are being renewed. */
   private readonly renewedWorkers = new Set<WorkerState>();
-  /**
-   * Appends in flight or of unknown outcome, by record key; each resolves to
-   * whether it was stored.
-   */
-  private readonly unsettled = new Map<string, Promise<boolean>>();
   /** Whether a batch was requested since the last one was taken. */
   private isSignalled = false;
   private isResigning = false;
-  /** Local time before the last stored append of a batch was sent. */
-  private lastStoredAt: Millis = -Infinity;
 
   constructor(
     readonly scheduler: Scheduler,
     private readonly host: TermHost,
-    firstSequence: number,
   ) {
-    this.nextSequence = firstSequence;
     this.commitPromise = this.newCommitPromise();
   }
 
@@ -127,7 +94,11 @@
     }
     clearInterval(ticks);
     this.resolveCommit();
-    if (this.endReason === TermEndReason.RESIGNED) await this.saveResignation();
+    this.host.progress.close();
+    if (this.endReason === TermEndReason.RESIGNED) {
+      await this.host.role.resign();
+    }
+    this.host.role.close();
     return this.endReason;
   }
 
@@ -136,7 +107,7 @@
    * have claimed the scheduler role.
    */
   get isAuthoritative(): boolean {
-    return this.host.clock.now() - this.lastStoredAt < SCHEDULER_TIMEOUT_MS;
+    return this.host.role.isAuthoritative;
   }
 
   /**
@@ -144,11 +115,12 @@
    * one is known to be stored.
    */
   settled(key: string): Promise<boolean> {
-    return this.unsettled.get(key) ?? Promise.resolve(true);
+    return this.host.role.settled(key);
   }
 
   /** Sends immediate commands and requests a batch after the append delay. */
   signal(): void {
+    this.host.role.beat();
     this.sendImmediateCommands();
     this.isSignalled = true;
     this.wake();
@@ -164,9 +136,9 @@
     this.signal();
   }
 
-  private async saveResignation(): Promise<void> {
-    const record = {...this.host.record, resigned: true};
-    await this.append([{key: SCHEDULER_KEY, value: packRecord(record)}]);
+  /** Ends the term: another instance has claimed the scheduler role. */
+  onFenced(): void {
+    this.end(TermEndReason.FENCED);
   }
 
   /**
@@ -189,7 +161,7 @@
     await sleep(MIN_APPEND_DELAY_MS);
     if (this.isSignalled || this.endReason !== undefined) return;
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, HEARTBEAT_INTERVAL_MS);
+      const timer = setTimeout(resolve, MAX_BATCH_WAIT_MS);
       this.wake = () => {
         clearTimeout(timer);
         resolve();
@@ -220,25 +192,24 @@
     this.wake();
   }
 
-  /** Stores a batch and then sends its commands. */
+  /** Stores a batch, sends its commands, and stores what callers are told. */
   private async flush(): Promise<void> {
+    const {progress, role} = this.host;
     this.isSignalled = false;
     const batch = this.scheduler.takeBatch();
-    const sentAt = this.host.clock.now();
-    const records = this.recordsToAppend(batch, sentAt);
-    for (const chunk of chunks(records)) {
-      if (!(await this.append(chunk))) return;
-    }
-    if (records.length > 0) {
-      this.lastStoredAt = sentAt;
-      this.scheduler.leases.confirmAuthority(sentAt);
-    }
+    if (!(await progress.append(batch.records))) return;
     this.scheduler.onBatchStored(batch);
     for (const command of batch.commands) this.send(command);
     if (batch.expired.length > 0) void this.removeExpiredJobs(batch.expired);
     const resolveCommit = this.resolveCommit;
     this.commitPromise = this.newCommitPromise();
     resolveCommit();
+    if (batch.states.length > 0) {
+      if (!(await role.append(batch.states))) return;
+      this.scheduler.onStatesStored(batch.states);
+    }
+    // Shows before a resignation that the store is reachable.
+    if (this.isResigning) await role.appendHeartbeat();
   }
 
   /** Not retried, as leftover records of an expired job are harmless. */
@@ -247,76 +218,7 @@
     const records = ids.flatMap(id =>
       kinds.map(kind => ({key: kind + id, value: new Uint8Array()})),
     );
-    const timeout = MAX_APPEND_TIMEOUT_MS;
-    await this.host.log.append(Topic.INTAKE, records, {}, timeout);
-  }
-
-  /**
-   * Returns the records of the batch or, if it has none, a heartbeat when one
-   * is due. Before a resignation a heartbeat is always added, to check that the
-   * store is reachable.
-   */
-  private recordsToAppend(
-    batch: CommitBatch,
-    now: Millis,
-  ): readonly KeyedRecord[] {
-    if (batch.records.length > 0) return batch.records;
-    const isDue = now - this.lastStoredAt >= HEARTBEAT_INTERVAL_MS;
-    if (!isDue && !this.isResigning) return [];
-    const {record} = this.host;
-    return [{key: SCHEDULER_KEY, value: packRecord(record)}];
-  }
-
-  /** Appends records; returns false if the term has ended. */
-  private async append(records: readonly KeyedRecord[]): Promise<boolean> {
-    const outcome = this.appendWithRetries(records);
-    for (const {key} of records) this.unsettled.set(key, outcome);
-    const isStored = await outcome;
-    if (isStored) for (const {key} of records) this.unsettled.delete(key);
-    return isStored;
-  }
-
-  /** Retries an append until it is stored or the term ends. */
-  private async appendWithRetries(
-    records: readonly KeyedRecord[],
-  ): Promise<boolean> {
-    const sequence = this.nextSequence++;
-    let delay = INITIAL_RETRY_DELAY_MS;
-    for (;;) {
-      const response = await this.appendOnce(records, sequence);
-      if (response.result === AppendResult.STORED) {
-        this.host.onStored(records, response.end);
-        return true;
-      }
-      if (response.result === AppendResult.FENCED) {
-        this.end(TermEndReason.FENCED);
-        return false;
-      }
-      if (this.endReason !== undefined) return false;
-      await sleep(delay);
-      delay = Math.min(delay * 2, MAX_RETRY_DELAY_MS);
-    }
-  }
-
-  /**
-   * The store keeps only one copy of a retried append, so the timeout can be
-   * short.
-   */
-  private async appendOnce(
-    records: readonly KeyedRecord[],
-    sequence: number,
-  ): Promise<AppendResponse> {
-    const {epoch} = this.host.record;
-    const sentAt = this.host.clock.now();
-    const response = await this.host.log.append(
-      Topic.PROGRESS,
-      records,
-      {writer: {name: WRITER_NAME, epoch, sequence}},
-      this.timeout.value,
-    );
-    if (response.result === AppendResult.UNKNOWN) this.timeout.onTimeout();
-    else this.timeout.onResponse(this.host.clock.now() - sentAt);
-    return response;
+    await this.host.log.append(Topic.INTAKE, records, {}, REMOVAL_TIMEOUT_MS);
   }
 
   private sendImmediateCommands(): void {
@@ -449,21 +351,3 @@
     this.renewedWorkers.delete(worker);
   }
 }
-
-/** Splits records into appends of bounded size; one record is never split. */
-function* chunks(
-  records: readonly KeyedRecord[],
-): Generator<readonly KeyedRecord[]> {
-  let chunk: KeyedRecord[] = [];
-  let bytes = 0;
-  for (const record of records) {
-    if (bytes + record.value.length > MAX_APPEND_BYTES && chunk.length > 0) {
-      yield chunk;
-      chunk = [];
-      bytes = 0;
-    }
-    chunk.push(record);
-    bytes += record.value.length + record.key.length;
-  }
-  if (chunk.length > 0) yield chunk;
-}
