Call workers through relays on other instances

Cause: calls to workers bind the scheduler. A profile of one instance with 200 workers and 312 starts/s: 0.16 cores for renewals alone and 1.2 ms for each start with its report, nearly all of it HTTP; the decisions take about 0.15 ms. 1,400 starts/s do not fit into 1.35 cores, and 100 workers not into 0.12. A relay decides nothing; tokens, leases and attempts are the scheduler's. Instances announce data centre and relay address and withdraw their record when they stop.

--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -110,6 +110,9 @@
 export interface InstanceRecord {
   /** Processors available to the instance, in cores. */
   readonly processors: number;
+  readonly dataCentre?: string;
+  /** `host:port` at which it calls workers for the scheduler, if it does. */
+  readonly relayAddress?: string;
 }
 
 /** Kinds of record; the first letter of a record's key. */
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -1,6 +1,7 @@
 import {Millis} from '../base/clock.js';
 import {InterferenceWeights} from './interference.js';
 import {
+  InstanceRecord,
   INTERFERENCE_KEY,
   JobPhase,
   JobStateRecord,
@@ -56,8 +57,8 @@
   interference: InterferenceWeights = {};
   /** Workers that are recorded as unreachable, by id. */
   readonly lostWorkers = new Map<string, LostWorker>();
-  /** Processors of each instance of the system, in cores, by instance name. */
-  readonly instances = new Map<string, number>();
+  /** Instances of the system by name. */
+  readonly instances = new Map<string, InstanceRecord>();
 
   constructor(private readonly onRecordFault: RecordFaultHandler) {}
 
@@ -106,7 +107,8 @@
       return;
     }
     if (key[0] === RecordKind.INSTANCE) {
-      this.instances.set(id, unpackInstance(value).processors);
+      if (value.length === 0) this.instances.delete(id);
+      else this.instances.set(id, unpackInstance(value));
       return;
     }
     if (value.length === 0) {
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -115,6 +115,7 @@
       }
       worker.listing = listing;
       worker.address = listing.address;
+      worker.dataCentre = listing.dataCentre;
       worker.capacity = listing.capacity;
       worker.wasDraining = listing.phase === WorkerPhase.DRAINING;
     }
--- a/src/common/batch/worker_calls.ts
+++ b/src/common/batch/worker_calls.ts
@@ -53,6 +53,8 @@
 export interface WorkerAddress {
   readonly id: string;
   readonly address: string;
+  /** Data centre of the worker, if it is known. */
+  readonly dataCentre?: string;
 }
 
 /** A lease renewal, which also polls for a report. */
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -63,6 +63,8 @@
   listing: WorkerListing | undefined;
   /** Address in the last listing; a worker may respond while unlisted. */
   address = '';
+  /** Data centre in the last listing. */
+  dataCentre = '';
   capacity: Resources = {cpuMilli: 0, memoryMb: 0, gpus: 0};
   /** Incarnation that responded last, ms since 1970; 0 before a response. */
   born = 0;
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -4,6 +4,7 @@
 import {Clock, Millis, SECOND} from '../../common/base/clock.js';
 import {Election, isWeaker} from '../../common/batch/election.js';
 import {
+  InstanceRecord,
   isFinal,
   packRecord,
   RecordKind,
@@ -31,12 +32,12 @@
   Queue,
   WorkerListing,
 } from '../../common/batch/types.js';
-import {WorkerCalls} from '../../common/batch/worker_calls.js';
 import {IntakeWriter} from './intake_writer.js';
 import {IntakeResult} from './pending_write.js';
 import {JobLookup, LogUnavailableError} from './job_lookup.js';
 import {FencedWriter, WRITER_NAME} from './fenced_writer.js';
 import {LogTail} from './log_tail.js';
+import {RelayedWorkerCalls} from './relayed_worker_calls.js';
 import {RoleWriter} from './role_writer.js';
 import {Term, TermEndReason} from './term.js';
 
@@ -89,7 +90,7 @@
 export interface BatchInstanceDependencies {
   readonly name: string;
   readonly log: KeyedLog;
-  readonly workerClient: WorkerCalls;
+  readonly workerClient: RelayedWorkerCalls;
   readonly decoder: RecordDecoder;
   readonly clock: Clock;
   readonly wallClock: Clock;
@@ -98,8 +99,8 @@
   readonly timings: () => SchedulerTimings;
   /** Delay of this instance's claims; differs so that claims don't collide. */
   readonly claimDelayMs: Millis;
-  /** Processors that this instance may use, in cores. */
-  readonly processors: number;
+  /** What this instance tells the others about itself. */
+  readonly announcement: InstanceRecord;
 }
 
 /**
@@ -196,13 +197,13 @@
     void this.runElections();
   }
 
-  /** Publishes this instance's processors, which elections compare. */
+  /** Publishes what elections and the choice of relays depend on. */
   private async announce(): Promise<void> {
-    const {name, processors, clock, decisions} = this.dependencies;
+    const {name, announcement, clock, decisions} = this.dependencies;
     while (!this.stopping) {
       const deadline = clock.now() + ANNOUNCE_TIMEOUT_MS;
-      const result = await this.intake.announce(name, {processors}, deadline);
-      decisions.decide('announce', {processors, result});
+      const result = await this.intake.announce(name, announcement, deadline);
+      decisions.decide('announce', {...announcement, result});
       if (result === IntakeResult.STORED) return;
       await sleep(ANNOUNCE_TIMEOUT_MS);
     }
@@ -212,6 +213,8 @@
   stop(): void {
     this.stopping = true;
     this.term?.resign();
+    const {name, clock} = this.dependencies;
+    void this.intake.withdraw(name, clock.now() + ANNOUNCE_TIMEOUT_MS);
   }
 
   /**
@@ -299,12 +302,20 @@
 
   /** Resigns when an instance with far more processors has announced itself. */
   private onInstance(key: string): void {
-    const {processors, decisions} = this.dependencies;
+    const {name, decisions} = this.dependencies;
+    const {processors} = this.dependencies.announcement;
     const {instances} = this.view;
-    this.election.setWeak(isWeaker(processors, instances.values()));
-    const announced = instances.get(key.slice(1)) ?? 0;
+    const all = [...instances.values()].map(record => record.processors);
+    this.election.setWeak(isWeaker(processors, all));
+    const other = key.slice(1);
+    const announced = instances.get(other)?.processors;
+    if (announced === undefined) {
+      // The withdrawal of an earlier process under this name was stored late.
+      if (other === name && !this.stopping) void this.announce();
+      return;
+    }
     if (this.term === undefined || !isWeaker(processors, [announced])) return;
-    decisions.decide('yield', {processors, to: key.slice(1), has: announced});
+    decisions.decide('yield', {processors, to: other, has: announced});
     this.term.resign();
   }
 
@@ -331,7 +342,9 @@
       if (listing !== undefined) this.workers.set(listing.id, listing);
       else if (record.value.length === 0) this.workers.delete(record.key);
     }
-    this.term?.scheduler.onWorkerListings(this.workers);
+    if (this.term === undefined) return;
+    this.dependencies.workerClient.setFleet(this.view.instances, this.workers);
+    this.term.scheduler.onWorkerListings(this.workers);
   }
 
   private async runElections(): Promise<void> {
@@ -429,6 +442,7 @@
     let reason: TermEndReason = TermEndReason.FENCED;
     if (!isFenced) {
       scheduler = this.createScheduler(record.epoch, previousAuthorityMs);
+      workerClient.setFleet(this.view.instances, this.workers);
       scheduler.restore(this.view);
       scheduler.onWorkerListings(this.workers);
       scheduler.leases.confirmAuthority(claimedAt);
@@ -450,6 +464,7 @@
     this.term = undefined;
     role.close();
     progress.close();
+    workerClient.release();
     this.workersTail.pause();
     decisions.decide('term-ends', {epoch: record.epoch, reason});
     if (reason === TermEndReason.FENCED) this.election.onLogUnreadable();
--- a/src/node/batch/intake_writer.ts
+++ b/src/node/batch/intake_writer.ts
@@ -79,6 +79,12 @@
     return this.write({key, value: packRecord(record)}, deadline);
   }
 
+  /** Removes the record of an instance that stops. */
+  withdraw(instance: string, deadline: Millis): Promise<IntakeResult> {
+    const key = RecordKind.INSTANCE + instance;
+    return this.write({key, value: new Uint8Array()}, deadline);
+  }
+
   /**
    * Whether two reads in a row failed, or one read and the last append got no
    * response. A single failed read may be a reset connection.
--- /dev/null
+++ b/src/node/batch/worker_relay.ts
@@ -0,0 +1,132 @@
+import {createServer, Server} from 'node:http';
+import {WebSocket, WebSocketServer} from 'ws';
+import {DecisionLog} from '../../common/batch/scheduler_state.js';
+import {
+  RenewalResponse,
+  WorkerAddress,
+  WorkerCallResult,
+  WorkerCalls,
+} from '../../common/batch/worker_calls.js';
+import {FrameBatch} from './frame_batch.js';
+import {
+  MAX_RELAY_FRAME_BYTES,
+  packReply,
+  RELAY_PATH,
+  RelayCall,
+  RelayCallKind,
+  RelayRequest,
+  RelayResponse,
+  unpackRequests,
+} from './relay_messages.js';
+
+type RelayHandler<K extends RelayCallKind> = (
+  calls: WorkerCalls,
+  worker: WorkerAddress,
+  call: RelayCall & {kind: K},
+) => Promise<RenewalResponse>;
+
+/** Handlers by kind of call. */
+const HANDLERS: {readonly [K in RelayCallKind]: RelayHandler<K>} = {
+  [RelayCallKind.START]: (calls, worker, {request, leaseUntil, token}) =>
+    calls.start(worker, request, leaseUntil, token),
+  [RelayCallKind.STOP]: (calls, worker, {task, attempt, token}) =>
+    calls.stop(worker, task, attempt, token),
+  [RelayCallKind.RENEW]: (calls, worker, {renewal}) =>
+    calls.renew(worker, renewal),
+  [RelayCallKind.PACE]: (calls, worker, {task, attempt, percent, token}) =>
+    calls.pace(worker, task, attempt, percent, token),
+};
+
+/**
+ * Calls workers for the scheduler, which passes requests over a WebSocket. It
+ * decides nothing: tokens, leases and attempts are those of the scheduler, so
+ * that a worker refuses a request that arrives late. Its connections to workers
+ * outlive a scheduler.
+ */
+export class WorkerRelay {
+  private readonly httpServer: Server;
+  private readonly sockets: WebSocketServer;
+  private isDraining = false;
+
+  constructor(
+    private readonly calls: WorkerCalls,
+    private readonly decisions: DecisionLog,
+  ) {
+    this.httpServer = createServer((_request, response) => {
+      response.writeHead(404).end();
+    });
+    this.sockets = new WebSocketServer({
+      server: this.httpServer,
+      path: RELAY_PATH,
+      maxPayload: MAX_RELAY_FRAME_BYTES,
+      perMessageDeflate: false,
+    });
+    this.sockets.on('connection', socket => this.serve(socket));
+    // The process runs without a relay if the port is taken.
+    this.sockets.on('error', error =>
+      decisions.decide('relay-unavailable', {error: String(error)}),
+    );
+  }
+
+  /** Listens on an address of the form `host:port`. */
+  listen(address: string): void {
+    const colon = address.lastIndexOf(':');
+    this.httpServer.listen(
+      Number(address.slice(colon + 1)),
+      address.slice(0, colon),
+    );
+  }
+
+  /** Asks schedulers for no more requests; those in flight are answered. */
+  startDraining(): void {
+    this.isDraining = true;
+    const frame = packReply({responses: [], isDraining: true});
+    for (const socket of this.sockets.clients) socket.send(frame);
+  }
+
+  close(): void {
+    for (const socket of this.sockets.clients) socket.terminate();
+    this.sockets.close();
+    this.httpServer.close();
+  }
+
+  private serve(socket: WebSocket): void {
+    const replies = new FrameBatch<RelayResponse>(responses => {
+      if (socket.readyState !== WebSocket.OPEN) return;
+      socket.send(packReply({responses, isDraining: this.isDraining}));
+    });
+    if (this.isDraining) {
+      socket.send(packReply({responses: [], isDraining: true}));
+    }
+    socket.on('error', error =>
+      this.decisions.decide('relay-link-failed', {error: String(error)}),
+    );
+    socket.on('message', data => {
+      try {
+        const requests = unpackRequests(data as Buffer);
+        for (const request of requests) void this.handle(request, replies);
+      } catch (error) {
+        this.decisions.decide('relay-frame-refused', {error: String(error)});
+        socket.terminate();
+      }
+    });
+  }
+
+  private async handle(
+    {id, worker, call}: RelayRequest,
+    replies: FrameBatch<RelayResponse>,
+  ): Promise<void> {
+    const handler = HANDLERS[call.kind] as RelayHandler<RelayCallKind>;
+    try {
+      replies.add({id, response: await handler(this.calls, worker, call)});
+    } catch (error) {
+      // The request may have been sent before the error.
+      this.decisions.decide('fault', {
+        part: 'worker-relay',
+        worker: worker.id,
+        error: String(error),
+      });
+      replies.add({id, response: {result: WorkerCallResult.UNKNOWN}});
+    }
+  }
+}
