Scan the waiting tasks in slices and join the replies of relays

Cause: one scan of a long queue of best-effort tasks kept a scheduler of 0.12 cores busy for half a second and more, so its heartbeats came too late. Change: a scan is interrupted after 15 ms and goes on with the steps that it has not tried; steps that became urgent meanwhile come first. Relays collect replies for 6 ms. Result: both tests of a long queue fail on the old code.

--- /dev/null
+++ b/src/common/batch/long_queue.test.ts
@@ -0,0 +1,124 @@
+import {ManualClock} from '../base/manual_clock.js';
+import {Millis} from '../base/clock.js';
+import {HEARTBEAT_INTERVAL_MS} from './election.js';
+import {HeadroomForecast} from './headroom.js';
+import {InterferenceModel} from './interference.js';
+import {JobLifecycle} from './job_lifecycle.js';
+import {Placement} from './placement.js';
+import {SchedulerState} from './scheduler_state.js';
+import {QUEUE, STEP} from './simulated_fleet.test_support.js';
+import {Queue, WorkerPhase} from './types.js';
+
+/** Time that each look at the clock takes, as if work had been done between. */
+const READING_MS: Millis = 0.2;
+
+/** A clock that advances with each reading, as on a busy processor. */
+class BusyClock extends ManualClock {
+  readings = 0;
+
+  override now(): Millis {
+    this.readings++;
+    this.advance(READING_MS);
+    return super.now();
+  }
+}
+
+describe('Placement with a long queue on a slow processor', () => {
+  let clock: BusyClock;
+  let state: SchedulerState;
+  let lifecycle: JobLifecycle;
+  let placement: Placement;
+
+  beforeEach(() => {
+    clock = new BusyClock(1000);
+    const timings = {
+      leaseMs: 6000,
+      authorityMs: 5000,
+      stopMs: 400,
+      keepEndedMs: 120_000,
+      earlyMs: 250,
+      remoteFactor: 2,
+    };
+    const configuration = {
+      version: 1,
+      queues: [QUEUE],
+      pools: [{name: QUEUE.service, hasAdmissionCheck: false}],
+      maxBodyBytes: 1000,
+    };
+    state = new SchedulerState(
+      1,
+      0,
+      timings,
+      clock,
+      new ManualClock(0),
+      {decide: () => {}},
+      configuration,
+    );
+    lifecycle = new JobLifecycle(state);
+    const forecast = new HeadroomForecast(new InterferenceModel({}));
+    placement = new Placement(state, forecast);
+  });
+
+  function addWorker(cpuMilli: number): void {
+    const worker = state.getOrCreateWorker('w1');
+    worker.capacity = {cpuMilli, memoryMb: 100_000, gpus: 0};
+    worker.born = 1;
+    worker.isResponsive = true;
+    worker.lastResponseAt = 1e9;
+    worker.listing = {
+      id: 'w1',
+      born: 1,
+      service: QUEUE.service,
+      address: 'w1:1',
+      dataCentre: 'a',
+      phase: WorkerPhase.READY,
+      warmupMs: 0,
+      capacity: worker.capacity,
+      labels: ['kind', 'rack-1'],
+    };
+  }
+
+  function submit(id: string, queue: Queue = QUEUE): void {
+    const shape = {
+      spec: '',
+      steps: [STEP],
+      repeats: 0,
+      startMs: 0,
+      periodMs: 0,
+    };
+    const submission = {queue, acceptedAt: 0, shape};
+    lifecycle.add({id, submission, cancelled: false, seenAt: clock.now()});
+  }
+
+  it('places a long queue in slices of bounded time', () => {
+    // Guards against a scheduler that is silent for longer than the heartbeat
+    // timeout while it scans the waiting tasks (100 workers on 0.12 cores).
+    addWorker(1e6);
+    for (let job = 0; job < 300; job++) submit(`job-${job}`);
+    let longestMs = 0;
+    let slices = 0;
+    while (state.waitingTasks.size > 0 && slices < 1000) {
+      const startedAt = clock.now();
+      placement.run();
+      longestMs = Math.max(longestMs, clock.now() - startedAt);
+      slices++;
+    }
+    expect(state.waitingTasks.size).toBe(0);
+    expect(slices).toBeGreaterThan(5);
+    expect(longestMs).toBeLessThan(HEARTBEAT_INTERVAL_MS);
+  });
+
+  it('places an urgent job before the rest of the queue', () => {
+    // Guards against an urgent start that waits for a long scan to end.
+    addWorker(1e6);
+    const low = {...QUEUE, name: 'low', priority: 3};
+    for (let job = 0; job < 100; job++) submit(`low-${job}`, low);
+    placement.run();
+    expect(state.waitingTasks.size).toBeGreaterThan(0);
+    submit('urgent');
+    for (let slice = 0; slice < 3; slice++) placement.run();
+    const waiting = [...state.waitingTasks].map(({name}) => name);
+    expect(waiting).not.toContain('urgent.0.0.0');
+    expect(waiting.length).toBeGreaterThan(0);
+  });
+});
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -47,6 +47,12 @@
  */
 const SCAN_PAUSE_FACTOR = 4;
 
+/**
+ * Time after which a scan is interrupted, so that heartbeats, reports and
+ * callers don't wait for the rest of a long queue.
+ */
+const SCAN_SLICE_MS: Millis = 15;
+
 /** Waiting tasks of one step; the lowest rank is served first. */
 interface WaitingStep {
   readonly step: ActiveStep;
@@ -59,6 +65,10 @@
   private readonly placementCost: PlacementCost;
   /** Local time before which the waiting tasks are not scanned again. */
   private nextScanAt: Millis = -Infinity;
+  /** Steps that the current scan has tried, in this and in earlier slices. */
+  private readonly triedSteps = new Set<ActiveStep>();
+  /** Duration of the earlier slices of the current scan. */
+  private scanMs: Millis = 0;
   /** Local time at which short tasks last waited for capacity. */
   private shortTasksWaitedAt: Millis = -Infinity;
 
@@ -81,21 +91,35 @@
     if (this.state.waitingTasks.size === 0) return;
     const startedAt = this.state.now();
     if (startedAt < this.nextScanAt) return;
-    this.scan();
+    const isComplete = this.scanSlice();
     const endedAt = this.state.now();
-    this.nextScanAt = endedAt + SCAN_PAUSE_FACTOR * (endedAt - startedAt);
+    this.scanMs += endedAt - startedAt;
+    if (!isComplete) return;
+    this.nextScanAt = endedAt + SCAN_PAUSE_FACTOR * this.scanMs;
+    this.scanMs = 0;
+    this.triedSteps.clear();
   }
 
-  private scan(): void {
+  /**
+   * Places tasks of the steps that the scan has not tried yet, at least of one,
+   * until the time of a slice is over. Steps that have become urgent since the
+   * last slice come first. Returns whether all steps were tried.
+   */
+  private scanSlice(): boolean {
     const workers = [...this.state.workers.values()].filter(worker =>
       this.isUsable(worker),
     );
-    if (workers.length === 0) return;
-    for (const {step, tasks} of this.waitingSteps()) {
+    if (workers.length === 0) return true;
+    const steps = this.waitingSteps();
+    const deadline = this.state.now() + SCAN_SLICE_MS;
+    for (const [index, {step, tasks}] of steps.entries()) {
+      if (index > 0 && this.state.now() >= deadline) return false;
+      this.triedSteps.add(step);
       this.trackShortTasks(step, tasks);
       if (step.shape.gang) this.placeGang(step, workers);
       else this.placeTasks(step, tasks, workers);
     }
+    return true;
   }
 
   /** Notes the time if short tasks wait for capacity. */
@@ -127,12 +151,15 @@
     return worker.born === listing.born;
   }
 
-  /** Returns the steps with waiting tasks in order of their rank. */
+  /**
+   * Returns the steps with waiting tasks that the scan has not tried yet, in
+   * order of their rank.
+   */
   private waitingSteps(): WaitingStep[] {
     const groups = new Map<ActiveStep, ActiveTask[]>();
     const now = this.state.now();
     for (const task of this.state.waitingTasks) {
-      if (task.notBefore > now) continue;
+      if (task.notBefore > now || this.triedSteps.has(task.step)) continue;
       const tasks = groups.get(task.step);
       if (tasks === undefined) groups.set(task.step, [task]);
       else tasks.push(task);
--- a/src/node/batch/relay_link.ts
+++ b/src/node/batch/relay_link.ts
@@ -35,6 +35,7 @@
   >();
   private readonly outbox = new FrameBatch<RelayRequest>(
     requests => this.socket.send(packRequests(requests)),
+    0,
     () => this.socket.readyState === WebSocket.OPEN,
   );
   private lastReceivedAt: Millis;
--- a/src/node/batch/worker_relay.ts
+++ b/src/node/batch/worker_relay.ts
@@ -1,5 +1,6 @@
 import {createServer, Server} from 'node:http';
 import {WebSocket, WebSocketServer} from 'ws';
+import {Millis} from '../../common/base/clock.js';
 import {DecisionLog} from '../../common/batch/scheduler_state.js';
 import {
   RenewalResponse,
@@ -19,6 +20,12 @@
   unpackRequests,
 } from './relay_messages.js';
 
+/**
+ * Time for which responses are collected: reports of many workers reach the
+ * scheduler in one frame.
+ */
+const REPLY_DELAY_MS: Millis = 6;
+
 type RelayHandler<K extends RelayCallKind> = (
   calls: WorkerCalls,
   worker: WorkerAddress,
@@ -94,7 +101,7 @@
     const replies = new FrameBatch<RelayResponse>(responses => {
       if (socket.readyState !== WebSocket.OPEN) return;
       socket.send(packReply({responses, isDraining: this.isDraining}));
-    });
+    }, REPLY_DELAY_MS);
     if (this.isDraining) {
       socket.send(packReply({responses: [], isDraining: true}));
     }
