Let a malformed message or an unexpected error end only its own request

Cause, by reading: a response of the store that is no JSON, an empty record at the end of a read, a worker's body "null" or an entry with an address that is no URL threw in a promise that nothing handled, and an unhandled rejection ended the process. Any error in a handler, timer or promise did the same. A tail drops older records of a key of which it has loaded a newer one.

--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -1,6 +1,6 @@
 import {Packr} from 'msgpackr';
 import {InterferenceWeights} from './interference.js';
-import {JobShape, Queue} from './types.js';
+import {JobShape, Queue, StepShape} from './types.js';
 
 /** Phase of a job as reported to callers. */
 export const JobPhase = {
@@ -17,6 +17,8 @@
 } as const;
 export type JobPhase = (typeof JobPhase)[keyof typeof JobPhase];
 
+const PHASES: ReadonlySet<unknown> = new Set(Object.values(JobPhase));
+
 /** Whether a phase is final. */
 export function isFinal(phase: JobPhase): boolean {
   return phase >= JobPhase.COMPLETE;
@@ -200,6 +202,9 @@
       [number, PackedTask[][]][],
       number,
     ];
+  if (!PHASES.has(phase) || !Number.isFinite(endedAt)) {
+    throw new TypeError('Progress record has no valid phase or time.');
+  }
   return {
     phase,
     hasStarted,
@@ -224,6 +229,9 @@
     boolean,
     number,
   ];
+  if (!PHASES.has(phase) || !Number.isFinite(endedAt)) {
+    throw new TypeError('State record has no valid phase or time.');
+  }
   return {phase, hasStarted, endedAt};
 }
 
@@ -239,19 +247,46 @@
   return packr.pack(record);
 }
 
-/** Decodes an accepted job. */
+/**
+ * Decodes an accepted job.
+ * @throws TypeError if the record lacks a queue or steps.
+ */
 export function unpackSubmission(bytes: Uint8Array): SubmissionRecord {
-  return packr.unpack(bytes) as SubmissionRecord;
+  const record = packr.unpack(bytes) as SubmissionRecord | undefined;
+  const steps: unknown = record?.shape?.steps;
+  const isValid =
+    typeof record?.queue?.name === 'string' &&
+    Array.isArray(steps) &&
+    steps.every(
+      (step: Partial<StepShape> | null) =>
+        Number.isInteger(step?.count) && Array.isArray(step?.after),
+    );
+  if (!isValid) throw new TypeError('Submission has no queue or no steps.');
+  return record;
 }
 
-/** Decodes the record of a lost worker. */
+/**
+ * Decodes the record of a lost worker.
+ * @throws TypeError if a time is missing.
+ */
 export function unpackLostWorker(bytes: Uint8Array): LostWorkerRecord {
-  return packr.unpack(bytes) as LostWorkerRecord;
+  const record = packr.unpack(bytes) as LostWorkerRecord | undefined;
+  if (!Number.isFinite(record?.born) || !Number.isFinite(record?.leaseLeftMs)) {
+    throw new TypeError('Record of a lost worker has no times.');
+  }
+  return record!;
 }
 
-/** Decodes the record of an instance. */
+/**
+ * Decodes the record of an instance.
+ * @throws TypeError if it has no processors.
+ */
 export function unpackInstance(bytes: Uint8Array): InstanceRecord {
-  return packr.unpack(bytes) as InstanceRecord;
+  const record = packr.unpack(bytes) as InstanceRecord | undefined;
+  if (!Number.isFinite(record?.processors)) {
+    throw new TypeError('Record of an instance has no processors.');
+  }
+  return record!;
 }
 
 /** Decodes the learned interference weights. */
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -87,7 +87,13 @@
     for (const id of view.lostWorkers.keys()) {
       this.state.getOrCreateWorker(id).isRecordedAsLost = true;
     }
-    for (const job of view.jobs.values()) this.lifecycle.add(job);
+    for (const job of view.jobs.values()) {
+      try {
+        this.lifecycle.add(job);
+      } catch (error) {
+        this.state.onFault(`job ${job.id}`, error);
+      }
+    }
   }
 
   /** Adds a job or applies a cancellation that was read from the log. */
@@ -162,12 +168,23 @@
     return this.leases.onStopResponse(run, response);
   }
 
+  /** Checks that depend on time alone; an error in one ends only that one. */
+  private readonly checks: Readonly<Record<string, () => void>> = {
+    leases: () => this.leases.expireLeases(),
+    evacuation: () => this.evacuation.run(),
+    stalls: () => this.stallDetector.run(),
+    schedules: () => this.lifecycle.addDueOccurrences(),
+  };
+
   /** Runs the checks that depend on time alone. */
   tick(): void {
-    this.leases.expireLeases();
-    this.evacuation.run();
-    this.stallDetector.run();
-    this.lifecycle.addDueOccurrences();
+    for (const [part, run] of Object.entries(this.checks)) {
+      try {
+        run();
+      } catch (error) {
+        this.state.onFault(part, error);
+      }
+    }
   }
 
   /** Places waiting tasks and returns the records to store. */
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -118,6 +118,12 @@
     return worker;
   }
 
+  /** Logs an unexpected error that ends only the part in which it occurred. */
+  onFault(part: string, error: unknown): void {
+    const text = error instanceof Error ? error.stack : String(error);
+    this.log.decide('fault', {part, error: text});
+  }
+
   /** Fencing token for requests to a worker; higher in each later epoch. */
   fencingToken(worker: WorkerState): number {
     return this.epoch * TOKENS_PER_EPOCH + worker.tokenOffset;
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -265,7 +265,11 @@
       topic,
       this.dependencies.clock,
       {waitMs: LONG_POLL_TIMEOUT_MS, intervalMs},
-      {onRecords, onRead},
+      {
+        onRecords,
+        onRead,
+        onFault: error => this.onFault(`tail of ${topic}`, error),
+      },
     );
   }
 
@@ -293,13 +297,27 @@
     const now = this.dependencies.clock.now();
     for (const record of records) {
       this.view.apply(record, now);
-      if (record.key[0] === RecordKind.INSTANCE) this.onInstance(record.key);
-      const job = this.view.jobs.get(record.key.slice(1));
-      if (job !== undefined) this.term?.scheduler.onJob(job);
+      try {
+        this.onIntakeRecord(record.key);
+      } catch (error) {
+        this.onFault(`record ${record.key}`, error);
+      }
     }
     this.term?.signal();
   }
 
+  private onIntakeRecord(key: string): void {
+    if (key[0] === RecordKind.INSTANCE) this.onInstance(key);
+    const job = this.view.jobs.get(key.slice(1));
+    if (job !== undefined) this.term?.scheduler.onJob(job);
+  }
+
+  /** Logs an error that ends only what it occurred in. */
+  private onFault(part: string, error: unknown): void {
+    const text = error instanceof Error ? error.stack : String(error);
+    this.dependencies.decisions.decide('fault', {part, error: text});
+  }
+
   /** Resigns when an instance with far more processors has announced itself. */
   private onInstance(key: string): void {
     const {name, decisions} = this.dependencies;
@@ -354,13 +372,22 @@
       const untilClaimMs = this.election.timeUntilClaim(
         this.dependencies.clock.now(),
       );
-      if (untilClaimMs !== undefined && untilClaimMs <= 0) await this.claim();
+      if (untilClaimMs === undefined || untilClaimMs > 0) continue;
+      try {
+        await this.claim();
+      } catch (error) {
+        this.onFault('term', error);
+      }
     }
   }
 
   /** Claims the scheduler role and, on success, runs a term until it ends. */
   private async claim(): Promise<void> {
     const {log, name, decisions} = this.dependencies;
+    // A version that kept the role in the progress topic may have run before.
+    if (this.view.scheduler === undefined && !(await this.loadProgress())) {
+      return;
+    }
     this.statesTail.pause();
     const epoch = (this.view.scheduler?.epoch ?? 0) + 1;
     const record: SchedulerRecord = {
@@ -384,18 +411,16 @@
     const {result} = response;
     decisions.decide('claim', {epoch, result, end, quickTakeovers});
     let nextOffset = end;
-    if (response.result === AppendResult.STORED) {
-      nextOffset = await this.runTerm(
-        record,
-        sequence + 1,
-        response.end ?? end + 1,
-      );
-    }
-    const now = this.dependencies.clock.now();
-    if (response.result === AppendResult.STORED) {
-      this.election.onHeartbeat(this.view.scheduler, now);
+    try {
+      if (result === AppendResult.STORED) {
+        const begin = response.end ?? end + 1;
+        nextOffset = await this.runTerm(record, sequence + 1, begin);
+        const now = this.dependencies.clock.now();
+        this.election.onHeartbeat(this.view.scheduler, now);
+      }
+    } finally {
+      this.statesTail.resume(nextOffset);
     }
-    this.statesTail.resume(nextOffset);
     // Gives the tail time to catch up before the next claim.
     await sleep(STATES_READ_INTERVAL_MS * 3);
   }
@@ -411,7 +436,7 @@
     sequence: number,
     end: number,
   ): Promise<number> {
-    const {log, workerClient, clock, decisions} = this.dependencies;
+    const {log, clock, decisions} = this.dependencies;
     let nextOffset = end;
     const claimedAt = clock.now();
     const previous = this.view.scheduler;
@@ -438,39 +463,48 @@
     const progress = this.createProgressWriter(record.epoch, onFenced, sentAt =>
       scheduler?.leases.confirmAuthority(sentAt),
     );
-    await this.loadTopics(progress, () => isFenced);
     let reason: TermEndReason = TermEndReason.FENCED;
-    if (!isFenced) {
-      scheduler = this.createScheduler(record.epoch, previousAuthorityMs);
-      workerClient.setFleet(this.view.instances, this.workers);
-      scheduler.restore(this.view);
-      scheduler.onWorkerListings(this.workers);
-      scheduler.leases.confirmAuthority(claimedAt);
-      this.term = new Term(scheduler, {
-        log,
-        workerClient,
-        clock,
-        role,
-        progress,
-      });
-      decisions.decide('term-begins', {
-        epoch: record.epoch,
-        jobs: scheduler.state.jobs.size,
-        waiting: scheduler.state.waitingTasks.size,
-        takeoverMs: Math.round(clock.now() - claimedAt),
-      });
-      reason = await this.term.run();
+    try {
+      await this.loadTopics(progress, () => isFenced);
+      if (!isFenced) {
+        scheduler = this.createScheduler(record.epoch, previousAuthorityMs);
+        scheduler.leases.confirmAuthority(claimedAt);
+        this.term = this.beginTerm(scheduler, role, progress, claimedAt);
+        reason = await this.term.run();
+      }
+    } finally {
+      this.term = undefined;
+      role.close();
+      progress.close();
+      this.dependencies.workerClient.release();
+      this.workersTail.pause();
+      decisions.decide('term-ends', {epoch: record.epoch, reason});
     }
-    this.term = undefined;
-    role.close();
-    progress.close();
-    workerClient.release();
-    this.workersTail.pause();
-    decisions.decide('term-ends', {epoch: record.epoch, reason});
     if (reason === TermEndReason.FENCED) this.election.onLogUnreadable();
     return nextOffset;
   }
 
+  /** Restores the scheduler's state and creates its term. */
+  private beginTerm(
+    scheduler: Scheduler,
+    role: RoleWriter,
+    progress: FencedWriter,
+    claimedAt: Millis,
+  ): Term {
+    const {log, workerClient, clock, decisions} = this.dependencies;
+    workerClient.setFleet(this.view.instances, this.workers);
+    scheduler.restore(this.view);
+    scheduler.onWorkerListings(this.workers);
+    const {state} = scheduler;
+    decisions.decide('term-begins', {
+      epoch: state.epoch,
+      jobs: state.jobs.size,
+      waiting: state.waitingTasks.size,
+      takeoverMs: Math.round(clock.now() - claimedAt),
+    });
+    return new Term(scheduler, {log, workerClient, clock, role, progress});
+  }
+
   private createProgressWriter(
     epoch: number,
     onFenced: () => void,
--- a/src/node/batch/job_lookup.test.ts
+++ b/src/node/batch/job_lookup.test.ts
@@ -72,6 +72,7 @@
         for (const record of records) view.apply(record, clock.now());
       },
       onRead: () => {},
+      onFault: () => {},
     };
     const options = {waitMs: 0, intervalMs: () => 0};
     const tail = new LogTail(log, topic, clock, options, listener);
--- a/src/node/batch/log_tail.ts
+++ b/src/node/batch/log_tail.ts
@@ -28,6 +28,8 @@
   onRecords(records: readonly StoredRecord[], isReset: boolean): void;
   /** Called after each read. */
   onRead(succeeded: boolean): void;
+  /** Called with an error that the handling of a read has thrown. */
+  onFault(error: unknown): void;
 }
 
 /** Follows a topic: loads the newest record of each key, then newer records. */
@@ -38,6 +40,12 @@
   syncedAt: Millis = -Infinity;
   /** Reads that failed since the last successful one. */
   consecutiveFailures = 0;
+  /**
+   * Offsets of the newest records that were written after the first page of
+   * them was read, by key. Reads that follow return older records of these keys
+   * again.
+   */
+  private readonly newerOffsets = new Map<string, number>();
   private isStopped = false;
   private isPaused = false;
   /** Refresh in flight, and the one that follows it. */
@@ -83,7 +91,7 @@
         await sleep(RETRY_DELAY_MS);
         continue;
       }
-      const succeeded = await this.readOnce(this.options.waitMs);
+      const succeeded = await this.readSafely(this.options.waitMs);
       const delay = succeeded ? this.options.intervalMs() : RETRY_DELAY_MS;
       if (delay > 0) await sleep(delay);
     }
@@ -109,14 +117,23 @@
 
   private async readToEnd(): Promise<boolean> {
     for (;;) {
-      const response = await this.read(0);
+      const response = await this.read(0).catch((error: unknown) => {
+        this.listener.onFault(error);
+        return undefined;
+      });
       if (response === undefined) return false;
       if (response.next >= response.end) return true;
     }
   }
 
-  private async readOnce(waitMs: Millis): Promise<boolean> {
-    return (await this.read(waitMs)) !== undefined;
+  /** Reads once; an unexpected error counts as a failed read. */
+  private async readSafely(waitMs: Millis): Promise<boolean> {
+    try {
+      return (await this.read(waitMs)) !== undefined;
+    } catch (error) {
+      this.listener.onFault(error);
+      return false;
+    }
   }
 
   private async read(waitMs: Millis): Promise<ReadResponse | undefined> {
@@ -137,13 +154,36 @@
     // have advanced the offset further.
     if (this.isPaused && !isReset) return undefined;
     this.syncedAt = this.clock.now();
-    const records = response.records.filter(
-      ({offset}) => offset >= this.nextOffset,
-    );
+    const records = isReset
+      ? this.acceptNewest(response)
+      : response.records.filter(record => this.isNew(record));
     if (response.next > this.nextOffset) this.nextOffset = response.next;
     if (records.length > 0 || isReset) {
-      this.listener.onRecords(records, isReset);
+      this.notify(records, isReset);
     }
     return response;
   }
+
+  private acceptNewest({records, next}: ReadResponse): readonly StoredRecord[] {
+    this.newerOffsets.clear();
+    for (const {key, offset} of records) {
+      if (offset >= next) this.newerOffsets.set(key, offset);
+    }
+    return records;
+  }
+
+  /** Whether a record was not read before, nor a newer one of its key. */
+  private isNew({key, offset}: StoredRecord): boolean {
+    if (offset < this.nextOffset) return false;
+    return offset > (this.newerOffsets.get(key) ?? -1);
+  }
+
+  /** Passes records on; an error in their handling does not stop the tail. */
+  private notify(records: readonly StoredRecord[], isReset: boolean): void {
+    try {
+      this.listener.onRecords(records, isReset);
+    } catch (error) {
+      this.listener.onFault(error);
+    }
+  }
 }
--- a/src/node/batch/store_faults.test.ts
+++ b/src/node/batch/store_faults.test.ts
@@ -7,6 +7,7 @@
   KeyedRecord,
   ReadResponse,
   ReadResult,
+  StoredRecord,
   Topic,
 } from '../../common/batch/store.js';
 import {QUEUE, STEP} from '../../common/batch/simulated_fleet.test_support.js';
@@ -44,9 +45,18 @@
     return Promise.resolve(this.readResponses.shift() ?? FAILED_READ);
   }
 
+  newestRecords: readonly StoredRecord[] = [];
+  newestEnd = 0;
+
   newest(): Promise<ReadResponse> {
     this.newestReads++;
-    return Promise.resolve({...FAILED_READ, result: ReadResult.READ});
+    const {newestRecords: records, newestEnd: end} = this;
+    return Promise.resolve({
+      result: ReadResult.READ,
+      records,
+      next: end,
+      end,
+    });
   }
 }
 
@@ -172,7 +182,11 @@
 });
 
 describe('LogTail', () => {
-  const listener = {onRecords: () => {}, onRead: () => {}};
+  const listener = {
+    onRecords: () => {},
+    onRead: () => {},
+    onFault: () => {},
+  };
   const options = {waitMs: 0, intervalMs: () => 0};
   const page = (next: number, end: number): ReadResponse => ({
     result: ReadResult.READ,
@@ -242,4 +256,57 @@
     await tail.refresh();
     expect(log.newestReads).toBe(1);
   });
+
+  it('drops older records of a key after a newer one was loaded', async () => {
+    // Guards against a state that goes back: the pages of the newest records
+    // are read one after the other, so a later page may be newer than the
+    // records that are read from the end of the first page on.
+    const log = new ScriptedLog();
+    const value = Uint8Array.of(1);
+    log.newestRecords = [{key: 'a', value, offset: 8}];
+    log.newestEnd = 5;
+    log.readResponses = [
+      {
+        ...page(10, 10),
+        records: [
+          {key: 'a', value, offset: 6},
+          {key: 'b', value, offset: 7},
+          {key: 'a', value, offset: 8},
+          {key: 'a', value, offset: 9},
+        ],
+      },
+    ];
+    const offsets: number[] = [];
+    const tail = new LogTail(log, Topic.INTAKE, tailClock, options, {
+      ...listener,
+      onRecords: records => offsets.push(...records.map(r => r.offset)),
+    });
+    tail.resume(-1);
+    await tail.refresh();
+    await tail.refresh();
+    expect(offsets).toEqual([8, 7, 9]);
+  });
+
+  it('goes on after an unexpected error in the handling of records', async () => {
+    // Guards against a process that one record takes down, or whose replica
+    // stops at that record.
+    const log = new ScriptedLog();
+    const record = {key: 'a', value: Uint8Array.of(1), offset: 0};
+    log.readResponses = [
+      {...page(1, 2), records: [record]},
+      {...page(2, 2), records: [{...record, offset: 1}]},
+    ];
+    const faults: unknown[] = [];
+    const tail = new LogTail(log, Topic.INTAKE, tailClock, options, {
+      ...listener,
+      onRecords: () => {
+        throw new Error('fault');
+      },
+      onFault: error => faults.push(error),
+    });
+    tail.resume(0);
+    expect(await tail.refresh()).toBe(true);
+    expect(faults).toHaveLength(2);
+    expect(tail.nextOffset).toBe(2);
+  });
 });
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -1,6 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ManualClock} from '../../common/base/manual_clock.js';
-import {SCHEDULER_KEY} from '../../common/batch/job_records.js';
+import {
+  SCHEDULER_KEY,
+  unpackScheduler,
+} from '../../common/batch/job_records.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {SchedulerState} from '../../common/batch/scheduler_state.js';
 import {QUEUE, STEP} from '../../common/batch/simulated_fleet.test_support.js';
@@ -8,6 +11,7 @@
   AppendResponse,
   AppendResult,
   KeyedLog,
+  KeyedRecord,
   ReadResponse,
   Topic,
 } from '../../common/batch/store.js';
@@ -53,8 +57,13 @@
 /** A log whose appends have an unknown outcome until a test sets another. */
 class UnresponsiveLog implements KeyedLog {
   result: AppendResult = AppendResult.UNKNOWN;
+  readonly appended: KeyedRecord[] = [];
 
-  append(): Promise<AppendResponse> {
+  append(
+    _topic: Topic,
+    records: readonly KeyedRecord[],
+  ): Promise<AppendResponse> {
+    this.appended.push(...records);
     return Promise.resolve({result: this.result});
   }
 
@@ -73,6 +82,8 @@
 /** A worker that reports the end of one run in every response. */
 class FakeWorkerClient implements WorkerCalls {
   readonly renewals: LeaseRenewal[] = [];
+  /** Number of the renewal that ends with an unexpected error; 0 for none. */
+  faultyRenewal = 0;
   onRenewal: () => void = () => {};
 
   async renew(
@@ -82,6 +93,7 @@
     this.renewals.push(renewal);
     this.onRenewal();
     await sleep(RESPONSE_TIME_MS);
+    if (this.renewals.length === this.faultyRenewal) throw new Error('fault');
     const end = {sequence: 1, task: 'a.0.0.0', attempt: 1, checkpoint: ''};
     const ends = [{...end, end: RunOutcome.DONE}];
     const report = {born: 1, clockMs: 0, running: [], ends};
@@ -132,6 +144,7 @@
   const clock = new SystemClock();
   let log: UnresponsiveLog;
   let workerClient: FakeWorkerClient;
+  let scheduler: Scheduler;
   let term: Term;
 
   beforeEach(() => {
@@ -154,7 +167,8 @@
       listener,
     );
     const host = {log, workerClient, clock, role, progress};
-    term = new Term(newScheduler(clock), host);
+    scheduler = newScheduler(clock);
+    term = new Term(scheduler, host);
   });
 
   // A term runs until its resignation is stored, so it is ended here even if a
@@ -196,6 +210,28 @@
     expect(await ended).toBe(TermEndReason.RESIGNED);
   });
 
+  it('goes on after an unexpected error in the call to a worker', async () => {
+    // Guards against a process that one unexpected error takes down, and
+    // against a worker that is never called again after it.
+    workerClient.faultyRenewal = 1;
+    void term.run();
+    await waitForRenewals(3);
+    expect(workerClient.renewals[1].leaseUntil).toBeUndefined();
+  });
+
+  it('hands its role on after an unexpected error in a batch', async () => {
+    // Guards against a scheduler that goes on with a state that may be wrong,
+    // and against one that keeps the role and does nothing.
+    log.result = AppendResult.STORED;
+    scheduler.takeBatch = () => {
+      throw new Error('fault');
+    };
+    expect(await term.run()).toBe(TermEndReason.FAULT);
+    const {key, value} = log.appended[log.appended.length - 1];
+    expect(key).toBe(SCHEDULER_KEY);
+    expect(unpackScheduler(value).resigned).toBe(true);
+  });
+
   it('does not settle a record while the response to its append is lost', async () => {
     // Guards against reporting the state of the key as current: other instances
     // may read the new record before this one gets the response to a retry.
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -44,6 +44,8 @@
   RESIGNED: 'resigned',
   /** The store or a worker has seen a higher epoch. */
   FENCED: 'fenced',
+  /** An unexpected error; the successor starts from what is stored. */
+  FAULT: 'fault',
 } as const;
 export type TermEndReason = (typeof TermEndReason)[keyof typeof TermEndReason];
 
@@ -84,22 +86,27 @@
 
   /** Runs until a successor fences this term or it has resigned. */
   async run(): Promise<TermEndReason> {
-    const ticks = setInterval(() => this.tick(), TICK_INTERVAL_MS);
-    this.tick();
-    while (this.endReason === undefined) {
-      const {isResigning} = this;
-      await this.flush();
-      if (isResigning) this.end(TermEndReason.RESIGNED);
-      else await this.waitForSignal();
+    const ticks = setInterval(() => this.tickSafely(), TICK_INTERVAL_MS);
+    this.tickSafely();
+    try {
+      while (this.endReason === undefined) {
+        const {isResigning} = this;
+        await this.flush();
+        if (isResigning) this.end(TermEndReason.RESIGNED);
+        else await this.waitForSignal();
+      }
+    } catch (error) {
+      this.scheduler.state.onFault('batch', error);
+      this.end(TermEndReason.FAULT);
     }
     clearInterval(ticks);
     this.resolveCommit();
     this.host.progress.close();
-    if (this.endReason === TermEndReason.RESIGNED) {
+    if (this.endReason !== TermEndReason.FENCED) {
       await this.host.role.resign();
     }
     this.host.role.close();
-    return this.endReason;
+    return this.endReason ?? TermEndReason.FAULT;
   }
 
   /**
@@ -169,6 +176,14 @@
     });
   }
 
+  private tickSafely(): void {
+    try {
+      this.tick();
+    } catch (error) {
+      this.scheduler.state.onFault('tick', error);
+    }
+  }
+
   private tick(): void {
     const {scheduler} = this;
     scheduler.tick();
@@ -228,10 +243,16 @@
 
   private send(command: Command): void {
     if (this.endReason !== undefined) return;
-    if (command.kind === CommandKind.START) void this.start(command.run);
-    else if (command.kind === CommandKind.STOP) void this.stop(command.run);
-    else if (command.kind === CommandKind.PACE) void this.pace(command);
-    else void this.stopStray(command);
+    void this.execute(command).catch((error: unknown) =>
+      this.scheduler.state.onFault(`command ${command.kind}`, error),
+    );
+  }
+
+  private execute(command: Command): Promise<void> {
+    if (command.kind === CommandKind.START) return this.start(command.run);
+    if (command.kind === CommandKind.STOP) return this.stop(command.run);
+    if (command.kind === CommandKind.PACE) return this.pace(command);
+    return this.stopStray(command);
   }
 
   private async start(run: Run): Promise<void> {
@@ -328,20 +349,35 @@
     }
   }
 
+  /**
+   * Renews the lease of a worker once. After an unexpected error the worker
+   * counts as one that did not respond, so its lease is not extended.
+   */
+  private async renew(worker: WorkerState): Promise<void> {
+    const {scheduler, host} = this;
+    try {
+      const renewal = scheduler.leases.nextRenewal(worker);
+      const sentAt = host.clock.now();
+      const response = await host.workerClient.renew(worker, renewal);
+      if (this.endReason !== undefined) return;
+      scheduler.onRenewalResponse(worker, renewal, sentAt, response);
+    } catch (error) {
+      worker.isResponsive = false;
+      scheduler.state.onFault(`worker ${worker.id}`, error);
+    }
+  }
+
   /** Renews the lease of a worker until it is removed or the term ends. */
   private async runRenewals(worker: WorkerState): Promise<void> {
-    const {scheduler, host} = this;
+    const {scheduler} = this;
     while (this.endReason === undefined) {
       if (scheduler.state.workers.get(worker.id) !== worker) break;
       if (worker.address === '') {
         await sleep(RENEWAL_RETRY_DELAY_MS);
         continue;
       }
-      const renewal = scheduler.leases.nextRenewal(worker);
-      const sentAt = host.clock.now();
-      const response = await host.workerClient.renew(worker, renewal);
+      await this.renew(worker);
       if (this.endReason !== undefined) break;
-      scheduler.onRenewalResponse(worker, renewal, sentAt, response);
       this.signal();
       if (!worker.isResponsive) await sleep(RENEWAL_RETRY_DELAY_MS);
       else if (worker.processedEnd > worker.durableEnd) {
