End the authority of a scheduler that was suspended

Cause: a steady clock does not count the time for which a machine is suspended. A scheduler that was suspended for 8 s still counted 5 s of authority after it woke and could grant leases, while its successor took those that it knew of for over and started the tasks elsewhere. The authority of a claim counted from its answer, not from its sending. Leases that others hold are still timed by the steady clock. Confirmations never shorten the authority.

--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -100,6 +100,8 @@
     readonly wallClock: Clock,
     readonly log: DecisionLog,
     public configuration: BatchConfiguration,
+    /** Clock for the end of the scheduler's own permission to grant leases. */
+    readonly permissionClock: Clock = clock,
   ) {
     this.timePredictor = new JobTimePredictor(clock);
   }
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -137,6 +137,8 @@
 export class SimulatedFleet {
   readonly clock = new ManualClock(1000);
   readonly wallClock = new ManualClock(1_000_000);
+  /** Advances further than `clock` while the machine is suspended. */
+  readonly permissionClock = new ManualClock(1000);
   readonly workers = new Map<string, SimulatedWorker>();
   readonly view = new JobView(key => {
     throw new Error(`record ${key} cannot be decoded`);
@@ -242,6 +244,7 @@
       this.wallClock,
       log,
       configuration,
+      this.permissionClock,
     );
     return new Scheduler(state);
   }
@@ -249,6 +252,7 @@
   private tick(): void {
     this.clock.advance(TICK_MS);
     this.wallClock.advance(TICK_MS);
+    this.permissionClock.advance(TICK_MS);
     const {scheduler} = this;
     const listed = [...this.workers.values()].filter(({isListed}) => isListed);
     scheduler.onWorkerListings(
@@ -277,7 +281,7 @@
     for (const record of [...batch.records, ...states]) {
       this.view.apply(record, this.clock.now());
     }
-    scheduler.leases.confirmAuthority(this.clock.now());
+    scheduler.leases.confirmAuthority(this.permissionClock.now());
     scheduler.onBatchStored(batch);
     scheduler.onStatesStored(states);
     for (const command of batch.commands) this.execute(command);
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -44,8 +44,8 @@
  */
 export class WorkerLeases {
   /**
-   * Local time until which this scheduler has authority, that is, may grant
-   * leases.
+   * Time of the permission clock until which this scheduler has authority, that
+   * is, may grant leases.
    */
   private authorityEndsAt: Millis = 0;
   /** Whether a worker has seen the fencing token of a later scheduler. */
@@ -56,14 +56,18 @@
     private readonly lifecycle: JobLifecycle,
   ) {}
 
-  /** Extends the authority after the log accepted a record of this epoch. */
-  confirmAuthority(now: Millis): void {
-    this.authorityEndsAt = now + this.state.timings.authorityMs;
+  /**
+   * Extends the authority after the log accepted a record of this epoch.
+   * @param sentAt time of the permission clock before the record was sent.
+   */
+  confirmAuthority(sentAt: Millis): void {
+    const end = sentAt + this.state.timings.authorityMs;
+    this.authorityEndsAt = Math.max(this.authorityEndsAt, end);
   }
 
   /** Whether this scheduler may grant leases now. */
   get hasAuthority(): boolean {
-    return this.state.now() < this.authorityEndsAt;
+    return this.state.permissionClock.now() < this.authorityEndsAt;
   }
 
   /** Builds the next renewal for a worker and tracks the lease it grants. */
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -94,6 +94,8 @@
   readonly decoder: RecordDecoder;
   readonly clock: Clock;
   readonly wallClock: Clock;
+  /** Clock for the end of this instance's permissions. */
+  readonly permissionClock: Clock;
   readonly decisions: DecisionLog;
   /** Returns the durations that apply to the next term. */
   readonly timings: () => SchedulerTimings;
@@ -400,6 +402,7 @@
       ),
     };
     const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
+    const claimedAt = this.dependencies.permissionClock.now();
     const end = this.statesTail.nextOffset;
     const response = await log.append(
       Topic.STATES,
@@ -414,7 +417,7 @@
     try {
       if (result === AppendResult.STORED) {
         const begin = response.end ?? end + 1;
-        nextOffset = await this.runTerm(record, sequence + 1, begin);
+        nextOffset = await this.runTerm(record, claimedAt, sequence + 1, begin);
         const now = this.dependencies.clock.now();
         this.election.onHeartbeat(this.view.scheduler, now);
       }
@@ -427,18 +430,19 @@
 
   /**
    * Runs a term until it ends.
+   * @param claimedAt time of the permission clock before the claim was sent.
    * @param sequence sequence number of its first append.
    * @param end end of the states topic after the claim.
    * @returns the offset from which the states topic is to be read on.
    */
   private async runTerm(
     record: SchedulerRecord,
+    claimedAt: Millis,
     sequence: number,
     end: number,
   ): Promise<number> {
-    const {log, clock, decisions} = this.dependencies;
+    const {log, clock, permissionClock, decisions} = this.dependencies;
     let nextOffset = end;
-    const claimedAt = clock.now();
     const previous = this.view.scheduler;
     const previousAuthorityMs =
       previous === undefined || previous.resigned
@@ -451,7 +455,7 @@
       isFenced = true;
       this.term?.onFenced();
     };
-    const role = new RoleWriter(log, clock, record, sequence, {
+    const role = new RoleWriter(log, permissionClock, record, sequence, {
       onFenced,
       onStored: (records, topicEnd, sentAt) => {
         nextOffset = topicEnd ?? nextOffset + records.length;
@@ -491,7 +495,8 @@
     progress: FencedWriter,
     claimedAt: Millis,
   ): Term {
-    const {log, workerClient, clock, decisions} = this.dependencies;
+    const {log, workerClient, clock, permissionClock, decisions} =
+      this.dependencies;
     workerClient.setFleet(this.view.instances, this.workers);
     scheduler.restore(this.view);
     scheduler.onWorkerListings(this.workers);
@@ -500,7 +505,7 @@
       epoch: state.epoch,
       jobs: state.jobs.size,
       waiting: state.waitingTasks.size,
-      takeoverMs: Math.round(clock.now() - claimedAt),
+      takeoverMs: Math.round(permissionClock.now() - claimedAt),
     });
     return new Term(scheduler, {log, workerClient, clock, role, progress});
   }
@@ -510,13 +515,13 @@
     onFenced: () => void,
     onStored: (sentAt: Millis) => void,
   ): FencedWriter {
-    const {log, clock} = this.dependencies;
+    const {log, permissionClock} = this.dependencies;
     return new FencedWriter(
       log,
       Topic.PROGRESS,
       epoch,
       randomInt(FIRST_SEQUENCE_LIMIT),
-      clock,
+      permissionClock,
       {onFenced, onStored: (_records, _end, sentAt) => onStored(sentAt)},
     );
   }
@@ -562,7 +567,7 @@
     epoch: number,
     previousAuthorityMs: Millis,
   ): Scheduler {
-    const {clock, wallClock, decisions} = this.dependencies;
+    const {clock, wallClock, permissionClock, decisions} = this.dependencies;
     const configuration = this.configuration!;
     return new Scheduler(
       new SchedulerState(
@@ -573,6 +578,7 @@
         wallClock,
         decisions,
         configuration,
+        permissionClock,
       ),
       this.view.interference,
     );
