Give a worker that is slow to respond more time for its renewals

Cause: a renewal was given up 700 ms after its wait, and a worker without a response gets no lease. A worker that took longer for each response lost its lease and its runs after 6 s, and they were started elsewhere.

--- a/src/common/batch/worker_calls.ts
+++ b/src/common/batch/worker_calls.ts
@@ -66,6 +66,8 @@
   readonly leaseUntil?: Millis;
   /** Longest time that the worker may hold the call until a run ends. */
   readonly waitMs: Millis;
+  /** Time for the response beyond `waitMs`. */
+  readonly responseMs: Millis;
 }
 
 /** Response to a lease renewal. */
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -75,6 +75,7 @@
     const base = {
       fencingToken: this.state.fencingToken(worker),
       acknowledgedEnd: this.endToAcknowledge(worker),
+      responseMs: worker.responseTime.limitMs,
     };
     const leaseUntil = this.grantLease(worker);
     if (leaseUntil === undefined) {
@@ -129,9 +130,13 @@
     const wasResponsive = worker.isResponsive;
     worker.isResponsive = report !== undefined;
     if (report === undefined) {
+      if (response.result === WorkerCallResult.UNKNOWN) {
+        worker.responseTime.onTimeout();
+      }
       if (wasResponsive) this.logReachability(worker, false, response.result);
       return;
     }
+    worker.responseTime.onResponse();
     if (!wasResponsive) this.logReachability(worker, true, response.result);
     worker.lastResponseAt = now;
     worker.setClock(report.clockMs, now);
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -1,5 +1,6 @@
 import {Millis} from '../base/clock.js';
 import {ActiveTask} from './active_job.js';
+import {ResponseTime} from './response_time.js';
 import {Resources, WorkerListing, WorkerPhase} from './types.js';
 
 /** State of a run as the scheduler knows it. */
@@ -93,6 +94,8 @@
   isRecordedAsLost = false;
   /** Whether the last renewal returned a report; otherwise no new lease. */
   isResponsive = false;
+  /** Time that the worker has for its next response. */
+  readonly responseTime = new ResponseTime();
   /** Time until which the worker gets no starts. */
   quarantinedUntil: Millis = 0;
   /** Quarantines since the last run that succeeded here. */
