--- a/src/common/batch/relay_plan.ts
+++ b/src/common/batch/relay_plan.ts
@@ -57,7 +57,9 @@
   relayOf(worker: string, dataCentre: string): string | undefined {
     const current = this.relays.get(worker);
     if (current !== undefined && this.usable.has(current)) return current;
-    const active = this.active.get(dataCentre) ?? [];
+    // The data centre of a worker that is not listed yet is unknown.
+    const active =
+      this.active.get(dataCentre) ?? [...this.active.values()].flat();
     const chosen = selectByWeight(worker, active);
     if (chosen === undefined) this.relays.delete(worker);
     else this.relays.set(worker, chosen.name);
