Count as quick only takeovers from terms whose start was seen

Change: the age of a record that is there at the start is unknown and counts as high; the timeout doubles once at most. Result: test of an instance that starts.

--- a/src/common/batch/election.test.ts
+++ b/src/common/batch/election.test.ts
@@ -98,10 +98,17 @@
       record = {...OTHER, epoch, quickTakeovers};
     }
     expect(timeouts.map(timeout => timeout / SCHEDULER_TIMEOUT_MS)).toEqual([
-      1, 1, 2, 4, 4,
+      1, 1, 1, 2, 2,
     ]);
   });
 
+  it('counts no quick takeover right after its own start', () => {
+    // Guards against a slow takeover after all instances have lost power: each
+    // reads the record of a scheduler whose term began long before.
+    election.onHeartbeat({...OTHER, quickTakeovers: 2}, 1000);
+    expect(election.quickTakeovers(3000)).toBe(0);
+  });
+
   it('counts no quick takeover after a long term or a resignation', () => {
     // Guards against a slow takeover from a scheduler that has failed.
     const record = {...OTHER, quickTakeovers: 3};
--- a/src/common/batch/election.ts
+++ b/src/common/batch/election.ts
@@ -11,7 +11,7 @@
  * times, and each takeover adds to the load.
  */
 const QUICK_TAKEOVER_MS: Millis = 10_000;
-const MAX_TIMEOUT_DOUBLINGS = 2;
+const MAX_TIMEOUT_DOUBLINGS = 1;
 
 /** Time between two heartbeats of the scheduler. */
 export const HEARTBEAT_INTERVAL_MS: Millis = 300;
@@ -47,7 +47,10 @@
   private readableSince: Millis | undefined;
   /** Record of the latest claim; undefined before any was read. */
   private schedulerRecord: SchedulerRecord | undefined;
-  /** Local time at which the latest claim was read. */
+  /**
+   * Local time at which the latest claim was read; the age of one that was there
+   * when this instance started is unknown and counts as high.
+   */
   private termSeenAt: Millis = -Infinity;
   /** Whether another instance has far more processors. */
   private isWeak = false;
@@ -66,7 +69,10 @@
 
   /** Handles records of the states topic, which serve as heartbeats. */
   onHeartbeat(current: SchedulerRecord | undefined, now: Millis): void {
-    if (current?.epoch !== this.schedulerRecord?.epoch) this.termSeenAt = now;
+    const known = this.schedulerRecord;
+    if (known !== undefined && current?.epoch !== known.epoch) {
+      this.termSeenAt = now;
+    }
     this.schedulerRecord = current;
     this.lastHeartbeat = now;
   }
