Resign when an instance is stopped during its takeover

Cause: SIGTERM ended the term in force only. An instance that was loading the topics began its term after it and kept the role until its process ended. Change: such a term resigns at once. Takeover is taken out of BatchInstance, which can be disposed of.

--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -22,7 +22,6 @@
   AppendResult,
   KeyedLog,
   KeyedRecord,
-  ReadResult,
   StoredRecord,
   Topic,
 } from '../../common/batch/store.js';
@@ -39,6 +38,7 @@
 import {LogTail} from './log_tail.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
 import {RoleWriter} from './role_writer.js';
+import {Takeover} from './takeover.js';
 import {Term, TermEndReason} from './term.js';
 
 /**
@@ -63,9 +63,6 @@
 /** Interval of the checks whether to claim the scheduler role. */
 const ELECTION_PERIOD_MS: Millis = 100;
 
-/** Interval of the checks whether a topic is loaded. */
-const LOAD_CHECK_INTERVAL_MS: Millis = 5;
-
 /** Timeout of an append of the instance's record, and delay before a retry. */
 const ANNOUNCE_TIMEOUT_MS: Millis = 2 * SECOND;
 
@@ -125,6 +122,7 @@
   private readonly intakeTail: LogTail;
   private readonly operatorTail: LogTail;
   private readonly workersTail: LogTail;
+  private readonly takeover: Takeover;
   /** Current term; undefined unless this instance is the scheduler. */
   private term: Term | undefined;
   private stopping = false;
@@ -162,6 +160,13 @@
       () => WORKERS_READ_INTERVAL_MS,
       (records, isReset) => this.onWorkers(records, isReset),
     );
+    this.takeover = new Takeover({
+      log,
+      clock,
+      view: this.view,
+      intakeTail: this.intakeTail,
+      workersTail: this.workersTail,
+    });
     this.lookup = new JobLookup({
       view: this.view,
       intakeTail: this.intakeTail,
@@ -219,6 +224,12 @@
     void this.intake.withdraw(name, clock.now() + ANNOUNCE_TIMEOUT_MS);
   }
 
+  /** Stops, and reads the log no more. */
+  dispose(): void {
+    this.stop();
+    for (const tail of this.tails()) tail.stop();
+  }
+
   /**
    * Stores a job unless it is known already.
    * @param deadline local time by which the result is returned.
@@ -387,7 +398,10 @@
   private async claim(): Promise<void> {
     const {log, name, decisions} = this.dependencies;
     // A version that kept the role in the progress topic may have run before.
-    if (this.view.scheduler === undefined && !(await this.loadProgress())) {
+    if (
+      this.view.scheduler === undefined &&
+      !(await this.takeover.loadProgress())
+    ) {
       return;
     }
     this.statesTail.pause();
@@ -464,16 +478,27 @@
         scheduler?.leases.confirmAuthority(sentAt);
       },
     });
-    const progress = this.createProgressWriter(record.epoch, onFenced, sentAt =>
-      scheduler?.leases.confirmAuthority(sentAt),
+    const progress = new FencedWriter(
+      log,
+      Topic.PROGRESS,
+      record.epoch,
+      randomInt(FIRST_SEQUENCE_LIMIT),
+      permissionClock,
+      {
+        onFenced,
+        onStored: (_records, _end, sentAt) =>
+          scheduler?.leases.confirmAuthority(sentAt),
+      },
     );
     let reason: TermEndReason = TermEndReason.FENCED;
     try {
-      await this.loadTopics(progress, () => isFenced);
+      await this.takeover.load(progress, () => isFenced);
       if (!isFenced) {
         scheduler = this.createScheduler(record.epoch, previousAuthorityMs);
         scheduler.leases.confirmAuthority(claimedAt);
         this.term = this.beginTerm(scheduler, role, progress, claimedAt);
+        // The instance may have been told to stop during the takeover.
+        if (this.stopping) this.term.resign();
         reason = await this.term.run();
       }
     } finally {
@@ -510,59 +535,6 @@
     return new Term(scheduler, {log, workerClient, clock, role, progress});
   }
 
-  private createProgressWriter(
-    epoch: number,
-    onFenced: () => void,
-    onStored: (sentAt: Millis) => void,
-  ): FencedWriter {
-    const {log, permissionClock} = this.dependencies;
-    return new FencedWriter(
-      log,
-      Topic.PROGRESS,
-      epoch,
-      randomInt(FIRST_SEQUENCE_LIMIT),
-      permissionClock,
-      {onFenced, onStored: (_records, _end, sentAt) => onStored(sentAt)},
-    );
-  }
-
-  /**
-   * Fences the progress topic, so that no predecessor can change it, and loads
-   * all that a new scheduler needs. Ends early when this instance is fenced.
-   */
-  private async loadTopics(
-    progress: FencedWriter,
-    isFenced: () => boolean,
-  ): Promise<void> {
-    this.workersTail.resume(-1);
-    const intake = this.retryUntil(() => this.intakeTail.refresh(), isFenced);
-    if (await progress.fence()) {
-      this.view.dropProgress();
-      await this.retryUntil(() => this.loadProgress(), isFenced);
-    }
-    await intake;
-    while (!this.workersTail.isLoaded && !isFenced()) {
-      await sleep(LOAD_CHECK_INTERVAL_MS);
-    }
-  }
-
-  /** Repeats a step of a takeover until it succeeds or `isFenced`. */
-  private async retryUntil(
-    step: () => Promise<boolean>,
-    isFenced: () => boolean,
-  ): Promise<void> {
-    while (!isFenced() && !(await step())) await sleep(ELECTION_PERIOD_MS);
-  }
-
-  /** Reads the newest records of the progress topic; returns whether it did. */
-  private async loadProgress(): Promise<boolean> {
-    const {log, clock} = this.dependencies;
-    const {result, records} = await log.newest(Topic.PROGRESS);
-    if (result !== ReadResult.READ) return false;
-    for (const entry of records) this.view.apply(entry, clock.now());
-    return true;
-  }
-
   private createScheduler(
     epoch: number,
     previousAuthorityMs: Millis,
