Log why tasks wait and what a job cost once it is over

Cause: the log could not tell the hypotheses on SHORT apart: nothing said whether waiting tasks lacked room or were held back for serving tasks, and job-over had neither size nor age nor failed runs.

--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -199,7 +199,7 @@
     job.endedAt = state.wallClock.now();
     state.endedJobs.set(job.id, job.endedAt);
     state.jobsToStore.add(job);
-    state.log.decide('job-over', {job: job.id, phase, reason});
+    this.logOver(job, reason);
     for (const task of job.tasks()) {
       state.waitingTasks.delete(task);
       if (task.run) state.stop(task.run, reason);
@@ -207,6 +207,30 @@
     this.removeIfSettled(job);
   }
 
+  /** Logs what tells a job that was large from one that waited or failed. */
+  private logOver(job: ActiveJob, reason: string): void {
+    let tasks = 0;
+    let attempts = 0;
+    let failures = 0;
+    for (const task of job.tasks()) {
+      tasks++;
+      attempts += task.attempt;
+      failures += task.failures.length;
+    }
+    const {state} = this;
+    state.log.decide('job-over', {
+      job: job.id,
+      queue: job.queue.name,
+      phase: job.phase,
+      reason,
+      ageMs: Math.round(state.now() - job.acceptedAt),
+      objectiveMs: Math.round(state.timePredictor.latencyObjective(job)),
+      tasks,
+      attempts,
+      failures,
+    });
+  }
+
   /** Removes a job that is over and has no runs left. */
   private removeIfSettled(job: ActiveJob): void {
     if (!isFinal(job.phase)) return;
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -1,5 +1,6 @@
 import {Millis, SECOND} from '../base/clock.js';
 import {ActiveStep, ActiveTask} from './active_job.js';
+import {Backlog, WaitReason} from './backlog.js';
 import {HeadroomForecast} from './headroom.js';
 import {JobPhase, TaskPhase} from './job_records.js';
 import {PlacementCost} from './placement_cost.js';
@@ -63,6 +64,7 @@
 /** Assigns waiting tasks to workers. */
 export class Placement {
   private readonly placementCost: PlacementCost;
+  private readonly backlog: Backlog;
   /** Local time before which the waiting tasks are not scanned again. */
   private nextScanAt: Millis = -Infinity;
   /** Steps that the current scan has tried, in this and in earlier slices. */
@@ -81,6 +83,7 @@
       forecast,
       state.timePredictor,
     );
+    this.backlog = new Backlog(state.log);
   }
 
   /**
@@ -98,6 +101,7 @@
     this.nextScanAt = endedAt + SCAN_PAUSE_FACTOR * this.scanMs;
     this.scanMs = 0;
     this.triedSteps.clear();
+    this.backlog.endScan(endedAt);
   }
 
   /**
@@ -116,12 +120,27 @@
       if (index > 0 && this.state.now() >= deadline) return false;
       this.triedSteps.add(step);
       this.trackShortTasks(step, tasks);
-      if (step.shape.gang) this.placeGang(step, workers);
-      else this.placeTasks(step, tasks, workers);
+      const reason = step.shape.gang
+        ? this.placeGang(step, workers)
+        : this.placeTasks(step, tasks, workers);
+      this.noteWaiting(step, tasks, reason);
     }
     return true;
   }
 
+  /** Notes why the rest of a step's tasks waits. */
+  private noteWaiting(
+    step: ActiveStep,
+    tasks: readonly ActiveTask[],
+    reason: WaitReason,
+  ): void {
+    const waiting = tasks.filter(({run}) => run === undefined);
+    if (waiting.length === 0) return;
+    const now = this.state.now();
+    const isLate = this.state.timePredictor.isLate(step, now);
+    this.backlog.add(step, waiting, reason, isLate, now);
+  }
+
   /** Notes the time if short tasks wait for capacity. */
   private trackShortTasks(
     {shape}: ActiveStep,
@@ -196,23 +215,25 @@
     );
   }
 
+  /** Places tasks of a step; returns why the others, if any, wait. */
   private placeTasks(
     step: ActiveStep,
     tasks: readonly ActiveTask[],
     workers: readonly WorkerState[],
-  ): void {
+  ): WaitReason {
     if (this.needsForcedStart(step, tasks[0], workers)) {
       this.forceStart(step, tasks[0], workers);
     }
     const candidates = this.candidates(step, workers);
     for (const task of tasks) {
-      if (candidates.isEmpty) return;
+      if (candidates.isEmpty) return WaitReason.ROOM;
       if (task.run !== undefined) continue;
       const worker = candidates.best(task);
       if (worker === undefined) continue;
       this.place(this.reserve(task, worker, task.attempt + 1));
       candidates.refresh(worker);
     }
+    return step.shape.fills ? WaitReason.INTERFERENCE : WaitReason.ROOM;
   }
 
   /**
@@ -266,12 +287,15 @@
     );
   }
 
-  /** Places either all tasks of a gang or none. */
-  private placeGang(step: ActiveStep, workers: readonly WorkerState[]): void {
+  /** Places either all tasks of a gang or none; returns why they wait. */
+  private placeGang(
+    step: ActiveStep,
+    workers: readonly WorkerState[],
+  ): WaitReason {
     const pendingTasks = step.tasks.filter(
       ({phase}) => phase !== TaskPhase.DONE,
     );
-    if (pendingTasks.some(task => task.run)) return;
+    if (pendingTasks.some(task => task.run)) return WaitReason.ROOM;
     const racks = new Set(workers.map(({rack}) => rack));
     const workerSets: (readonly WorkerState[])[] = step.shape.sameRack
       ? [...racks].map(rack => workers.filter(worker => worker.rack === rack))
@@ -294,13 +318,14 @@
           run.task.checkpoint = checkpoint;
           this.place(run);
         }
-        return;
+        return WaitReason.ROOM;
       }
       for (const run of reservedRuns) {
         run.worker.remove(run);
         run.task.run = undefined;
       }
     }
+    return WaitReason.ROOM;
   }
 
   /** Creates a run of a task and reserves its resources on a worker. */
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -3,7 +3,12 @@
 import {JobView} from './job_view.js';
 import {packRecord, RecordKind} from './job_records.js';
 import {Scheduler} from './scheduler.js';
-import {Command, CommandKind, SchedulerState} from './scheduler_state.js';
+import {
+  Command,
+  CommandKind,
+  DecisionLog,
+  SchedulerState,
+} from './scheduler_state.js';
 import {
   BatchConfiguration,
   JobShape,
@@ -130,6 +135,12 @@
   }
 }
 
+/** A line of the scheduler's log. */
+export interface LogEntry {
+  readonly decision: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
 /** Simulated time between two steps. */
 const TICK_MS: Millis = 50;
 
@@ -145,6 +156,8 @@
   });
   /** Kinds of the scheduler's decisions, in order. */
   readonly decisions: string[] = [];
+  /** The same with their fields. */
+  readonly entries: LogEntry[] = [];
   /** Whether batches can be stored. */
   isStoreAvailable = true;
   /** Whether the scheduler fails before it stores the states of a batch. */
@@ -234,7 +247,12 @@
       earlyMs: 250,
       remoteFactor: 2,
     };
-    const log = {decide: (decision: string) => this.decisions.push(decision)};
+    const log: DecisionLog = {
+      decide: (decision, fields) => {
+        this.decisions.push(decision);
+        this.entries.push({decision, fields});
+      },
+    };
     const isFirst = this.epoch++ === 0;
     const state = new SchedulerState(
       this.epoch,
