Spread the pauses of a scan of the waiting tasks over its slices

Cause: after a scan of the whole queue nothing was placed for four times the scan's duration. A longer queue makes a longer scan and so a longer pause, in which runs end and workers go idle while tasks that would fit wait: the queue grows, and the next pause with it. What is still placed goes to small jobs first, so the largest are hit most. Change: the pause follows each slice of 15 ms and is three times as long as the slice. Ranks are computed without a look at the clock for each step. Two earlier tests ran slices back to back; they let the pause pass now, with the same bounds and one more on the time taken.

--- a/src/common/batch/job_time_predictor.ts
+++ b/src/common/batch/job_time_predictor.ts
@@ -76,14 +76,17 @@
   /**
    * Expected duration of the longest chain of steps that starts with a step.
    */
-  criticalPath({occurrence, number}: ActiveStep): Millis {
-    return this.predictionOf(occurrence.job).criticalPaths[number];
+  criticalPath(
+    {occurrence, number}: ActiveStep,
+    now: Millis = this.clock.now(),
+  ): Millis {
+    return this.predictionOf(occurrence.job, now).criticalPaths[number];
   }
 
   /** Expected time from the release of a job's occurrence to its objective. */
-  latencyObjective(job: ActiveJob): Millis {
+  latencyObjective(job: ActiveJob, now: Millis = this.clock.now()): Millis {
     const {stretch, latencyMs} = job.queue;
-    const longest = Math.max(0, ...this.predictionOf(job).criticalPaths);
+    const longest = Math.max(0, ...this.predictionOf(job, now).criticalPaths);
     return stretch * longest + latencyMs;
   }
 
@@ -93,21 +96,19 @@
    */
   slack(step: ActiveStep, now: Millis): Millis {
     const {job, releasedAt} = step.occurrence;
-    return (
-      releasedAt + this.latencyObjective(job) - this.criticalPath(step) - now
-    );
+    const objectiveAt = releasedAt + this.latencyObjective(job, now);
+    return objectiveAt - this.criticalPath(step, now) - now;
   }
 
   /** Whether a step's occurrence is unlikely to meet its objective. */
   isLate(step: ActiveStep, now: Millis): boolean {
     const {job, releasedAt} = step.occurrence;
     const expected =
-      now - releasedAt + this.criticalPath(step) * OPTIMISTIC_FRACTION;
-    return expected > this.latencyObjective(job) * LATENESS_TOLERANCE;
+      now - releasedAt + this.criticalPath(step, now) * OPTIMISTIC_FRACTION;
+    return expected > this.latencyObjective(job, now) * LATENESS_TOLERANCE;
   }
 
-  private predictionOf(job: ActiveJob): JobPrediction {
-    const now = this.clock.now();
+  private predictionOf(job: ActiveJob, now: Millis): JobPrediction {
     const cached = this.predictions.get(job);
     if (cached !== undefined && now - cached.computedAt < PREDICTION_TTL_MS) {
       return cached;
@@ -122,8 +123,8 @@
   }
 
   /** Expected remaining work of a job, in ms of one core. */
-  remainingWork(job: ActiveJob): Millis {
-    return this.predictionOf(job).remainingWorkMs;
+  remainingWork(job: ActiveJob, now: Millis): Millis {
+    return this.predictionOf(job, now).remainingWorkMs;
   }
 
   private computeRemainingWork(job: ActiveJob): Millis {
--- a/src/common/batch/long_queue.test.ts
+++ b/src/common/batch/long_queue.test.ts
@@ -7,11 +7,23 @@
 import {Placement} from './placement.js';
 import {SchedulerState} from './scheduler_state.js';
 import {QUEUE, STEP} from './simulated_fleet.test_support.js';
-import {Queue, WorkerPhase} from './types.js';
+import {Queue, StepShape, WorkerPhase} from './types.js';
 
 /** Time that each look at the clock takes, as if work had been done between. */
 const READING_MS: Millis = 0.2;
 
+/** Time between two runs of the placement. */
+const TICK_MS: Millis = 15;
+
+/** Jobs that wait in a long queue. */
+const LONG_QUEUE_JOBS = 1000;
+
+/** Longest pause after a slice. */
+const SLICE_PAUSE_MS: Millis = 60;
+
+/** Time within which urgent work has to start (docs/CAPACITY.md). */
+const URGENT_START_MS: Millis = 1500;
+
 /** A clock that advances with each reading, as on a busy processor. */
 class BusyClock extends ManualClock {
   readings = 0;
@@ -78,10 +90,14 @@
     };
   }
 
-  function submit(id: string, queue: Queue = QUEUE): void {
+  function submit(
+    id: string,
+    queue: Queue = QUEUE,
+    step: Partial<StepShape> = {},
+  ): void {
     const shape = {
       spec: '',
-      steps: [STEP],
+      steps: [{...STEP, ...step}],
       repeats: 0,
       startMs: 0,
       periodMs: 0,
@@ -102,12 +118,58 @@
       placement.run();
       longestMs = Math.max(longestMs, clock.now() - startedAt);
       slices++;
+      clock.advance(SLICE_PAUSE_MS);
     }
     expect(state.waitingTasks.size).toBe(0);
     expect(slices).toBeGreaterThan(5);
     expect(longestMs).toBeLessThan(HEARTBEAT_INTERVAL_MS);
   });
 
+  it('goes on placing tasks after a scan of a long queue', () => {
+    // Guards against workers that are idle while tasks wait that would fit: the
+    // longer the queue, the longer nothing was placed after each scan.
+    addWorker(1e6);
+    for (let job = 0; job < LONG_QUEUE_JOBS; job++) {
+      submit(`large-${job}`, QUEUE, {cpuMilli: 1e9});
+    }
+    let longestMs = 0;
+    for (let job = 0; job < 50; job++) {
+      // Some of the jobs arrive during a scan, others after it.
+      for (let pause = 0; pause < 7; pause++) {
+        placement.run();
+        clock.advance(TICK_MS);
+      }
+      submit(`small-${job}`);
+      const submittedAt = clock.now();
+      const name = `small-${job}.0.0.0`;
+      const isWaiting = () =>
+        [...state.waitingTasks].some(task => task.name === name);
+      while (isWaiting()) {
+        placement.run();
+        clock.advance(TICK_MS);
+      }
+      longestMs = Math.max(longestMs, clock.now() - submittedAt);
+    }
+    expect(longestMs).toBeLessThan(URGENT_START_MS);
+  });
+
+  it('limits the share of time that scans of a long queue take', () => {
+    // Guards against scans that leave no time for reports and renewals.
+    addWorker(1e6);
+    for (let job = 0; job < LONG_QUEUE_JOBS; job++) {
+      submit(`large-${job}`, QUEUE, {cpuMilli: 1e9});
+    }
+    const startedAt = clock.now();
+    let scanMs = 0;
+    while (clock.now() - startedAt < 20_000) {
+      const sliceAt = clock.now();
+      placement.run();
+      scanMs += clock.now() - sliceAt;
+      clock.advance(TICK_MS);
+    }
+    expect(scanMs / (clock.now() - startedAt)).toBeLessThan(0.35);
+  });
+
   it('places an urgent job before the rest of the queue', () => {
     // Guards against an urgent start that waits for a long scan to end.
     addWorker(1e6);
@@ -116,7 +178,12 @@
     placement.run();
     expect(state.waitingTasks.size).toBeGreaterThan(0);
     submit('urgent');
-    for (let slice = 0; slice < 3; slice++) placement.run();
+    const submittedAt = clock.now();
+    for (let slice = 0; slice < 3; slice++) {
+      clock.advance(SLICE_PAUSE_MS);
+      placement.run();
+    }
+    expect(clock.now() - submittedAt).toBeLessThan(URGENT_START_MS);
     const waiting = [...state.waitingTasks].map(({name}) => name);
     expect(waiting).not.toContain('urgent.0.0.0');
     expect(waiting.length).toBeGreaterThan(0);
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -42,18 +42,20 @@
 const FORCED_START_DELAY_MS: Millis = 1500;
 const MAX_FORCED_START_LOAD = 0.6;
 
-/**
- * Pause after a scan of the waiting tasks, as a multiple of the scan's
- * duration. It limits the share of CPU time that a long queue takes.
- */
-const SCAN_PAUSE_FACTOR = 4;
-
 /**
  * Time after which a scan is interrupted, so that heartbeats, reports and
  * callers don't wait for the rest of a long queue.
  */
 const SCAN_SLICE_MS: Millis = 15;
 
+/**
+ * Pause after a slice of a scan, as a multiple of the slice's duration. It
+ * limits the share of CPU time that a long queue takes. The pauses are spread
+ * over the scan: one at its end would grow with the queue, and workers would be
+ * idle meanwhile.
+ */
+const SLICE_PAUSE_FACTOR = 3;
+
 /** Waiting tasks of one step; the lowest rank is served first. */
 interface WaitingStep {
   readonly step: ActiveStep;
@@ -65,12 +67,10 @@
 export class Placement {
   private readonly placementCost: PlacementCost;
   private readonly backlog: Backlog;
-  /** Local time before which the waiting tasks are not scanned again. */
-  private nextScanAt: Millis = -Infinity;
+  /** Local time before which no slice of a scan begins. */
+  private nextSliceAt: Millis = -Infinity;
   /** Steps that the current scan has tried, in this and in earlier slices. */
   private readonly triedSteps = new Set<ActiveStep>();
-  /** Duration of the earlier slices of the current scan. */
-  private scanMs: Millis = 0;
   /** Local time at which short tasks last waited for capacity. */
   private shortTasksWaitedAt: Millis = -Infinity;
 
@@ -93,13 +93,11 @@
   run(): void {
     if (this.state.waitingTasks.size === 0) return;
     const startedAt = this.state.now();
-    if (startedAt < this.nextScanAt) return;
+    if (startedAt < this.nextSliceAt) return;
     const isComplete = this.scanSlice();
     const endedAt = this.state.now();
-    this.scanMs += endedAt - startedAt;
+    this.nextSliceAt = endedAt + SLICE_PAUSE_FACTOR * (endedAt - startedAt);
     if (!isComplete) return;
-    this.nextScanAt = endedAt + SCAN_PAUSE_FACTOR * this.scanMs;
-    this.scanMs = 0;
     this.triedSteps.clear();
     this.backlog.endScan(endedAt);
   }
@@ -208,7 +206,7 @@
       return (priority + 1) * PRIORITY_WEIGHT + timePredictor.slack(step, now);
     }
     if (!timePredictor.isLate(step, now)) {
-      return priority * PRIORITY_WEIGHT + timePredictor.remainingWork(job);
+      return priority * PRIORITY_WEIGHT + timePredictor.remainingWork(job, now);
     }
     return (
       priority * PRIORITY_WEIGHT + LATE_PENALTY + timePredictor.slack(step, now)
