Forecast the load of a worker once for all steps of a scan

Cause: for each waiting step the scan forecast the headroom of all serving runs on all workers anew: 0.6 ms a step with 343 workers. That is what made scans of a long queue long. Change: SharedLoads keeps the forecast of a worker until its runs change, for 150 ms at most; a step then only adds its own share.

--- a/src/common/batch/candidate_workers.ts
+++ b/src/common/batch/candidate_workers.ts
@@ -55,7 +55,7 @@
     private readonly isLate: boolean,
   ) {
     for (const worker of workers) {
-      const candidate = costs.candidate(step, worker);
+      const candidate = costs.candidate(step, worker, now);
       if (candidate !== undefined) this.candidates.push(candidate);
     }
   }
@@ -83,7 +83,7 @@
       candidate => candidate.worker === worker,
     );
     if (index < 0) return;
-    const candidate = this.costs.candidate(this.step, worker);
+    const candidate = this.costs.candidate(this.step, worker, this.now);
     if (candidate !== undefined) this.candidates[index] = candidate;
     else this.candidates.splice(index, 1);
   }
--- a/src/common/batch/headroom.ts
+++ b/src/common/batch/headroom.ts
@@ -99,9 +99,8 @@
   }
 
   /** The weight plus a margin that shrinks as samples of the pair arrive. */
-  weightUpperBound(serving: Run, bestEffortImage: string): number {
-    const {image} = serving.task.step.shape;
-    return this.interference.weightUpperBound(image, bestEffortImage);
+  weightUpperBound(servingImage: string, bestEffortImage: string): number {
+    return this.interference.weightUpperBound(servingImage, bestEffortImage);
   }
 
   private baselineOf(step: ActiveStep): BaselineHeadroom {
--- a/src/common/batch/placement_cost.ts
+++ b/src/common/batch/placement_cost.ts
@@ -1,15 +1,10 @@
 import {ActiveStep} from './active_job.js';
 import {Clock, Millis} from '../base/clock.js';
-import {
-  fullPaceUsage,
-  headroom,
-  HeadroomForecast,
-  timeOverTarget,
-  servingRuns,
-} from './headroom.js';
+import {HeadroomForecast} from './headroom.js';
 import {JobTimePredictor} from './job_time_predictor.js';
 import {CandidateWorker} from './candidate_workers.js';
-import {Run, WorkerState} from './worker_state.js';
+import {SharedLoad, SharedLoads} from './shared_load.js';
+import {WorkerState} from './worker_state.js';
 
 /**
  * Share of a worker's processors up to which perpetual tasks are placed, so
@@ -38,9 +33,6 @@
 /** Headroom loss that a best-effort task may cause without a cost. */
 const NEGLIGIBLE_LOSS = 0.12;
 
-/** Time ahead for which load and headroom of serving runs are predicted. */
-const LOOKAHEAD_MS: Millis = 1000;
-
 /** Time over target after which no best-effort task is placed next to a run. */
 const MAX_TIME_OVER_TARGET_MS: Millis = 1500;
 
@@ -79,20 +71,30 @@
 
 /** Computes the cost of placing a step's tasks on a worker; lower is better. */
 export class PlacementCost {
+  private readonly sharedLoads: SharedLoads;
+
   constructor(
     private readonly clock: Clock,
     private readonly forecast: HeadroomForecast,
     private readonly predictor: JobTimePredictor,
-  ) {}
+  ) {
+    this.sharedLoads = new SharedLoads(forecast);
+  }
 
-  /** Costs of a worker; undefined if it lacks capacity for a task. */
+  /**
+   * Costs of a worker at the local time `now`; undefined if it lacks capacity
+   * for a task.
+   */
   candidate(
     step: ActiveStep,
     worker: WorkerState,
+    now: Millis,
   ): CandidateWorker | undefined {
     if (!hasRoom(step, worker) || !isUnderLimit(step, worker)) return undefined;
     const common = this.commonCost(step, worker);
-    if (step.shape.fills) return this.bestEffortCandidate(step, worker, common);
+    if (step.shape.fills) {
+      return this.bestEffortCandidate(step, worker, common, now);
+    }
     return {
       worker,
       cost: common + reservationCost(step, worker),
@@ -107,14 +109,13 @@
    */
   forcedStartCost(step: ActiveStep, worker: WorkerState): number | undefined {
     if (!hasRoom(step, worker) || !isUnderLimit(step, worker)) return undefined;
-    const interferenceCost = this.interferenceCost(
-      step,
-      worker,
-      servingRuns(worker),
-    );
+    const shared = this.sharedLoads.of(worker, this.clock.now());
     return (
-      this.loadWith(step, worker) +
-      Math.min(interferenceCost, MAX_FORCED_START_COST)
+      loadWith(step, worker, shared) +
+      Math.min(
+        this.interferenceCost(step, worker, shared),
+        MAX_FORCED_START_COST,
+      )
     );
   }
 
@@ -122,47 +123,22 @@
     step: ActiveStep,
     worker: WorkerState,
     common: number,
+    now: Millis,
   ): CandidateWorker | undefined {
-    const serving = servingRuns(worker);
-    const load = this.loadWith(step, worker);
-    const maxLoad = serving.length > 0 ? MAX_SHARED_LOAD : MAX_BEST_EFFORT_LOAD;
+    const shared = this.sharedLoads.of(worker, now);
+    const load = loadWith(step, worker, shared);
+    const isShared = shared.headroomByImage.size > 0;
+    const maxLoad = isShared ? MAX_SHARED_LOAD : MAX_BEST_EFFORT_LOAD;
     if (load > maxLoad && worker.bestEffortCpuMilli > 0) return undefined;
-    const interferenceCost = this.interferenceCost(step, worker, serving);
+    const interferenceCost = this.interferenceCost(step, worker, shared);
     const cost =
       common +
       bestEffortLoadCost(load) +
       interferenceCost -
-      this.sensitivityDiscount(serving);
+      sensitivityDiscount(shared);
     return {worker, cost, interferenceCost, keepsReserve: true};
   }
 
-  /**
-   * Discount by the highest mean weight of a worker's serving images.
-   * Best-effort tasks that don't interfere prefer workers with sensitive
-   * serving runs, so tolerant workers remain for tasks that do interfere.
-   */
-  private sensitivityDiscount(serving: readonly Run[]): number {
-    const images = new Set(serving.map(run => run.task.step.shape.image));
-    let maxWeight = 0;
-    for (const image of images) {
-      maxWeight = Math.max(maxWeight, this.forecast.meanWeight(image));
-    }
-    return MAX_SENSITIVITY_DISCOUNT * Math.min(1, maxWeight / HIGH_MEAN_WEIGHT);
-  }
-
-  /** Share of a worker's processors in use after adding a best-effort task. */
-  private loadWith({shape}: ActiveStep, worker: WorkerState): number {
-    const now = this.clock.now();
-    let used = shape.cpuMilli;
-    for (const run of worker.runs.values()) {
-      const {cpuMilli, targetMs} = run.task.step.shape;
-      const load =
-        targetMs > 0 ? this.forecast.load(run, now, LOOKAHEAD_MS) : 1;
-      used += cpuMilli * load;
-    }
-    return used / worker.capacity.cpuMilli;
-  }
-
   /** Cost that applies to tasks of all kinds. */
   private commonCost(step: ActiveStep, worker: WorkerState): number {
     const {dataRack} = step.shape;
@@ -182,28 +158,43 @@
   private interferenceCost(
     {shape}: ActiveStep,
     worker: WorkerState,
-    serving: readonly Run[],
+    {headroomByImage, longestOverTargetMs}: SharedLoad,
   ): number {
-    if (serving.length === 0) return 0;
-    const now = this.clock.now();
-    // Slowed runs will use any headroom to speed up, so all count at full pace.
-    const usage = fullPaceUsage(worker);
+    if (longestOverTargetMs > MAX_TIME_OVER_TARGET_MS) return Infinity;
     const share = shape.cpuMilli / worker.capacity.cpuMilli;
     let shortfall = 0;
-    for (const run of serving) {
-      if (timeOverTarget(run, now) > MAX_TIME_OVER_TARGET_MS) return Infinity;
-      const expected = this.forecast.predict(run, usage, now, LOOKAHEAD_MS);
-      const before = Math.min(expected, headroom(run));
-      const loss = this.forecast.weightUpperBound(run, shape.image) * share;
+    for (const [image, headrooms] of headroomByImage) {
+      const loss = this.forecast.weightUpperBound(image, shape.image) * share;
       if (loss < NEGLIGIBLE_LOSS) continue;
-      const after = before - loss;
-      shortfall += Math.max(0, SAFE_HEADROOM - after);
-      shortfall -= Math.max(0, SAFE_HEADROOM - before);
+      for (const before of headrooms) {
+        shortfall += Math.max(0, SAFE_HEADROOM - before + loss);
+        shortfall -= Math.max(0, SAFE_HEADROOM - before);
+      }
     }
     return shortfall;
   }
 }
 
+/**
+ * Discount by the highest mean weight of a worker's serving images.
+ * Best-effort tasks that don't interfere prefer workers with sensitive
+ * serving runs, so tolerant workers remain for tasks that do interfere.
+ */
+function sensitivityDiscount({maxMeanWeight}: SharedLoad): number {
+  return (
+    MAX_SENSITIVITY_DISCOUNT * Math.min(1, maxMeanWeight / HIGH_MEAN_WEIGHT)
+  );
+}
+
+/** Share of a worker's processors in use after adding a best-effort task. */
+function loadWith(
+  {shape}: ActiveStep,
+  worker: WorkerState,
+  {usedCpuMilli}: SharedLoad,
+): number {
+  return (usedCpuMilli + shape.cpuMilli) / worker.capacity.cpuMilli;
+}
+
 /** Whether a worker has capacity for one more task of a step. */
 function hasRoom(
   {shape, occurrence}: ActiveStep,
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -73,6 +73,8 @@
   readonly runs = new Map<string, Run>();
   /** Resources reserved for runs; best-effort runs reserve no processors. */
   reserved: Resources = {cpuMilli: 0, memoryMb: 0, gpus: 0};
+  /** Grows whenever a run is added or removed. */
+  runsVersion = 0;
   /** Processors of best-effort runs at full pace, in thousandths of a core. */
   bestEffortCpuMilli = 0;
   /** Last end whose acknowledgement the worker has received. */
@@ -167,6 +169,7 @@
   }
 
   private adjustReserved(run: Run, sign: 1 | -1): void {
+    this.runsVersion++;
     const {shape} = run.task.step;
     const cpu = shape.fills ? 0 : shape.cpuMilli;
     if (shape.fills) this.bestEffortCpuMilli += sign * shape.cpuMilli;
