Count the age of a job from its acceptance after a restart

Cause: each process took the time at which it first read a job for the time of its acceptance. Change: the age comes from the time of acceptance in the submission. Result: the test failed before: a job accepted 30 s ago had an age of 0.

--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -101,7 +101,7 @@
     readonly id: string,
     readonly submission: SubmissionRecord,
     public queue: Queue,
-    /** Local time of acceptance: when this instance first saw the job. */
+    /** Local time of acceptance. */
     readonly acceptedAt: Millis,
   ) {}
 
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -6,7 +6,13 @@
   isStepDone,
   isStepReady,
 } from './active_job.js';
-import {isFinal, JobPhase, ProgressRecord, TaskPhase} from './job_records.js';
+import {
+  isFinal,
+  JobPhase,
+  ProgressRecord,
+  SubmissionRecord,
+  TaskPhase,
+} from './job_records.js';
 import {KnownJob, LostWorker} from './job_view.js';
 import {LEASE_EXPIRY_MARGIN_MS, SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunOutcome} from './types.js';
@@ -53,7 +59,7 @@
       id,
       submission,
       this.currentQueue(submission.queue),
-      known.seenAt,
+      this.acceptanceTime(submission, known.seenAt),
     );
     const now = state.now();
     job.publishedPhase = known.state?.phase ?? JobPhase.QUEUED;
@@ -80,6 +86,19 @@
     if (known.cancelled) this.cancel(id);
   }
 
+  /**
+   * Local time at which a job was accepted. This process may have seen it only
+   * later, if it started after that; its clocks may also have been set since.
+   */
+  private acceptanceTime(
+    {acceptedAt}: SubmissionRecord,
+    seenAt: Millis,
+  ): Millis {
+    const {state} = this;
+    const age = state.wallClock.now() - acceptedAt;
+    return Math.min(seenAt, state.now() - age);
+  }
+
   private logAdded({id, queue, phase, submission}: ActiveJob): void {
     const steps = submission.shape.steps.map(
       ({count, cpuMilli, estimateMs, image, fills, perpetual}) =>
--- a/src/common/batch/job_time_predictor.test.ts
+++ b/src/common/batch/job_time_predictor.test.ts
@@ -1,4 +1,4 @@
-import {QUEUE, SimulatedFleet} from './simulated_fleet.test_support.js';
+import {QUEUE, SimulatedFleet, STEP} from './simulated_fleet.test_support.js';
 import {ActiveJob} from './active_job.js';
 
 const ID = '00000000000000aa';
@@ -21,6 +21,41 @@
 }
 
 describe('JobTimePredictor', () => {
+  it('counts the age of a job from its acceptance by another process', () => {
+    // Guards against jobs that count as new after all instances restarted, and
+    // that give way again to those that arrive later.
+    const fleet = fleetWithHistory();
+    const shape = {
+      spec: '',
+      steps: [STEP],
+      repeats: 0,
+      startMs: 0,
+      periodMs: 0,
+    };
+    const acceptedAt = fleet.wallClock.now() - 30_000;
+    const submission = {queue: QUEUE, acceptedAt, shape};
+    const seenAt = fleet.clock.now();
+    fleet.scheduler.onJob({id: ID, submission, cancelled: false, seenAt});
+    expect(jobOf(fleet).acceptedAt).toBe(seenAt - 30_000);
+  });
+
+  it('does not count the age of a job by a clock that is behind', () => {
+    // Guards against objectives in the future after a step of the wall clock.
+    const fleet = fleetWithHistory();
+    const shape = {
+      spec: '',
+      steps: [STEP],
+      repeats: 0,
+      startMs: 0,
+      periodMs: 0,
+    };
+    const acceptedAt = fleet.wallClock.now() + 5000;
+    const submission = {queue: QUEUE, acceptedAt, shape};
+    const seenAt = fleet.clock.now();
+    fleet.scheduler.onJob({id: ID, submission, cancelled: false, seenAt});
+    expect(jobOf(fleet).acceptedAt).toBe(seenAt);
+  });
+
   it('predicts run times from finished runs, not from estimates', () => {
     // Guards against objectives and slack computed from wrong estimates.
     const fleet = fleetWithHistory();
