Give up a task under which three workers have crashed

Cause: only ends that a worker reports as failed counted as attempts. A worker that crashes reports none, so its runs were requeued without a trace. It is a retry without a bound: the budget covered one way to fail only. Change: CrashAttribution decides which restarts of workers count against their runs. Attempts under which a worker crashed are part of the stored progress, so takeovers keep the count. A suspected task is placed where few other runs would be lost, apart from other suspects and away from workers that have just restarted. At the third crash its job fails. Evidence: run-crashed lines; before, only run-lost.

--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -21,6 +21,8 @@
   attempt: number;
   /** Numbers of the attempts that failed. */
   failures: readonly number[];
+  /** Numbers of the attempts whose worker crashed soon after their start. */
+  crashes: readonly number[];
   /** Latest checkpoint, from which the next run resumes; empty for none. */
   checkpoint: string;
   /** Latest run, until its end is known. */
@@ -75,6 +77,7 @@
     phase: TaskPhase.WAITING,
     attempt: 0,
     failures: [],
+    crashes: [],
     checkpoint: '',
     failedOn: '',
     interferenceMoves: 0,
@@ -192,6 +195,7 @@
 function restoreTask(task: ActiveTask, record: TaskRecord): void {
   task.attempt = record.attempt;
   task.failures = record.failures;
+  task.crashes = record.crashes;
   task.checkpoint = record.checkpoint;
   task.phase = record.phase;
   if (record.phase === TaskPhase.DONE) task.step.doneCount++;
@@ -205,6 +209,7 @@
         phase: task.phase,
         attempt: task.attempt,
         failures: task.failures,
+        crashes: task.crashes,
         worker: task.run?.worker.id ?? '',
         born: task.run?.born ?? 0,
         checkpoint: task.checkpoint,
--- a/src/common/batch/candidate_workers.ts
+++ b/src/common/batch/candidate_workers.ts
@@ -28,6 +28,19 @@
  */
 const LAST_FAILURE_COST = 2;
 
+/**
+ * Additional costs of a worker for a task under which a worker has crashed,
+ * relative to a load of 0 to 1: for each run that would be lost with it, for
+ * another such task on it, which would hide the cause, and for a worker that
+ * has restarted lately, which may crash by itself.
+ */
+const RUN_AT_RISK_COST = 1;
+const SECOND_SUSPECT_COST = 5;
+const RECENT_RESTART_COST = 5;
+
+/** Age up to which an incarnation of a worker counts as restarted lately. */
+const RECENT_RESTART_MS: Millis = 15 * SECOND;
+
 /** A worker with capacity for a task of a step, and its cost. */
 export interface CandidateWorker {
   readonly worker: WorkerState;
@@ -51,6 +64,8 @@
     workers: Iterable<WorkerState>,
     private readonly costs: PlacementCost,
     private readonly now: Millis,
+    /** Wall-clock time, in ms since 1970. */
+    private readonly wallNow: number,
     private readonly areShortTasksWaiting: boolean,
     private readonly isLate: boolean,
   ) {
@@ -100,14 +115,27 @@
       if (mustKeepReserve && !keepsReserve) continue;
       if (interferenceCost > limit) continue;
       if (worker.runs.has(task.name)) continue;
-      const failureCost = task.failedOn === worker.id ? LAST_FAILURE_COST : 0;
-      if (cost + failureCost >= lowestCost) continue;
-      lowestCost = cost + failureCost;
+      const total = cost + this.taskCost(task, worker);
+      if (total >= lowestCost) continue;
+      lowestCost = total;
       best = worker;
     }
     return best;
   }
 
+  /** Cost that depends on what happened to a task before. */
+  private taskCost(task: ActiveTask, worker: WorkerState): number {
+    const failureCost = task.failedOn === worker.id ? LAST_FAILURE_COST : 0;
+    if (task.crashes.length === 0) return failureCost;
+    let cost = failureCost + RUN_AT_RISK_COST * worker.runs.size;
+    const hasSuspect = [...worker.runs.values()].some(
+      run => run.task.crashes.length > 0,
+    );
+    if (hasSuspect) cost += SECOND_SUSPECT_COST;
+    const isNew = this.wallNow - worker.born < RECENT_RESTART_MS;
+    return isNew ? cost + RECENT_RESTART_COST : cost;
+  }
+
   private interferenceLimit(task: ActiveTask): number {
     const waitedSeconds = (this.now - task.readySince) / SECOND;
     const limit =
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -26,6 +26,12 @@
 const FIRST_QUARANTINE_MS: Millis = 3000;
 const MAX_QUARANTINE_MS: Millis = 24_000;
 
+/**
+ * Workers that crash soon after the start of one task, until its job is given
+ * up. One more or less may be due to another cause.
+ */
+const MAX_CRASHED_WORKERS = 3;
+
 /** Performs the state transitions of jobs and tasks. */
 export class JobLifecycle {
   private readonly slownessTracker: SlownessTracker;
@@ -149,6 +155,7 @@
       phase: RunPhase.UNVERIFIED,
       placedAt: now,
       uncertain: true,
+      startSentAt: now,
       confirmedAt: 0,
       stopAcceptedAt: 0,
       percent: 0,
@@ -310,6 +317,46 @@
     [RunOutcome.ALONE]: run => this.requeue(run.task),
   };
 
+  /**
+   * Handles a run whose worker crashed soon after it started. A task under
+   * which several workers have crashed is given up, so that it doesn't take
+   * down one worker after the other.
+   */
+  onRunCrashed(run: Run, reason: string): void {
+    const {task, attempt, worker} = run;
+    this.state.log.decide('run-crashed', {
+      task: task.name,
+      attempt,
+      worker: worker.id,
+      reason,
+      crashes: task.crashes.length + 1,
+    });
+    task.failedOn = worker.id;
+    this.detach(run);
+    this.requeue(task);
+    this.countCrash(task, attempt);
+    this.removeIfSettled(task.step.occurrence.job);
+  }
+
+  /** Counts a crash against a task, and gives its job up at the maximum. */
+  countCrash(task: ActiveTask, attempt: number): void {
+    if (task.crashes.includes(attempt)) return;
+    task.crashes = [...task.crashes, attempt];
+    const {step} = task;
+    const {job} = step.occurrence;
+    if (isFinal(job.phase)) return;
+    this.state.jobsToStore.add(job);
+    // The members of a gang share the numbers of their attempts.
+    const members = step.shape.gang ? step.tasks : [task];
+    const attempts = new Set(members.flatMap(({crashes}) => crashes));
+    if (attempts.size < MAX_CRASHED_WORKERS) return;
+    this.finish(
+      job,
+      JobPhase.FAILED,
+      `${attempts.size} workers crashed under task ${task.name}`,
+    );
+  }
+
   /** Requeues the task of a run that ended without a reported end. */
   onRunLost(run: Run, reason: string): void {
     this.state.log.decide('run-lost', {
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -41,6 +41,8 @@
    * report the same end more than once.
    */
   readonly failures: readonly number[];
+  /** Attempts whose worker crashed soon after their start. */
+  readonly crashes: readonly number[];
   /** Worker of the current run; empty for none. */
   readonly worker: string;
   /** Incarnation of that worker, in ms since 1970; 0 for none. */
@@ -147,19 +149,30 @@
 
 /** The fields of a task by position; 0 for one that was never placed. */
 type PackedTask =
-  0 | [number, number, readonly number[], string, number, string];
+  | 0
+  | [
+      number,
+      number,
+      readonly number[],
+      string,
+      number,
+      string,
+      // Absent in records of earlier versions.
+      (readonly number[])?,
+    ];
 
 function packTask(task: TaskRecord): PackedTask {
   if (task.phase === TaskPhase.WAITING && task.attempt === 0) return 0;
-  const {phase, attempt, failures, worker, born, checkpoint} = task;
+  const {phase, attempt, failures, crashes, worker, born, checkpoint} = task;
   if (phase === TaskPhase.DONE) return [phase, attempt, failures, '', 0, ''];
-  return [phase, attempt, failures, worker, born, checkpoint];
+  return [phase, attempt, failures, worker, born, checkpoint, crashes];
 }
 
 const UNSTARTED_TASK: TaskRecord = {
   phase: TaskPhase.WAITING,
   attempt: 0,
   failures: [],
+  crashes: [],
   worker: '',
   born: 0,
   checkpoint: '',
@@ -167,11 +180,13 @@
 
 function unpackTask(packed: PackedTask): TaskRecord {
   if (packed === 0) return UNSTARTED_TASK;
-  const [phase, attempt, failures, worker, born, checkpoint] = packed;
+  const [phase, attempt, failures, worker, born, checkpoint, crashes = []] =
+    packed;
   return {
     phase: phase as TaskPhase,
     attempt,
     failures,
+    crashes,
     worker,
     born,
     checkpoint,
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -280,6 +280,7 @@
       workers,
       this.placementCost,
       now,
+      this.state.wallClock.now(),
       areShortTasksWaiting,
       this.state.timePredictor.isLate(step, now),
     );
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -122,9 +122,11 @@
       worker.listing = listing;
       worker.address = listing.address;
       worker.dataCentre = listing.dataCentre;
+      worker.rack = listing.labels[1] ?? '';
       worker.capacity = listing.capacity;
       worker.wasDraining = listing.phase === WorkerPhase.DRAINING;
     }
+    this.leases.crashes.onListings(listings.values());
     for (const worker of this.state.workers.values()) {
       if (listings.has(worker.id)) worker.unlistedSince = undefined;
       else if (worker.listing !== undefined) this.onUnlisted(worker);
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -21,7 +21,7 @@
 } from './types.js';
 import {WorkerCallResult, RenewalResponse} from './worker_calls.js';
 import {FollowUp} from './worker_leases.js';
-import {Run, RunPhase} from './worker_state.js';
+import {Run, RunPhase, WorkerState} from './worker_state.js';
 
 export const QUEUE: Queue = {
   name: 'cuts',
@@ -82,6 +82,11 @@
   isUnreachable = false;
   /** Start requests are executed, but their responses are lost. */
   dropsStartResponses = false;
+  /** Local time at which a crashed worker is back; undefined if it is up. */
+  backAt: Millis | undefined;
+  rack = 'rack-1';
+  /** Address, which stays when a worker returns under another id. */
+  address: string;
   /** How runs end after their run time. */
   outcome: RunOutcome = RunOutcome.DONE;
   /** Number of the incarnation; stands for its start in ms since 1970. */
@@ -94,7 +99,9 @@
     readonly id: string,
     readonly cpuMilli: number,
     readonly memoryMb: number,
-  ) {}
+  ) {
+    this.address = `${id}:1`;
+  }
 
   /** Loses all runs and ends, as a new incarnation with the same id. */
   restart(): void {
@@ -105,6 +112,14 @@
     this.born++;
   }
 
+  /** Stops responding at once, until `backAt`. */
+  crash(backAt: Millis): void {
+    this.runs.clear();
+    this.isUnreachable = true;
+    this.isListed = false;
+    this.backAt = backAt;
+  }
+
   /** Ends a run and reports the end until it is acknowledged. */
   end(task: string, end: RunOutcome): void {
     const run = this.runs.get(task);
@@ -124,13 +139,13 @@
       id: this.id,
       born: this.born,
       service: QUEUE.service,
-      address: `${this.id}:1`,
+      address: this.address,
       dataCentre: 'a',
       phase: this.phase,
       remainingMs: this.phase === WorkerPhase.DRAINING ? 4000 : undefined,
       warmupMs: 0,
       capacity: {cpuMilli: this.cpuMilli, memoryMb: this.memoryMb, gpus: 0},
-      labels: ['kind', 'rack-1'],
+      labels: ['kind', this.rack],
     };
   }
 }
@@ -165,6 +180,12 @@
   scheduler: Scheduler;
   /** Run time of tasks on simulated workers. */
   taskMs: Millis = 1000;
+  /** Names of tasks that crash each worker that starts them. */
+  readonly crashingTasks = new Set<string>();
+  /** Time for which a crashed worker is down. */
+  downMs: Millis = 3000;
+  /** Crashed workers return under another id. */
+  renamesWorkers = false;
   /** Runs whose start request is to be sent again. */
   private readonly pendingStarts: Run[] = [];
   private epoch = 0;
@@ -276,14 +297,42 @@
     scheduler.onWorkerListings(
       new Map(listed.map(worker => [worker.id, worker.listing()])),
     );
-    for (const worker of this.workers.values()) this.endRuns(worker);
+    for (const worker of this.workers.values()) {
+      this.bringBack(worker);
+      this.endRuns(worker);
+    }
     this.resendStarts();
     this.commit();
     for (const worker of this.workers.values()) this.renew(worker);
+    for (const state of [...scheduler.state.workers.values()]) {
+      if (!this.workers.has(state.id)) this.renewReplaced(state);
+    }
     scheduler.tick();
     this.commit();
   }
 
+  private bringBack(worker: SimulatedWorker): void {
+    if (worker.backAt === undefined || worker.backAt > this.clock.now()) return;
+    worker.backAt = undefined;
+    worker.isUnreachable = false;
+    worker.isListed = true;
+    worker.restart();
+    worker.born = this.wallClock.now();
+    if (this.renamesWorkers) this.rename(worker);
+  }
+
+  /** Replaces a worker by one with another id at its address. */
+  private rename(worker: SimulatedWorker): void {
+    const {id, cpuMilli, memoryMb} = worker;
+    this.workers.delete(id);
+    const successor = this.addWorker(`${id}'`, cpuMilli, memoryMb);
+    Object.assign(successor, {
+      address: worker.address,
+      rack: worker.rack,
+      born: worker.born,
+    });
+  }
+
   private endRuns(worker: SimulatedWorker): void {
     for (const [task, {endsAt}] of [...worker.runs]) {
       if (endsAt <= this.clock.now()) worker.end(task, worker.outcome);
@@ -318,6 +367,14 @@
     this.scheduler.onRenewalResponse(state, renewal, sentAt, response);
   }
 
+  /** Renews a worker at whose address another one responds. */
+  private renewReplaced(state: WorkerState): void {
+    const renewal = this.scheduler.leases.nextRenewal(state);
+    this.scheduler.onRenewalResponse(state, renewal, this.clock.now(), {
+      result: WorkerCallResult.REPLACED,
+    });
+  }
+
   private respond(
     worker: SimulatedWorker,
     token: number,
@@ -343,9 +400,9 @@
     if (command.kind === CommandKind.START) this.start(command);
     else if (command.kind === CommandKind.STOP) this.stop(command);
     else if (command.kind === CommandKind.STOP_STRAY) {
-      const worker = this.workers.get(command.worker.id)!;
-      worker.stops.push(command.task);
-      worker.end(command.task, RunOutcome.STOPPED);
+      const worker = this.workers.get(command.worker.id);
+      worker?.stops.push(command.task);
+      worker?.end(command.task, RunOutcome.STOPPED);
     } else {
       this.pace(command);
     }
@@ -364,11 +421,16 @@
   }
 
   private sendStart(run: Run): void {
-    if (this.scheduler.leases.grantLease(run.worker) === undefined) {
+    if (this.scheduler.leases.grantStart(run) === undefined) {
       this.pendingStarts.push(run);
       return;
     }
-    const worker = this.workers.get(run.worker.id)!;
+    const worker = this.workers.get(run.worker.id);
+    if (worker === undefined) {
+      const result = WorkerCallResult.REPLACED;
+      this.scheduler.onStartResponse(run, {result});
+      return;
+    }
     if (!worker.isUnreachable && !worker.runs.has(run.task.name)) {
       worker.starts.push(run.task.name);
       const {perpetual, cpuMilli} = run.task.step.shape;
@@ -378,6 +440,9 @@
         percent: perpetual ? 100 : 0,
         gauge: perpetual ? 0 : cpuMilli,
       });
+      if (this.crashingTasks.has(run.task.name)) {
+        worker.crash(this.clock.now() + this.downMs);
+      }
     }
     const isResponseLost = worker.isUnreachable || worker.dropsStartResponses;
     const result = isResponseLost
@@ -391,7 +456,8 @@
     run,
     percent,
   }: Command & {kind: typeof CommandKind.PACE}): void {
-    const worker = this.workers.get(run.worker.id)!;
+    const worker = this.workers.get(run.worker.id);
+    if (worker === undefined) return;
     worker.paces.push(percent);
     const simulated = worker.runs.get(run.task.name);
     if (simulated === undefined) return;
@@ -400,7 +466,12 @@
 
   private stop(command: Command & {kind: typeof CommandKind.STOP}): void {
     const {run} = command;
-    const worker = this.workers.get(run.worker.id)!;
+    const worker = this.workers.get(run.worker.id);
+    if (worker === undefined) {
+      const result = WorkerCallResult.REPLACED;
+      this.scheduler.onStopResponse(run, {result});
+      return;
+    }
     const result = worker.isUnreachable
       ? WorkerCallResult.UNKNOWN
       : WorkerCallResult.ACCEPTED;
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -1,4 +1,5 @@
 import {Millis} from '../base/clock.js';
+import {CrashAttribution} from './crash_attribution.js';
 import {JobLifecycle} from './job_lifecycle.js';
 import {packRecord, RecordKind} from './job_records.js';
 import {KeyedRecord} from './store.js';
@@ -50,11 +51,14 @@
   private authorityEndsAt: Millis = 0;
   /** Whether a worker has seen the fencing token of a later scheduler. */
   isFenced = false;
+  readonly crashes: CrashAttribution;
 
   constructor(
     private readonly state: SchedulerState,
     private readonly lifecycle: JobLifecycle,
-  ) {}
+  ) {
+    this.crashes = new CrashAttribution(state, lifecycle);
+  }
 
   /**
    * Extends the authority after the log accepted a record of this epoch.
@@ -124,7 +128,7 @@
     const now = this.state.now();
     if (response.result === WorkerCallResult.FENCED) this.isFenced = true;
     if (response.result === WorkerCallResult.REPLACED) {
-      this.onReplaced(worker, 'another incarnation answers at its address');
+      this.onReplaced(worker);
     }
     const {report} = response;
     const wasResponsive = worker.isResponsive;
@@ -141,6 +145,7 @@
     worker.lastResponseAt = now;
     worker.setClock(report.clockMs, now);
     if (report.born !== worker.born && !this.onRestart(worker, report)) return;
+    this.crashes.onSameIncarnation(worker);
     worker.confirmedAck = Math.max(
       worker.confirmedAck,
       renewal.acknowledgedEnd,
@@ -187,9 +192,10 @@
     return false;
   }
 
-  private onReplaced(worker: WorkerState, reason: string): void {
+  /** Handles the response of another worker at the address of this one. */
+  private onReplaced(worker: WorkerState): void {
     for (const run of [...worker.runs.values()]) {
-      this.declareLost(run, reason);
+      this.crashes.endRun(run, 'another incarnation answers at its address');
     }
   }
 
@@ -241,6 +247,7 @@
     }
     const {perpetual} = run.task.step.shape;
     const isActive = perpetual && entry.percent === 100;
+    if (isActive) run.task.crashes = [];
     // Other runs end the probation by succeeding; a perpetual one never ends.
     if (isActive && worker.isProbationRun(run)) worker.isOnProbation = false;
     if (entry.percent !== run.percent) run.lastProgressAt = now;
@@ -264,7 +271,9 @@
   private onRunNotReported(run: Run, born: number, sentAt: Millis): void {
     const {phase} = run;
     if (phase === RunPhase.UNVERIFIED) {
-      this.declareLost(run, 'not reported by the worker');
+      const reason = 'not reported by the worker';
+      if (run.born !== born) this.crashes.endRun(run, reason);
+      else this.declareLost(run, reason);
     } else if (phase === RunPhase.STOPPING) {
       if (run.stopAcceptedAt > 0 && run.stopAcceptedAt < sentAt) {
         this.declareLost(run, 'stopped before it started');
@@ -276,6 +285,16 @@
     }
   }
 
+  /**
+   * Grants a lease for a start request that is about to be sent. Returns its
+   * end on the worker's clock in ms; undefined if none may be granted.
+   */
+  grantStart(run: Run): Millis | undefined {
+    const leaseUntil = this.grantLease(run.worker);
+    if (leaseUntil !== undefined) run.startSentAt ??= this.state.now();
+    return leaseUntil;
+  }
+
   /** Whether a start request is still to be sent, as the run is not lost. */
   isStartPending(run: Run): boolean {
     const isCurrent = run.worker.runs.get(run.task.name) === run;
@@ -357,13 +376,15 @@
    * elsewhere; a higher fencing token rejects them.
    */
   private declareAllLost(worker: WorkerState, reason: string): void {
-    let isAnyLost = false;
+    const lost: Run[] = [];
     for (const run of [...worker.runs.values()]) {
       if (run.phase === RunPhase.STAGED) continue;
       this.declareLost(run, reason);
-      isAnyLost = true;
+      lost.push(run);
     }
-    if (isAnyLost) worker.tokenOffset++;
+    if (lost.length === 0) return;
+    worker.tokenOffset++;
+    this.crashes.onLost(worker, lost);
   }
 
   /** Keeps a worker that is recorded as lost until the record is removed. */
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -30,6 +30,11 @@
   readonly placedAt: Millis;
   /** Whether the worker may still execute an earlier start request. */
   uncertain: boolean;
+  /**
+   * Local time of the first start request, if one was sent; after a takeover,
+   * the time of the takeover.
+   */
+  startSentAt?: Millis;
   /** Local time at which the worker confirmed the run; 0 before. */
   confirmedAt: Millis;
   /** Local time at which the worker accepted the stop; 0 before. */
@@ -66,6 +71,8 @@
   address = '';
   /** Data centre in the last listing. */
   dataCentre = '';
+  /** Rack in the last listing; empty if unknown. */
+  rack = '';
   capacity: Resources = {cpuMilli: 0, memoryMb: 0, gpus: 0};
   /** Incarnation that responded last, ms since 1970; 0 before a response. */
   born = 0;
@@ -118,10 +125,6 @@
 
   constructor(readonly id: string) {}
 
-  get rack(): string {
-    return this.listing?.labels[1] ?? '';
-  }
-
   get isDraining(): boolean {
     return this.listing?.phase === WorkerPhase.DRAINING;
   }
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -289,7 +289,7 @@
     await this.retryUntilSettled(async () => {
       const {leases} = this.scheduler;
       if (!leases.isStartPending(run)) return FollowUp.SETTLED;
-      const lease = leases.grantLease(worker);
+      const lease = leases.grantStart(run);
       if (lease === undefined) return FollowUp.REPEAT;
       const token = this.scheduler.state.fencingToken(worker);
       const response = await this.host.workerClient.start(
