End a job when a late report completes its budget of failures

Cause: a failure whose run had been declared lost was counted, but the maximum was not looked at; a task that waited or ran on was started beyond it. Found while looking for other losses that escape a budget. Change: the same check after late and after ordinary failures, unless a later attempt has succeeded. Result: the first new test failed before (the job ran on after two failures).

--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -304,6 +304,9 @@
     if (job === undefined || task === undefined) return;
     countFailure(task, end.attempt);
     this.state.jobsToStore.add(job);
+    // A later attempt may have succeeded.
+    if (task.phase !== TaskPhase.DONE) this.failIfExhausted(task);
+    this.removeIfSettled(job);
   }
 
   private readonly endHandlers: Readonly<
@@ -438,17 +441,24 @@
     countFailure(task, run.attempt);
     task.failedOn = worker.id;
     this.countWorkerFailure(worker, job.id);
+    if (!this.failIfExhausted(task)) this.requeue(task);
+  }
+
+  /**
+   * Ends the job of a task that failed as often as its queue allows. Returns
+   * whether it did.
+   */
+  private failIfExhausted(task: ActiveTask): boolean {
+    const {job} = task.step.occurrence;
     const {perpetual, gang} = task.step.shape;
     const failures = gang
       ? task.step.tasks.reduce((sum, {failures}) => sum + failures.length, 0)
       : task.failures.length;
-    if (!perpetual && failures >= job.queue.maxAttempts) {
-      if (!isFinal(job.phase)) {
-        this.finish(job, JobPhase.FAILED, `task ${task.name} failed`);
-      }
-      return;
+    if (perpetual || failures < job.queue.maxAttempts) return false;
+    if (!isFinal(job.phase)) {
+      this.finish(job, JobPhase.FAILED, `task ${task.name} failed`);
     }
-    this.requeue(task);
+    return true;
   }
 
   /**
