Withdraw a start that has lost its room in the meantime

Cause: room was looked at when a task was placed, not when its start request was sent. A request that got no answer is repeated until the worker responds; if its capacity had shrunk by then, the start went over it (LIMIT). Change: grantStart looks at the room before each request. A run that does not fit is withdrawn, with a stop if an earlier request may still execute.

--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -95,11 +95,15 @@
   token = 0;
   private sequence = 0;
 
+  /** Processors, in thousandths of a core; they may change. */
+  cpuMilli: number;
+
   constructor(
     readonly id: string,
-    readonly cpuMilli: number,
+    cpuMilli: number,
     readonly memoryMb: number,
   ) {
+    this.cpuMilli = cpuMilli;
     this.address = `${id}:1`;
   }
 
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -287,9 +287,14 @@
 
   /**
    * Grants a lease for a start request that is about to be sent. Returns its
-   * end on the worker's clock in ms; undefined if none may be granted.
+   * end on the worker's clock in ms; undefined if none may be granted. Withdraws
+   * the run if it no longer fits.
    */
   grantStart(run: Run): Millis | undefined {
+    if (!run.worker.hasCapacityForRuns) {
+      this.withdraw(run, 'its worker has less room than before');
+      return undefined;
+    }
     const leaseUntil = this.grantLease(run.worker);
     if (leaseUntil !== undefined) run.startSentAt ??= this.state.now();
     return leaseUntil;
@@ -332,13 +337,18 @@
     if (result === WorkerCallResult.UNHEALTHY) {
       this.lifecycle.quarantine(worker, 'it refuses starts as unhealthy');
     }
+    this.withdraw(run, `start refused: ${result}`);
+    return FollowUp.SETTLED;
+  }
+
+  /** Gives up a run that has not started, so that its task is placed anew. */
+  private withdraw(run: Run, reason: string): void {
     if (run.uncertain) {
-      this.state.stop(run, 'an earlier start may still execute');
-    } else {
-      run.task.notBefore = now + START_REFUSED_BACKOFF_MS;
-      this.declareLost(run, `start refused: ${result}`);
+      this.state.stop(run, `an earlier start may still execute; ${reason}`);
+      return;
     }
-    return FollowUp.SETTLED;
+    run.task.notBefore = this.state.now() + START_REFUSED_BACKOFF_MS;
+    this.declareLost(run, reason);
   }
 
   /** Processes the response to a stop request. */
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -129,6 +129,16 @@
     return this.listing?.phase === WorkerPhase.DRAINING;
   }
 
+  /** Whether all runs fit; not after the worker's capacity has shrunk. */
+  get hasCapacityForRuns(): boolean {
+    const {cpuMilli, memoryMb, gpus} = this.reserved;
+    return (
+      cpuMilli <= this.capacity.cpuMilli &&
+      memoryMb <= this.capacity.memoryMb &&
+      gpus <= this.capacity.gpus
+    );
+  }
+
   /** Whether a run was placed after the quarantine, to test the worker. */
   isProbationRun(run: Run): boolean {
     return this.isOnProbation && run.placedAt >= this.quarantinedUntil;
