Start nothing on a worker while it reports runs that no task expects

Cause: a run that nothing expects, as one that was started by an order carried out late, was stopped but not counted against the room of its worker. A start placed before it had ended went over the capacity (LIMIT). Change: a worker gets no starts until a report without such runs.

--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -165,6 +165,8 @@
       return false;
     }
     if (worker.quarantinedUntil > now) return false;
+    // A stray run uses resources until it has stopped, and is not reserved.
+    if (worker.hasStrayRuns) return false;
     return worker.born === listing.born;
   }
 
--- a/src/common/batch/shrinking_worker.test.ts
+++ b/src/common/batch/shrinking_worker.test.ts
@@ -43,4 +43,22 @@
     fleet.run(500);
     expect(worker.runs.size).toBe(4);
   });
+
+  it('gets no start while a run that nothing expects is stopping', () => {
+    // Guards against a start beside a run that still uses its resources.
+    worker.isSlowToStop = true;
+    worker.runs.set('00000000000000ff.0.0.0', {
+      attempt: 1,
+      endsAt: Infinity,
+      percent: 0,
+      gauge: 0,
+    });
+    fleet.run(200);
+    fleet.submit(JOB, [{cpuMilli: 4000}]);
+    fleet.run(400);
+    expect(worker.starts).toEqual([]);
+    worker.isSlowToStop = false;
+    fleet.run(500);
+    expect(worker.starts).toHaveLength(1);
+  });
 });
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -87,6 +87,8 @@
   rack = 'rack-1';
   /** Address, which stays when a worker returns under another id. */
   address: string;
+  /** Runs that nothing expects go on after a stop request. */
+  isSlowToStop = false;
   /** How runs end after their run time. */
   outcome: RunOutcome = RunOutcome.DONE;
   /** Number of the incarnation; stands for its start in ms since 1970. */
@@ -406,6 +408,7 @@
     else if (command.kind === CommandKind.STOP_STRAY) {
       const worker = this.workers.get(command.worker.id);
       worker?.stops.push(command.task);
+      if (worker?.isSlowToStop) return;
       worker?.end(command.task, RunOutcome.STOPPED);
     } else {
       this.pace(command);
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -214,6 +214,7 @@
       this.lifecycle.onRunEnd(worker, end);
     }
     const reported = new Map(report.running.map(entry => [entry.task, entry]));
+    worker.hasStrayRuns = false;
     for (const entry of report.running) this.processReportedRun(worker, entry);
     for (const run of [...worker.runs.values()]) {
       if (reported.get(run.task.name)?.attempt === run.attempt) continue;
@@ -224,6 +225,7 @@
   private processReportedRun(worker: WorkerState, entry: ReportedRun): void {
     const run = worker.runs.get(entry.task);
     if (run === undefined || run.attempt !== entry.attempt) {
+      worker.hasStrayRuns = true;
       this.state.log.decide('stop-stray', {
         task: entry.task,
         attempt: entry.attempt,
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -78,6 +78,8 @@
   born = 0;
   /** Runs on the worker, by task name. */
   readonly runs = new Map<string, Run>();
+  /** Whether the last report showed runs that no task expects there. */
+  hasStrayRuns = false;
   /** Resources reserved for runs; best-effort runs reserve no processors. */
   reserved: Resources = {cpuMilli: 0, memoryMb: 0, gpus: 0};
   /** Grows whenever a run is added or removed. */
