Let an odd entry among those of the workers concern only its own key

Cause: an error in the decoding of one entry would have ended the handling of the whole read, so that later entries were lost until the next full read; and an entry whose newest value names no worker stayed in use with its earlier value on instances that had read that. Change: WorkerList, taken out of BatchInstance, decodes each entry by itself.

--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -39,6 +39,7 @@
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
 import {RoleWriter} from './role_writer.js';
 import {Takeover} from './takeover.js';
+import {WorkerList} from './worker_list.js';
 import {Term, TermEndReason} from './term.js';
 
 /**
@@ -111,8 +112,8 @@
   /** Latest configuration of the operator; undefined before it is read. */
   configuration: BatchConfiguration | undefined;
   readonly view: JobView;
-  /** Listed workers by id; kept up to date only during a term. */
-  private readonly workers = new Map<string, WorkerListing>();
+  /** Listed workers; kept up to date only during a term. */
+  private readonly workers: WorkerList;
   readonly lookup: JobLookup;
   private readonly intake: IntakeWriter;
   private readonly election: Election;
@@ -160,6 +161,10 @@
       () => WORKERS_READ_INTERVAL_MS,
       (records, isReset) => this.onWorkers(records, isReset),
     );
+    this.workers = new WorkerList(
+      record => dependencies.decoder.worker(record),
+      (key, error) => this.onFault(`worker entry ${key}`, error),
+    );
     this.takeover = new Takeover({
       log,
       clock,
@@ -367,15 +372,11 @@
   }
 
   private onWorkers(records: readonly KeyedRecord[], isReset: boolean): void {
-    if (isReset) this.workers.clear();
-    for (const record of records) {
-      const listing = this.dependencies.decoder.worker(record);
-      if (listing !== undefined) this.workers.set(listing.id, listing);
-      else if (record.value.length === 0) this.workers.delete(record.key);
-    }
+    this.workers.apply(records, isReset);
     if (this.term === undefined) return;
-    this.dependencies.workerClient.setFleet(this.view.instances, this.workers);
-    this.term.scheduler.onWorkerListings(this.workers);
+    const {byId} = this.workers;
+    this.dependencies.workerClient.setFleet(this.view.instances, byId);
+    this.term.scheduler.onWorkerListings(byId);
   }
 
   private async runElections(): Promise<void> {
@@ -522,9 +523,9 @@
   ): Term {
     const {log, workerClient, clock, permissionClock, decisions} =
       this.dependencies;
-    workerClient.setFleet(this.view.instances, this.workers);
+    workerClient.setFleet(this.view.instances, this.workers.byId);
     scheduler.restore(this.view);
-    scheduler.onWorkerListings(this.workers);
+    scheduler.onWorkerListings(this.workers.byId);
     const {state} = scheduler;
     decisions.decide('term-begins', {
       epoch: state.epoch,
