--- a/src/common/batch/job_time_predictor.test.ts
+++ b/src/common/batch/job_time_predictor.test.ts
@@ -1,4 +1,5 @@
 import {QUEUE, SimulatedFleet, STEP} from './simulated_fleet.test_support.js';
+import {Millis} from '../base/clock.js';
 import {ActiveJob} from './active_job.js';
 
 const ID = '00000000000000aa';
@@ -20,40 +21,33 @@
   return fleet.scheduler.state.jobs.get(ID)!;
 }
 
+/**
+ * Local time from which the age of a job counts that this process reads now,
+ * and that was accepted `age` ms ago by the wall clock.
+ */
+function acceptanceTime(fleet: SimulatedFleet, age: Millis): Millis {
+  const shape = {spec: '', steps: [STEP], repeats: 0, startMs: 0, periodMs: 0};
+  const acceptedAt = fleet.wallClock.now() - age;
+  const submission = {queue: QUEUE, acceptedAt, shape};
+  const seenAt = fleet.clock.now();
+  fleet.scheduler.onJob({id: ID, submission, cancelled: false, seenAt});
+  return jobOf(fleet).acceptedAt;
+}
+
 describe('JobTimePredictor', () => {
   it('counts the age of a job from its acceptance by another process', () => {
     // Guards against jobs that count as new after all instances restarted, and
     // that give way again to those that arrive later.
     const fleet = fleetWithHistory();
-    const shape = {
-      spec: '',
-      steps: [STEP],
-      repeats: 0,
-      startMs: 0,
-      periodMs: 0,
-    };
-    const acceptedAt = fleet.wallClock.now() - 30_000;
-    const submission = {queue: QUEUE, acceptedAt, shape};
-    const seenAt = fleet.clock.now();
-    fleet.scheduler.onJob({id: ID, submission, cancelled: false, seenAt});
-    expect(jobOf(fleet).acceptedAt).toBe(seenAt - 30_000);
+    const now = fleet.clock.now();
+    expect(acceptanceTime(fleet, 30_000)).toBe(now - 30_000);
   });
 
   it('does not count the age of a job by a clock that is behind', () => {
     // Guards against objectives in the future after a step of the wall clock.
     const fleet = fleetWithHistory();
-    const shape = {
-      spec: '',
-      steps: [STEP],
-      repeats: 0,
-      startMs: 0,
-      periodMs: 0,
-    };
-    const acceptedAt = fleet.wallClock.now() + 5000;
-    const submission = {queue: QUEUE, acceptedAt, shape};
-    const seenAt = fleet.clock.now();
-    fleet.scheduler.onJob({id: ID, submission, cancelled: false, seenAt});
-    expect(jobOf(fleet).acceptedAt).toBe(seenAt);
+    const now = fleet.clock.now();
+    expect(acceptanceTime(fleet, -5000)).toBe(now);
   });
 
   it('predicts run times from finished runs, not from estimates', () => {
