Measure the scheduler's processor time by part

Change: a meter adds up time and operations of reports, pacing, renewals, starts, stops, records, scans, checks, relay codecs and worker entries; a nested part isn't counted twice. A line `costs` every 2 s of a term adds processor time of the process, garbage collection, workers, starts, ends, waiting tasks and batches; the totals by part are counters on the metrics address. The calls to workers are measured by a decorator, so the term itself has one line more.

--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -1,4 +1,5 @@
 import {Millis, SECOND} from '../base/clock.js';
+import {CostEvent, CostPart} from './cost_meter.js';
 import {Evacuation} from './evacuation.js';
 import {HeadroomForecast} from './headroom.js';
 import {InterferenceModel, InterferenceWeights} from './interference.js';
@@ -158,16 +159,28 @@
     sentAt: Millis,
     response: RenewalResponse,
   ): void {
-    this.leases.onRenewalResponse(worker, renewal, sentAt, response);
-    if (response.report !== undefined) this.pacing.onReport(worker);
+    const {costs} = this.state;
+    costs.measure(CostPart.REPORTS, () =>
+      this.leases.onRenewalResponse(worker, renewal, sentAt, response),
+    );
+    if (response.report === undefined) return;
+    costs.measure(CostPart.PACING, () => this.pacing.onReport(worker));
   }
 
   onStartResponse(run: Run, response: WorkerResponse): FollowUp {
-    return this.leases.onStartResponse(run, response);
+    return this.state.costs.measure(
+      CostPart.STARTS,
+      () => this.leases.onStartResponse(run, response),
+      0,
+    );
   }
 
   onStopResponse(run: Run, response: WorkerResponse): FollowUp {
-    return this.leases.onStopResponse(run, response);
+    return this.state.costs.measure(
+      CostPart.STOPS,
+      () => this.leases.onStopResponse(run, response),
+      0,
+    );
   }
 
   /** Checks that depend on time alone; an error in one ends only that one. */
@@ -180,6 +193,10 @@
 
   /** Runs the checks that depend on time alone. */
   tick(): void {
+    this.state.costs.measure(CostPart.CHECKS, () => this.runChecks());
+  }
+
+  private runChecks(): void {
     for (const [part, run] of Object.entries(this.checks)) {
       try {
         run();
@@ -191,7 +208,13 @@
 
   /** Places waiting tasks and returns the records to store. */
   takeBatch(): CommitBatch {
-    this.placement.run();
+    const {costs} = this.state;
+    costs.count(CostEvent.BATCH);
+    costs.measure(CostPart.SCANS, () => this.placement.run());
+    return costs.measure(CostPart.RECORDS, () => this.buildBatch());
+  }
+
+  private buildBatch(): CommitBatch {
     const {state} = this;
     const records: KeyedRecord[] = [];
     const states = this.takeInheritedStates();
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -1,5 +1,6 @@
 import {Clock, Millis, SECOND} from '../base/clock.js';
 import {ActiveJob, ActiveTask} from './active_job.js';
+import {CostMeter} from './cost_meter.js';
 import {JobStateRecord} from './job_records.js';
 import {JobTimePredictor} from './job_time_predictor.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
@@ -102,6 +103,7 @@
     public configuration: BatchConfiguration,
     /** Clock for the end of the scheduler's own permission to grant leases. */
     readonly permissionClock: Clock = clock,
+    readonly costs: CostMeter = new CostMeter(clock),
   ) {
     this.timePredictor = new JobTimePredictor(clock);
   }
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -1,4 +1,5 @@
 import {Millis} from '../base/clock.js';
+import {CostEvent, CostPart} from './cost_meter.js';
 import {CrashAttribution} from './crash_attribution.js';
 import {JobLifecycle} from './job_lifecycle.js';
 import {packRecord, RecordKind} from './job_records.js';
@@ -76,6 +77,14 @@
 
   /** Builds the next renewal for a worker and tracks the lease it grants. */
   nextRenewal(worker: WorkerState): LeaseRenewal {
+    return this.state.costs.measure(
+      CostPart.RENEWALS,
+      () => this.buildRenewal(worker),
+      0,
+    );
+  }
+
+  private buildRenewal(worker: WorkerState): LeaseRenewal {
     const base = {
       fencingToken: this.state.fencingToken(worker),
       acknowledgedEnd: this.endToAcknowledge(worker),
@@ -211,6 +220,7 @@
     for (const end of report.ends) {
       if (end.sequence <= worker.processedEnd) continue;
       worker.processedEnd = end.sequence;
+      this.state.costs.count(CostEvent.END);
       this.lifecycle.onRunEnd(worker, end);
     }
     const reported = new Map(report.running.map(entry => [entry.task, entry]));
@@ -316,6 +326,7 @@
     if (!this.isStartPending(run)) return FollowUp.SETTLED;
     const {result} = response;
     if (result === WorkerCallResult.ACCEPTED) {
+      this.state.costs.count(CostEvent.START);
       run.phase = RunPhase.RUNNING;
       run.confirmedAt = now;
       run.lastProgressAt = now;
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -2,6 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Either, Left, Right} from 'purify-ts';
 import {Clock, Millis, SECOND} from '../../common/base/clock.js';
+import {CostMeter, CostPart} from '../../common/batch/cost_meter.js';
+import {CostReport, ProcessUsage} from '../../common/batch/cost_report.js';
 import {Election, isWeaker} from '../../common/batch/election.js';
 import {
   InstanceRecord,
@@ -36,6 +38,7 @@
 import {JobLookup, LogUnavailableError} from './job_lookup.js';
 import {FencedWriter, WRITER_NAME} from './fenced_writer.js';
 import {LogTail} from './log_tail.js';
+import {MeteredWorkerCalls} from './metered_worker_calls.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
 import {RoleWriter} from './role_writer.js';
 import {Takeover} from './takeover.js';
@@ -101,6 +104,9 @@
   readonly claimDelayMs: Millis;
   /** What this instance tells the others about itself. */
   readonly announcement: InstanceRecord;
+  /** Measures what the scheduler spends its time on. */
+  readonly costs: CostMeter;
+  readonly processUsage: ProcessUsage;
 }
 
 /**
@@ -159,7 +165,12 @@
     this.workersTail = this.createTail(
       Topic.WORKERS,
       () => WORKERS_READ_INTERVAL_MS,
-      (records, isReset) => this.onWorkers(records, isReset),
+      (records, isReset) =>
+        dependencies.costs.measure(
+          CostPart.LIST,
+          () => this.onWorkers(records, isReset),
+          records.length,
+        ),
     );
     this.workers = new WorkerList(
       record => dependencies.decoder.worker(record),
@@ -521,7 +532,7 @@
     progress: FencedWriter,
     claimedAt: Millis,
   ): Term {
-    const {log, workerClient, clock, permissionClock, decisions} =
+    const {log, workerClient, clock, permissionClock, decisions, costs} =
       this.dependencies;
     workerClient.setFleet(this.view.instances, this.workers.byId);
     scheduler.restore(this.view);
@@ -533,14 +544,22 @@
       waiting: state.waitingTasks.size,
       takeoverMs: Math.round(permissionClock.now() - claimedAt),
     });
-    return new Term(scheduler, {log, workerClient, clock, role, progress});
+    return new Term(scheduler, {
+      log,
+      workerClient: new MeteredWorkerCalls(workerClient, costs),
+      clock,
+      role,
+      progress,
+      costReport: new CostReport(state, this.dependencies.processUsage),
+    });
   }
 
   private createScheduler(
     epoch: number,
     previousAuthorityMs: Millis,
   ): Scheduler {
-    const {clock, wallClock, permissionClock, decisions} = this.dependencies;
+    const {clock, wallClock, permissionClock, decisions, costs} =
+      this.dependencies;
     const configuration = this.configuration!;
     return new Scheduler(
       new SchedulerState(
@@ -552,6 +571,7 @@
         decisions,
         configuration,
         permissionClock,
+        costs,
       ),
       this.view.interference,
     );
--- a/src/node/batch/metered_decision_log.ts
+++ b/src/node/batch/metered_decision_log.ts
@@ -1,4 +1,5 @@
 import {Counter, Registry} from 'prom-client';
+import {CostMeter} from '../../common/batch/cost_meter.js';
 import {DecisionLog} from '../../common/batch/scheduler_state.js';
 import {Metrics} from '../metrics.js';
 
@@ -24,10 +25,23 @@
     labelNames: ['decision'],
     registers: [this.registry],
   });
+  private readonly partTimes = new Counter({
+    name: 'jasminegauge_scheduler_part_milliseconds_total',
+    help: 'Time that the scheduler spent in each of its parts.',
+    labelNames: ['part'],
+    registers: [this.registry],
+  });
+  private readonly partOperations = new Counter({
+    name: 'jasminegauge_scheduler_part_operations_total',
+    help: 'Operations of the scheduler by part.',
+    labelNames: ['part'],
+    registers: [this.registry],
+  });
 
   constructor(
     private readonly log: DecisionLog,
     private readonly metrics: Metrics,
+    private readonly costs: CostMeter,
   ) {}
 
   decide(decision: string, fields: Readonly<Record<string, unknown>>): void {
@@ -42,6 +56,19 @@
 
   /** Returns all metrics in the Prometheus text format. */
   async text(): Promise<string> {
+    this.updateCosts();
     return (await this.registry.metrics()) + (await this.metrics.text());
   }
+
+  /** Sets the counters of the costs to the totals of the meter. */
+  private updateCosts(): void {
+    this.partTimes.reset();
+    this.partOperations.reset();
+    for (const [part, {ms, operations}] of Object.entries(
+      this.costs.snapshot(),
+    )) {
+      this.partTimes.inc({part}, ms);
+      this.partOperations.inc({part}, operations);
+    }
+  }
 }
--- a/src/node/batch/relay_link.ts
+++ b/src/node/batch/relay_link.ts
@@ -1,5 +1,6 @@
 import {WebSocket} from 'ws';
 import {Clock, Millis, SECOND} from '../../common/base/clock.js';
+import {CostMeter, CostPart} from '../../common/batch/cost_meter.js';
 import {
   RenewalResponse,
   WorkerAddress,
@@ -34,7 +35,7 @@
     (response: RenewalResponse) => void
   >();
   private readonly outbox = new FrameBatch<RelayRequest>(
-    requests => this.socket.send(packRequests(requests)),
+    requests => this.socket.send(this.pack(requests)),
     0,
     () => this.socket.readyState === WebSocket.OPEN,
   );
@@ -48,6 +49,7 @@
     address: string,
     private readonly clock: Clock,
     private readonly onClosed: LinkClosedListener,
+    private readonly costs: CostMeter = new CostMeter(clock),
   ) {
     this.lastReceivedAt = clock.now();
     this.socket = new WebSocket(`ws://${address}${RELAY_PATH}`, {
@@ -84,6 +86,10 @@
     this.fail('closed');
   }
 
+  private pack(requests: readonly RelayRequest[]): Uint8Array {
+    return this.costs.measure(CostPart.CODECS, () => packRequests(requests));
+  }
+
   private onOpen(): void {
     this.onReceived();
     this.outbox.flush();
@@ -96,7 +102,9 @@
   private onMessage(data: Buffer): void {
     this.onReceived();
     try {
-      const {responses, isDraining} = unpackReply(data);
+      const {responses, isDraining} = this.costs.measure(CostPart.CODECS, () =>
+        unpackReply(data),
+      );
       for (const {id, response} of responses) {
         this.waiting.get(id)?.(response);
         this.waiting.delete(id);
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ManualClock} from '../../common/base/manual_clock.js';
+import {CostReport} from '../../common/batch/cost_report.js';
 import {
   SCHEDULER_KEY,
   unpackScheduler,
@@ -30,6 +31,7 @@
 } from '../../common/batch/worker_calls.js';
 import {SystemClock} from '../system_clock.js';
 import {FencedWriter} from './fenced_writer.js';
+import {NodeProcessUsage} from './process_usage.js';
 import {RoleWriter} from './role_writer.js';
 import {Term, TermEndReason} from './term.js';
 
@@ -170,8 +172,9 @@
       clock,
       listener,
     );
-    const host = {log, workerClient, clock, role, progress};
     scheduler = newScheduler(clock);
+    const costReport = new CostReport(scheduler.state, new NodeProcessUsage());
+    const host = {log, workerClient, clock, role, progress, costReport};
     term = new Term(scheduler, host);
   });
 
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Clock, Millis} from '../../common/base/clock.js';
+import {CostReport} from '../../common/batch/cost_report.js';
 import {RecordKind} from '../../common/batch/job_records.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {Command, CommandKind} from '../../common/batch/scheduler_state.js';
@@ -58,6 +59,7 @@
   readonly role: RoleWriter;
   /** Writes the progress topic. */
   readonly progress: FencedWriter;
+  readonly costReport: CostReport;
 }
 
 /**
@@ -192,6 +194,7 @@
   private tick(): void {
     const {scheduler} = this;
     scheduler.tick();
+    this.host.costReport.run();
     if (scheduler.leases.isFenced) this.end(TermEndReason.FENCED);
     for (const worker of scheduler.state.workers.values()) {
       if (this.renewedWorkers.has(worker)) continue;
