Add a profile of the scheduler behind relays to the bench

Cause: the costs of a scheduler with 625 workers and 1,430 starts/s are worked out from profiles at 100 to 200 workers; nothing measures them again. Change: `npm run bench -- profile` runs the compiled program as the scheduler, over real relay links, against a stand-in store and stand-in workers behind relays in another process, submits the mix of the large site, and prints the mean of the `costs` lines by part. Options set workers, starts, tasks without room, run time and a profile of the process's functions.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import {runCapacityBenchmark} from './capacity.js';
 import {EntryBenchmarkOptions, runEntryBenchmark} from './entry.js';
 import {PolicyBenchmarkOptions, runPolicyBenchmark} from './policy.js';
+import {ProfileOptions, runProfile} from './profile.js';
 import {WORKLOADS} from './policy_workloads.js';
 
 const cli = meow(
@@ -12,11 +13,17 @@
   Commands
     entry     added latency and throughput of the request path on loopback
     capacity  slopes of processor time, memory and bytes by size
+    profile   cost of the parts of a scheduler behind relays
     policy    policies against baselines under a simulated clock
 
   Options
     --json FILE        write the figures to FILE as JSON
     --seconds N        measuring time of each step (default 2)
+    --workers N        workers of the profile (default 625)
+    --starts N         task starts a second in the profile (default 1430)
+    --queue N          tasks of the profile without room (default 0)
+    --run-ms N         run time of best-effort tasks (default 1000)
+    --cpu-profile DIR  where the scheduler writes a profile of its functions
     --concurrency N,…  requests at the same time (default 1,4,16,64,256,512)
     --part NAME,…      parts of the capacity benchmark (default all)
     --seeds N          runs of each policy (default 10)
@@ -29,6 +36,11 @@
       json: {type: 'string'},
       seconds: {type: 'number', default: 2},
       part: {type: 'string', default: ''},
+      workers: {type: 'number', default: 625},
+      starts: {type: 'number', default: 1430},
+      queue: {type: 'number', default: 0},
+      runMs: {type: 'number', default: 1000},
+      cpuProfile: {type: 'string', default: ''},
       concurrency: {type: 'string', default: '1,4,16,64,256,512'},
       seeds: {type: 'number', default: 10},
       workload: {type: 'string', default: 'tuapapa'},
@@ -73,6 +85,25 @@
   return {json, svg, seeds, workload: WORKLOADS[workload]};
 }
 
+/** Limit on `--workers`, which all run in one process. */
+const MAX_PROFILED_WORKERS = 1500;
+
+function parseProfileOptions(): ProfileOptions {
+  const {json, workers, starts, queue, runMs, seconds, cpuProfile} = cli.flags;
+  if (!(workers > 0 && workers <= MAX_PROFILED_WORKERS)) {
+    throw new Error(
+      `--workers needs a number from 1 to ${MAX_PROFILED_WORKERS}.`,
+    );
+  }
+  if (!(starts >= 0 && queue >= 0 && runMs > 0)) {
+    throw new Error('--starts, --queue and --run-ms need positive numbers.');
+  }
+  if (!(seconds > 2 && seconds <= MAX_STEP_SECONDS)) {
+    throw new Error(`--seconds needs a number from 3 to ${MAX_STEP_SECONDS}.`);
+  }
+  return {json, workers, starts, queue, runMs, seconds, cpuProfile};
+}
+
 /** The benchmarks by the name of their command. */
 const COMMANDS: Readonly<Record<string, () => Promise<void>>> = {
   entry: () => runEntryBenchmark(parseEntryOptions()),
@@ -81,6 +112,7 @@
       json: cli.flags.json,
       parts: cli.flags.part.split(',').filter(part => part !== ''),
     }),
+  profile: () => runProfile(parseProfileOptions()),
   policy: () => runPolicyBenchmark(parsePolicyOptions()),
 };
 
