--- a/bench/profile.ts
+++ b/bench/profile.ts
@@ -1,4 +1,4 @@
-import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -11,6 +11,7 @@
 import {KeyedRecord, Topic} from '../src/common/batch/store.js';
 import {Queue, StepShape} from '../src/common/batch/types.js';
 import {WorkerRelay} from '../src/node/batch/worker_relay.js';
+import {formatModules} from './profile_modules.js';
 import {CostLine, formatCosts, readCostLines} from './profile_table.js';
 import {
   ENDLESS_SPEC,
@@ -57,7 +58,7 @@
   /** Mean run time of a best-effort task. */
   readonly runMs: number;
   readonly seconds: number;
-  /** Directory for the profile of the scheduler's process; empty for none. */
+  /** New directory for a profile of the scheduler's functions; '' for none. */
   readonly cpuProfile: string;
   readonly json: string | undefined;
 }
@@ -249,6 +250,13 @@
   const lines = await new ProfileRun(options).run();
   if (lines.length === 0) throw new Error('The scheduler logged no costs.');
   console.log(formatCosts(lines));
+  if (options.cpuProfile !== '') {
+    const [file] = readdirSync(options.cpuProfile);
+    const text = readFileSync(join(options.cpuProfile, file), 'utf8');
+    const beginMs = BEGIN_MS + WARM_UP_MS;
+    const endMs = beginMs + options.seconds * 1000;
+    console.log(formatModules(text, beginMs, endMs));
+  }
   if (options.json !== undefined) {
     writeFileSync(options.json, JSON.stringify(lines, undefined, 2));
   }
