--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -95,6 +95,8 @@
   nextOccurrence = 0;
   /** Wall-clock time of the final phase, in ms since 1970; 0 before it. */
   endedAt = 0;
+  /** Number of times that the job was handed over to another shard. */
+  handOvers = 0;
   /** Phase in the last state record; no record is needed for QUEUED. */
   publishedPhase: JobPhase = JobPhase.QUEUED;
   /** Occurrences that are not over, by number. */
@@ -188,6 +190,7 @@
       nextOccurrence: this.nextOccurrence,
       occurrences: [...this.occurrences.values()].map(toOccurrenceRecord),
       endedAt: this.endedAt,
+      handOvers: this.handOvers,
     };
   }
 }
--- a/src/common/batch/election.ts
+++ b/src/common/batch/election.ts
@@ -19,6 +19,12 @@
 /** Additional delay of claims by an instance with far fewer processors. */
 export const WEAK_CANDIDATE_DELAY_MS: Millis = 1500;
 
+/** Additional delay of claims for a shard of another data centre. */
+export const REMOTE_CANDIDATE_DELAY_MS: Millis = 700;
+
+/** Additional delay of claims by the scheduler of another shard. */
+export const BUSY_CANDIDATE_DELAY_MS: Millis = 3000;
+
 /**
  * Share of the largest instance's processors below which an instance is weak.
  */
@@ -54,6 +60,8 @@
   private termSeenAt: Millis = -Infinity;
   /** Whether another instance has far more processors. */
   private isWeak = false;
+  /** Whether this instance is the scheduler of another shard. */
+  private isBusy = false;
 
   /**
    * @param incarnation of this instance.
@@ -63,11 +71,18 @@
     private readonly incarnation: string,
     private readonly delayMs: Millis,
     now: Millis,
+    /** Whether the shard is that of another data centre. */
+    private readonly isRemote = false,
   ) {
     this.lastHeartbeat = now;
   }
 
-  /** Handles records of the states topic, which serve as heartbeats. */
+  /** Time since the last heartbeat. */
+  silence(now: Millis): Millis {
+    return now - this.lastHeartbeat;
+  }
+
+  /** Handles a record of the scheduler. */
   onHeartbeat(current: SchedulerRecord | undefined, now: Millis): void {
     const known = this.schedulerRecord;
     if (known !== undefined && current?.epoch !== known.epoch) {
@@ -82,6 +97,11 @@
     this.isWeak = isWeak;
   }
 
+  /** Sets whether this instance is the scheduler of another shard. */
+  setBusy(isBusy: boolean): void {
+    this.isBusy = isBusy;
+  }
+
   /** Handles a successful read of the log. */
   onLogReadable(now: Millis): void {
     this.readableSince ??= now;
@@ -95,8 +115,7 @@
   /** Time until a claim is due; undefined while the log is unreadable. */
   timeUntilClaim(now: Millis): Millis | undefined {
     if (this.readableSince === undefined) return undefined;
-    const wait =
-      this.heartbeatTimeout() + (this.isWeak ? WEAK_CANDIDATE_DELAY_MS : 0);
+    const wait = this.heartbeatTimeout() + this.candidateDelay();
     const silentSince = Math.max(this.lastHeartbeat, this.readableSince);
     return Math.max(0, silentSince + wait + this.delayMs - now);
   }
@@ -115,6 +134,15 @@
     );
   }
 
+  /** Delay by which better candidates make their claims first. */
+  private candidateDelay(): Millis {
+    return (
+      (this.isWeak ? WEAK_CANDIDATE_DELAY_MS : 0) +
+      (this.isRemote ? REMOTE_CANDIDATE_DELAY_MS : 0) +
+      (this.isBusy ? BUSY_CANDIDATE_DELAY_MS : 0)
+    );
+  }
+
   private heartbeatTimeout(): Millis {
     if (this.schedulerRecord === undefined) return FIRST_CLAIM_DELAY_MS;
     if (this.isRoleVacant) return 0;
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -68,6 +68,7 @@
       this.acceptanceTime(submission, known.seenAt),
     );
     const now = state.now();
+    job.handOvers = known.handOver?.number ?? 0;
     job.publishedPhase = known.state?.phase ?? JobPhase.QUEUED;
     if (progress !== undefined) {
       for (const [task, record] of job.restore(progress, now)) {
@@ -130,6 +131,20 @@
     return queues.find(({name}) => name === accepted.name) ?? accepted;
   }
 
+  /**
+   * Forgets a waiting job that is handed over to another shard. Returns whether
+   * it did: a job with runs or with records to store stays.
+   */
+  release(job: ActiveJob): boolean {
+    const {state} = this;
+    if (state.jobs.get(job.id) !== job || isFinal(job.phase)) return false;
+    if (state.jobsToStore.has(job)) return false;
+    for (const task of job.tasks()) if (task.run) return false;
+    for (const task of job.tasks()) state.waitingTasks.delete(task);
+    state.jobs.delete(job.id);
+    return true;
+  }
+
   /** Applies a changed configuration of queues to all jobs. */
   refreshQueues(): void {
     for (const job of this.state.jobs.values()) {
@@ -347,7 +362,8 @@
     task.crashes = [...task.crashes, attempt];
     const {step} = task;
     const {job} = step.occurrence;
-    if (isFinal(job.phase)) return;
+    // The job may have been handed over to another shard since the crash.
+    if (this.state.jobs.get(job.id) !== job || isFinal(job.phase)) return;
     this.state.jobsToStore.add(job);
     // The members of a gang share the numbers of their attempts.
     const members = step.shape.gang ? step.tasks : [task];
@@ -494,15 +510,27 @@
  * Progress of a job as recorded. A final phase that was stored as the job's
  * state stands, whatever the record of its tasks says.
  */
-function restoredProgress({
-  state,
-  progress,
-}: KnownJob): ProgressRecord | undefined {
+function restoredProgress(known: KnownJob): ProgressRecord | undefined {
+  const {state} = known;
+  const progress = currentProgress(known);
   if (state === undefined || !isFinal(state.phase)) return progress;
-  const tasks = {nextOccurrence: 0, occurrences: [], ...progress};
+  const none = {nextOccurrence: 0, occurrences: [], handOvers: 0};
+  const tasks = {...none, ...progress};
   return {...tasks, ...state};
 }
 
+/**
+ * The tasks of a job: as this shard stored them since the last hand-over, or
+ * else as they were handed over.
+ */
+function currentProgress({
+  handOver,
+  progress,
+}: KnownJob): ProgressRecord | undefined {
+  if (handOver === undefined) return progress;
+  return progress?.handOvers === handOver.number ? progress : handOver.progress;
+}
+
 /** Adds an attempt to the failures of a task, once. */
 function countFailure(task: ActiveTask, attempt: number): void {
   if (task.failures.includes(attempt)) return;
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -1,5 +1,6 @@
 import {Packr} from 'msgpackr';
 import {InterferenceWeights} from './interference.js';
+import {ShardLoad, WHOLE_FLEET} from './shard_layout.js';
 import {JobShape, Queue, StepShape} from './types.js';
 
 /** Phase of a job as reported to callers. */
@@ -67,6 +68,8 @@
   readonly occurrences: readonly OccurrenceRecord[];
   /** Wall-clock time of the final phase, in ms since 1970; 0 before it. */
   readonly endedAt: number;
+  /** Number of hand-overs of the job before the record was written. */
+  readonly handOvers: number;
 }
 
 /** The state of a job that all instances know. */
@@ -85,6 +88,18 @@
   /** Wall-clock time of acceptance, in ms since 1970. */
   readonly acceptedAt: number;
   readonly shape: JobShape;
+  /** Shard that the job was assigned to. Absent in records of earlier versions. */
+  readonly shard?: string;
+}
+
+/** The hand-over of a job to another shard. */
+export interface HandOverRecord {
+  /** Shard that owns the job from this record on. */
+  readonly shard: string;
+  /** Number of the hand-over; the first one of a job is 1. */
+  readonly number: number;
+  /** Tasks of the job at the hand-over; none of them has a run. */
+  readonly progress: ProgressRecord;
 }
 
 /** A scheduler's leadership claim, heartbeat or resignation. */
@@ -100,6 +115,8 @@
    * begun only shortly before and did not resign.
    */
   readonly quickTakeovers?: number;
+  /** Load of the shard when the record was written. */
+  readonly load?: ShardLoad;
 }
 
 /** An unreachable worker, as recorded for the next scheduler. */
@@ -108,6 +125,8 @@
   readonly born: number;
   /** Time from the writing of the record until all of its leases expire. */
   readonly leaseLeftMs: number;
+  /** Shard of the scheduler that wrote the record. */
+  readonly shard?: string;
 }
 
 /** What an instance publishes about itself when it starts. */
@@ -137,10 +156,24 @@
   INTERFERENCE: 'm',
   /** An instance of the system. */
   INSTANCE: 'i',
+  /** Names of the shards. */
+  LAYOUT: 'd',
+  /** Hand-over of a job to another shard. */
+  HAND_OVER: 'o',
 } as const;
 
-/** Key of the scheduler's record. */
-export const SCHEDULER_KEY = RecordKind.SCHEDULER;
+export type RecordKind = (typeof RecordKind)[keyof typeof RecordKind];
+
+/** Key of the record of a shard's scheduler. */
+export function schedulerKey(shard: string): string {
+  return RecordKind.SCHEDULER + shard;
+}
+
+/** Key of the scheduler's record in a fleet that is not divided. */
+export const SCHEDULER_KEY = schedulerKey(WHOLE_FLEET);
+
+/** Key of the record that lists the shards. */
+export const LAYOUT_KEY = RecordKind.LAYOUT;
 
 /** Key of the learned interference weights. */
 export const INTERFERENCE_KEY = RecordKind.INTERFERENCE;
@@ -193,9 +226,19 @@
   };
 }
 
-/** Encodes a job's progress by position, without field names. */
-export function packProgress(record: ProgressRecord): Uint8Array {
-  return packr.pack([
+/** The fields of a job's progress by position. */
+type PackedProgress = [
+  JobPhase,
+  boolean,
+  number,
+  [number, PackedTask[][]][],
+  number,
+  // Absent in records of earlier versions.
+  number?,
+];
+
+function progressFields(record: ProgressRecord): PackedProgress {
+  return [
     record.phase,
     record.hasStarted,
     record.nextOccurrence,
@@ -204,19 +247,23 @@
       steps.map(tasks => tasks.map(packTask)),
     ]),
     record.endedAt,
-  ]);
+    record.handOvers,
+  ];
+}
+
+/** Encodes a job's progress by position, without field names. */
+export function packProgress(record: ProgressRecord): Uint8Array {
+  return packr.pack(progressFields(record));
 }
 
 /** Decodes a job's progress. */
 export function unpackProgress(bytes: Uint8Array): ProgressRecord {
-  const [phase, hasStarted, nextOccurrence, occurrences, endedAt] =
-    packr.unpack(bytes) as [
-      JobPhase,
-      boolean,
-      number,
-      [number, PackedTask[][]][],
-      number,
-    ];
+  return progressOf(packr.unpack(bytes) as PackedProgress);
+}
+
+function progressOf(fields: PackedProgress): ProgressRecord {
+  const [phase, hasStarted, nextOccurrence, occurrences, endedAt] = fields;
+  const handOvers = fields[5] ?? 0;
   if (!PHASES.has(phase) || !Number.isFinite(endedAt)) {
     throw new TypeError('Progress record has no valid phase or time.');
   }
@@ -229,9 +276,51 @@
       steps: steps.map(tasks => tasks.map(unpackTask)),
     })),
     endedAt,
+    handOvers,
   };
 }
 
+/** Encodes the hand-over of a job by position. */
+export function packHandOver(record: HandOverRecord): Uint8Array {
+  const {shard, number, progress} = record;
+  return packr.pack([shard, number, progressFields(progress)]);
+}
+
+/**
+ * Decodes the hand-over of a job.
+ * @throws TypeError if it names no shard or has no number.
+ */
+export function unpackHandOver(bytes: Uint8Array): HandOverRecord {
+  const [shard, number, progress] = packr.unpack(bytes) as [
+    string,
+    number,
+    PackedProgress,
+  ];
+  if (typeof shard !== 'string' || !Number.isInteger(number)) {
+    throw new TypeError('Hand-over has no shard or no number.');
+  }
+  return {shard, number, progress: progressOf(progress)};
+}
+
+/** Encodes the names of the shards. */
+export function packLayout(shards: readonly string[]): Uint8Array {
+  return packr.pack(shards);
+}
+
+/**
+ * Decodes the names of the shards.
+ * @throws TypeError if there are none.
+ */
+export function unpackLayout(bytes: Uint8Array): readonly string[] {
+  const shards = packr.unpack(bytes) as unknown;
+  const isValid =
+    Array.isArray(shards) &&
+    shards.length > 0 &&
+    shards.every(shard => typeof shard === 'string');
+  if (!isValid) throw new TypeError('Layout names no shards.');
+  return shards as readonly string[];
+}
+
 /** Encodes a job's state by position, without field names. */
 export function packState(record: JobStateRecord): Uint8Array {
   return packr.pack([record.phase, record.hasStarted, record.endedAt]);
--- a/src/common/batch/job_view.test.ts
+++ b/src/common/batch/job_view.test.ts
@@ -1,16 +1,21 @@
 import {
   JobPhase,
   JobStateRecord,
+  LAYOUT_KEY,
+  packHandOver,
+  packLayout,
   packProgress,
   packRecord,
   packState,
   ProgressRecord,
   RecordKind,
   SCHEDULER_KEY,
+  schedulerKey,
   TaskPhase,
   unpackProgress,
 } from './job_records.js';
 import {JobView} from './job_view.js';
+import {WHOLE_FLEET} from './shard_layout.js';
 import {QUEUE, STEP} from './simulated_fleet.test_support.js';
 
 const ID = '00000000000000aa';
@@ -47,6 +52,7 @@
     },
   ],
   endedAt: 0,
+  handOvers: 0,
 };
 
 const RUNNING: JobStateRecord = {
@@ -55,6 +61,14 @@
   endedAt: 0,
 };
 
+const SHAPE = {
+  spec: '',
+  steps: [STEP],
+  repeats: 0,
+  startMs: 0,
+  periodMs: 0,
+};
+
 const SUBMISSION = packRecord({
   queue: QUEUE,
   acceptedAt: 5,
@@ -133,7 +147,84 @@
     const record = {instance: 'e1', incarnation: 'x', resigned: false};
     apply(SCHEDULER_KEY, packRecord({...record, epoch: 4}));
     apply(SCHEDULER_KEY, packRecord({...record, epoch: 3}));
-    expect(view.scheduler?.epoch).toBe(4);
+    expect(view.schedulerOf(WHOLE_FLEET)?.epoch).toBe(4);
+  });
+
+  it('keeps the phase of a job when an earlier state is read again', () => {
+    // Guards against a job that is shown as complete and then as running: a
+    // scheduler applies its records before it reads the topic up to them.
+    apply(RecordKind.SUBMISSION + ID, SUBMISSION);
+    const complete = {...RUNNING, phase: JobPhase.COMPLETE, endedAt: 7};
+    apply(RecordKind.STATE + ID, packState(complete));
+    apply(RecordKind.STATE + ID, packState(RUNNING));
+    const cancelled = {...complete, phase: JobPhase.CANCELLED};
+    apply(RecordKind.STATE + ID, packState(cancelled));
+    expect(view.phase(ID)).toBe(JobPhase.COMPLETE);
+  });
+
+  it('knows the last record of the scheduler before the latest one', () => {
+    // Guards against a successor that takes an earlier scheduler of the shard
+    // as resigned and starts tasks while its leases last.
+    const record = {instance: 'e1', incarnation: 'x', resigned: false};
+    const key = schedulerKey('a');
+    apply(key, packRecord({...record, epoch: 1}));
+    expect(view.predecessorOf('a')).toBeUndefined();
+    apply(key, packRecord({...record, epoch: 1, resigned: true}));
+    apply(schedulerKey('b'), packRecord({...record, epoch: 2}));
+    apply(key, packRecord({...record, epoch: 3}));
+    expect(view.predecessorOf('a')).toMatchObject({epoch: 1, resigned: true});
+    expect(view.highestEpoch).toBe(3);
+  });
+
+  it('does not know the predecessor if records were skipped', () => {
+    // Guards against the same: between the resignation that was read and the
+    // latest claim there may have been another scheduler.
+    const record = {instance: 'e1', incarnation: 'x', resigned: true};
+    const key = schedulerKey('a');
+    apply(key, packRecord({...record, epoch: 1}));
+    const value = packRecord({...record, epoch: 4, resigned: false});
+    view.apply({key, value}, 0, true);
+    expect(view.predecessorOf('a')).toBeUndefined();
+  });
+
+  it('does not revive a scheduler that has resigned', () => {
+    // Guards against a role that stays vacant because a heartbeat from before
+    // the resignation was read again.
+    const record = {epoch: 1, instance: 'e1', incarnation: 'x'};
+    apply(SCHEDULER_KEY, packRecord({...record, resigned: true}));
+    apply(SCHEDULER_KEY, packRecord({...record, resigned: false}));
+    expect(view.schedulerOf(WHOLE_FLEET)?.resigned).toBe(true);
+  });
+
+  it('assigns a job to exactly one shard of the layout', () => {
+    // Guards against a job that no shard owns: it was assigned before the fleet
+    // was divided, or to a shard that the layout doesn't have.
+    apply(LAYOUT_KEY, packLayout(['a', 'b']));
+    for (const shard of [undefined, WHOLE_FLEET, 'c', 'b']) {
+      const submission = {queue: QUEUE, acceptedAt: 5, shape: SHAPE, shard};
+      const job = {id: ID, submission, cancelled: false, seenAt: 0};
+      expect(['a', 'b']).toContain(view.ownerOf(job));
+      if (shard === 'b') expect(view.ownerOf(job)).toBe('b');
+    }
+  });
+
+  it('follows the latest hand-over of a job, whatever is read again', () => {
+    // Guards against two owners of a job that came back to its first shard.
+    apply(LAYOUT_KEY, packLayout(['a', 'b', 'c']));
+    apply(RecordKind.SUBMISSION + ID, SUBMISSION);
+    const handOver = (shard: string, number: number) =>
+      apply(
+        RecordKind.HAND_OVER + ID,
+        packHandOver({shard, number, progress: PROGRESS}),
+      );
+    const owner = () => view.ownerOf(view.jobs.get(ID)!);
+    handOver('b', 1);
+    handOver('a', 2);
+    handOver('b', 1);
+    expect(owner()).toBe('a');
+    handOver('c', 3);
+    expect(owner()).toBe('c');
+    expect(view.jobs.get(ID)!.handOver!.progress).toEqual(PROGRESS);
   });
 
   it('forgets the tasks of jobs after a takeover, not their states', () => {
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -1,23 +1,28 @@
 import {Millis} from '../base/clock.js';
 import {InterferenceWeights} from './interference.js';
 import {
+  HandOverRecord,
   InstanceRecord,
   INTERFERENCE_KEY,
+  isFinal,
   JobPhase,
   JobStateRecord,
+  LAYOUT_KEY,
   ProgressRecord,
   RecordKind,
-  SCHEDULER_KEY,
   SchedulerRecord,
   SubmissionRecord,
+  unpackHandOver,
   unpackInstance,
   unpackInterference,
+  unpackLayout,
   unpackLostWorker,
   unpackProgress,
   unpackScheduler,
   unpackState,
   unpackSubmission,
 } from './job_records.js';
+import {ShardLayout, WHOLE_FLEET} from './shard_layout.js';
 import {KeyedRecord} from './store.js';
 
 /** A job as replicated from the log. */
@@ -27,6 +32,8 @@
   state?: JobStateRecord;
   /** Tasks of the job; known only during a takeover. */
   progress?: ProgressRecord;
+  /** Latest hand-over to another shard; undefined before the first. */
+  handOver?: HandOverRecord;
   /** Whether the caller has cancelled the job before it ended. */
   cancelled: boolean;
   /** Local time at which the job was first seen. */
@@ -39,6 +46,15 @@
   readonly born: number;
   /** Local time by which all of its leases have expired. */
   readonly leaseEnd: Millis;
+  /** Shard of the scheduler that could not reach it. */
+  readonly shard: string;
+}
+
+/** The latest scheduler of a shard. */
+interface KnownScheduler {
+  readonly record: SchedulerRecord;
+  /** Last record of the scheduler before it; undefined if it is unknown. */
+  readonly predecessor: SchedulerRecord | undefined;
 }
 
 /** Called with the key of each record that can't be decoded. */
@@ -51,8 +67,10 @@
  */
 export class JobView {
   readonly jobs = new Map<string, KnownJob>();
-  /** Record of the latest scheduler; undefined before the first claim. */
-  scheduler: SchedulerRecord | undefined;
+  /** The shards of the fleet. */
+  layout = ShardLayout.UNDIVIDED;
+  /** Latest schedulers by shard. */
+  private readonly schedulers = new Map<string, KnownScheduler>();
   /** Interference weights that the latest scheduler has stored. */
   interference: InterferenceWeights = {};
   /** Workers that are recorded as unreachable, by id. */
@@ -62,10 +80,13 @@
 
   constructor(private readonly onRecordFault: RecordFaultHandler) {}
 
-  /** Applies a record of the intake or progress topic. */
-  apply(record: KeyedRecord, now: Millis): void {
+  /**
+   * Applies a record.
+   * @param isNewest whether earlier records of the key may have been skipped.
+   */
+  apply(record: KeyedRecord, now: Millis, isNewest = false): void {
     try {
-      this.applyDecoded(record, now);
+      this.applyDecoded(record, now, isNewest);
     } catch (error) {
       this.onRecordFault(record.key, error);
     }
@@ -82,6 +103,33 @@
     return job.state?.phase ?? JobPhase.QUEUED;
   }
 
+  /** Latest record of a shard's scheduler; undefined before the first claim. */
+  schedulerOf(shard: string): SchedulerRecord | undefined {
+    return this.schedulers.get(shard)?.record;
+  }
+
+  /**
+   * Last record of the scheduler before the latest one of a shard; undefined if
+   * there was none or if it was not read.
+   */
+  predecessorOf(shard: string): SchedulerRecord | undefined {
+    return this.schedulers.get(shard)?.predecessor;
+  }
+
+  /** Highest epoch of any shard's scheduler; 0 before the first claim. */
+  get highestEpoch(): number {
+    const epochs = [...this.schedulers.values()].map(
+      ({record}) => record.epoch,
+    );
+    return Math.max(0, ...epochs);
+  }
+
+  /** Shard that owns a job. */
+  ownerOf({id, submission, handOver}: KnownJob): string {
+    const assigned = handOver?.shard ?? submission?.shard ?? WHOLE_FLEET;
+    return this.layout.shardOfJob(id, assigned);
+  }
+
   /** Number of jobs of a queue without a started task, less cancelled ones. */
   pending(queue: string): number {
     let count = 0;
@@ -92,9 +140,18 @@
     return count;
   }
 
-  private applyDecoded({key, value}: KeyedRecord, now: Millis): void {
-    if (key === SCHEDULER_KEY) {
-      if (value.length > 0) this.applyScheduler(unpackScheduler(value));
+  private applyDecoded(
+    {key, value}: KeyedRecord,
+    now: Millis,
+    isNewest: boolean,
+  ): void {
+    if (key[0] === RecordKind.SCHEDULER) {
+      if (value.length === 0) return;
+      this.applyScheduler(key.slice(1), unpackScheduler(value), isNewest);
+      return;
+    }
+    if (key === LAYOUT_KEY) {
+      this.layout = new ShardLayout(unpackLayout(value));
       return;
     }
     if (key === INTERFERENCE_KEY) {
@@ -112,7 +169,7 @@
       return;
     }
     if (value.length === 0) {
-      this.jobs.delete(id);
+      this.remove(key[0], id);
       return;
     }
     const job = this.getOrCreateJob(id, now);
@@ -121,8 +178,9 @@
     } else if (key[0] === RecordKind.CANCELLATION) {
       job.cancelled = !isCompleteOrFailed(job.state);
     } else if (key[0] === RecordKind.STATE) {
-      job.state = unpackState(value);
-      if (isCompleteOrFailed(job.state)) job.cancelled = false;
+      this.applyState(job, unpackState(value));
+    } else if (key[0] === RecordKind.HAND_OVER) {
+      applyHandOver(job, unpackHandOver(value));
     } else if (key[0] === RecordKind.PROGRESS) {
       job.progress = unpackProgress(value);
     }
@@ -135,9 +193,39 @@
   }
 
   /** Ignores records of earlier schedulers that are read again. */
-  private applyScheduler(record: SchedulerRecord): void {
-    if (record.epoch < (this.scheduler?.epoch ?? 0)) return;
-    this.scheduler = record;
+  private applyScheduler(
+    shard: string,
+    record: SchedulerRecord,
+    isNewest: boolean,
+  ): void {
+    const known = this.schedulers.get(shard);
+    if (record.epoch < (known?.record.epoch ?? 0)) return;
+    const isSame = record.epoch === known?.record.epoch;
+    // A resignation stands, also if an earlier record is read again.
+    if (isSame && known!.record.resigned) return;
+    const last = isNewest ? undefined : known?.record;
+    const predecessor = isSame ? known!.predecessor : last;
+    this.schedulers.set(shard, {record, predecessor});
+  }
+
+  /**
+   * Applies the state of a job, unless it was applied before: a scheduler
+   * applies its records before it reads them.
+   */
+  private applyState(job: KnownJob, state: JobStateRecord): void {
+    const known = job.state?.phase ?? JobPhase.QUEUED;
+    if (isFinal(known) || state.phase < known) return;
+    job.state = state;
+    if (isCompleteOrFailed(state)) job.cancelled = false;
+  }
+
+  /** Removes what a record without a value deletes. */
+  private remove(kind: string, id: string): void {
+    const job = this.jobs.get(id);
+    if (job === undefined) return;
+    // The progress is removed from the topic of the shard that the job left.
+    if (kind === RecordKind.PROGRESS) job.progress = undefined;
+    else this.jobs.delete(id);
   }
 
   private applyLostWorker(id: string, value: Uint8Array, now: Millis): void {
@@ -145,9 +233,10 @@
       this.lostWorkers.delete(id);
       return;
     }
-    const {born, leaseLeftMs} = unpackLostWorker(value);
+    const {born, leaseLeftMs, shard = WHOLE_FLEET} = unpackLostWorker(value);
     // The record was written before now, so the leases end by this time.
-    this.lostWorkers.set(id, {born, leaseEnd: now + leaseLeftMs});
+    const leaseEnd = now + leaseLeftMs;
+    this.lostWorkers.set(id, {born, leaseEnd, shard});
   }
 
   private getOrCreateJob(id: string, now: Millis): KnownJob {
@@ -160,6 +249,11 @@
   }
 }
 
+/** Ignores hand-overs that are read again after later ones. */
+function applyHandOver(job: KnownJob, handOver: HandOverRecord): void {
+  if (handOver.number > (job.handOver?.number ?? 0)) job.handOver = handOver;
+}
+
 /** Whether a job completed or failed, so that a cancellation has no effect. */
 function isCompleteOrFailed(state: JobStateRecord | undefined): boolean {
   return state?.phase === JobPhase.COMPLETE || state?.phase === JobPhase.FAILED;
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -91,7 +91,7 @@
    * start command for each of them.
    */
   run(): void {
-    if (this.state.waitingTasks.size === 0) return;
+    if (this.state.waitingTasks.size === 0 || !this.state.placesTasks) return;
     const startedAt = this.state.now();
     if (startedAt < this.nextSliceAt) return;
     const isComplete = this.scanSlice();
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -1,10 +1,12 @@
 import {Millis, SECOND} from '../base/clock.js';
+import {ActiveJob} from './active_job.js';
 import {CostEvent, CostPart} from './cost_meter.js';
 import {Evacuation} from './evacuation.js';
 import {HeadroomForecast} from './headroom.js';
 import {InterferenceModel, InterferenceWeights} from './interference.js';
 import {JobLifecycle} from './job_lifecycle.js';
 import {
+  HandOverRecord,
   INTERFERENCE_KEY,
   packProgress,
   packRecord,
@@ -63,6 +65,10 @@
   private readonly pacing: Pacing;
   private readonly evacuation: Evacuation;
   private readonly stallDetector: StallDetector;
+  /** Jobs whose hand-over to another shard is being stored. */
+  private readonly leavingJobs = new Set<string>();
+  /** Jobs of other shards whose progress is to be removed from this topic. */
+  private readonly departedJobs = new Set<string>();
 
   constructor(
     readonly state: SchedulerState,
@@ -81,14 +87,21 @@
 
   /** Restores all jobs that the log holds, after a takeover. */
   restore(view: JobView): void {
-    this.lifecycle.lostWorkers = view.lostWorkers;
+    const lostWorkers = new Map(
+      [...view.lostWorkers].filter(([, {shard}]) => shard === this.state.shard),
+    );
+    this.lifecycle.lostWorkers = lostWorkers;
     // Also marks lost workers without runs, so that their records are removed
     // once they respond. A record left in the log would make a later scheduler
     // declare runs lost that started after the worker's return.
-    for (const id of view.lostWorkers.keys()) {
+    for (const id of lostWorkers.keys()) {
       this.state.getOrCreateWorker(id).isRecordedAsLost = true;
     }
     for (const job of view.jobs.values()) {
+      if (view.ownerOf(job) !== this.state.shard) {
+        if (job.progress !== undefined) this.departedJobs.add(job.id);
+        continue;
+      }
       try {
         this.lifecycle.add(job);
       } catch (error) {
@@ -99,10 +112,35 @@
 
   /** Adds a job or applies a cancellation that was read from the log. */
   onJob(known: KnownJob): void {
+    // A cancellation that is read now is left to the next owner.
+    if (this.leavingJobs.has(known.id)) return;
     if (known.cancelled) this.lifecycle.cancel(known.id);
     this.lifecycle.add(known);
   }
 
+  /**
+   * Gives up a waiting job to another shard. Returns the record that makes the
+   * shard its owner; undefined if the job can't be handed over now. Nothing is
+   * done for the job any more, whether or not the record is stored.
+   */
+  handOver(job: ActiveJob, shard: string): HandOverRecord | undefined {
+    if (!this.lifecycle.release(job)) return undefined;
+    this.leavingJobs.add(job.id);
+    const number = job.handOvers + 1;
+    return {shard, number, progress: {...job.toRecord(), handOvers: number}};
+  }
+
+  /** Whether the hand-over of a job is being stored. */
+  isLeaving(job: string): boolean {
+    return this.leavingJobs.has(job);
+  }
+
+  /** Handles the stored hand-over of a job. */
+  onHandedOver(job: string): void {
+    this.leavingJobs.delete(job);
+    this.departedJobs.add(job);
+  }
+
   /** Applies a new configuration of the operator. */
   onConfiguration(configuration: BatchConfiguration): void {
     this.state.configuration = configuration;
@@ -217,6 +255,11 @@
   private buildBatch(): CommitBatch {
     const {state} = this;
     const records: KeyedRecord[] = [];
+    // Before the others: a job may have come back meanwhile.
+    for (const id of this.departedJobs) {
+      records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
+    }
+    this.departedJobs.clear();
     const states = this.takeInheritedStates();
     for (const job of state.jobsToStore) {
       records.push({
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -3,6 +3,7 @@
 import {CostMeter} from './cost_meter.js';
 import {JobStateRecord} from './job_records.js';
 import {JobTimePredictor} from './job_time_predictor.js';
+import {WHOLE_FLEET} from './shard_layout.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 import {BatchConfiguration} from './types.js';
 
@@ -88,6 +89,8 @@
   readonly timePredictor: JobTimePredictor;
   /** Tasks that are ready to run and not placed. */
   readonly waitingTasks = new Set<ActiveTask>();
+  /** Whether waiting tasks are placed; not while the fleet is being divided. */
+  placesTasks = true;
 
   /**
    * @param previousAuthorityMs how much longer earlier schedulers may grant
@@ -104,6 +107,8 @@
     /** Clock for the end of the scheduler's own permission to grant leases. */
     readonly permissionClock: Clock = clock,
     readonly costs: CostMeter = new CostMeter(clock),
+    /** Shard whose workers and jobs the scheduler has. */
+    readonly shard: string = WHOLE_FLEET,
   ) {
     this.timePredictor = new JobTimePredictor(clock);
   }
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -1,8 +1,10 @@
 import {ManualClock} from '../base/manual_clock.js';
 import {Millis} from '../base/clock.js';
+import {CostMeter} from './cost_meter.js';
 import {JobView} from './job_view.js';
 import {packRecord, RecordKind} from './job_records.js';
 import {Scheduler} from './scheduler.js';
+import {WHOLE_FLEET} from './shard_layout.js';
 import {
   Command,
   CommandKind,
@@ -196,7 +198,10 @@
   private readonly pendingStarts: Run[] = [];
   private epoch = 0;
 
-  constructor(private readonly queues: readonly Queue[] = [QUEUE]) {
+  constructor(
+    private readonly queues: readonly Queue[] = [QUEUE],
+    private readonly shard: string = WHOLE_FLEET,
+  ) {
     this.scheduler = this.createScheduler();
   }
 
@@ -290,6 +295,8 @@
       log,
       configuration,
       this.permissionClock,
+      new CostMeter(this.clock),
+      this.shard,
     );
     return new Scheduler(state);
   }
--- a/src/common/batch/store.ts
+++ b/src/common/batch/store.ts
@@ -1,4 +1,5 @@
 import {Millis} from '../base/clock.js';
+import {WHOLE_FLEET} from './shard_layout.js';
 
 /** A keyed record of the log. An empty value deletes the key. */
 export interface KeyedRecord {
@@ -69,15 +70,15 @@
 export interface KeyedLog {
   /** Appends records to a topic; times out after `timeoutMs`. */
   append(
-    topic: string,
+    topic: Topic,
     records: readonly KeyedRecord[],
     options: AppendOptions,
     timeoutMs: Millis,
   ): Promise<AppendResponse>;
   /** Reads from an offset; waits up to `waitMs` if there are no records. */
-  read(topic: string, from: number, waitMs: Millis): Promise<ReadResponse>;
+  read(topic: Topic, from: number, waitMs: Millis): Promise<ReadResponse>;
   /** Reads the newest record of each key. */
-  newest(topic: string): Promise<ReadResponse>;
+  newest(topic: Topic): Promise<ReadResponse>;
 }
 
 /** Topics of the log. */
@@ -91,7 +92,7 @@
   STATES: 'states',
   /**
    * Tasks of each job and what else the next scheduler needs; written by the
-   * scheduler and read only at a takeover.
+   * scheduler and read only at a takeover. Each shard has a topic of its own.
    */
   PROGRESS: 'progress',
   /** The operator's configuration. */
@@ -99,4 +100,10 @@
   /** Entries of workers in the instance list. */
   WORKERS: 'workers',
 } as const;
-export type Topic = (typeof Topic)[keyof typeof Topic];
+export type Topic =
+  (typeof Topic)[keyof typeof Topic] | `${typeof Topic.PROGRESS}.${string}`;
+
+/** Topic of the progress of a shard's jobs. */
+export function progressTopic(shard: string): Topic {
+  return shard === WHOLE_FLEET ? Topic.PROGRESS : `${Topic.PROGRESS}.${shard}`;
+}
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -429,7 +429,9 @@
       } else if (this.isNewlyLost(worker, now)) {
         worker.isRecordedAsLost = true;
         const leaseLeftMs = Math.max(0, worker.leaseEnd - now);
-        yield {key, value: packRecord({born: worker.born, leaseLeftMs})};
+        const {shard} = this.state;
+        const record = {born: worker.born, leaseLeftMs, shard};
+        yield {key, value: packRecord(record)};
       }
     }
   }
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -1,27 +1,24 @@
-import {randomBytes, randomInt} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Either, Left, Right} from 'purify-ts';
 import {Clock, Millis, SECOND} from '../../common/base/clock.js';
 import {CostMeter, CostPart} from '../../common/batch/cost_meter.js';
-import {CostReport, ProcessUsage} from '../../common/batch/cost_report.js';
-import {Election, isWeaker} from '../../common/batch/election.js';
+import {ProcessUsage} from '../../common/batch/cost_report.js';
+import {isWeaker} from '../../common/batch/election.js';
 import {
   InstanceRecord,
   isFinal,
-  packRecord,
+  LAYOUT_KEY,
   RecordKind,
-  SCHEDULER_KEY,
-  SchedulerRecord,
 } from '../../common/batch/job_records.js';
 import {JobView} from '../../common/batch/job_view.js';
-import {Scheduler} from '../../common/batch/scheduler.js';
 import {
   DecisionLog,
-  SchedulerState,
   SchedulerTimings,
 } from '../../common/batch/scheduler_state.js';
+import {ShardLoad, WHOLE_FLEET} from '../../common/batch/shard_layout.js';
+import {ShardRouter} from '../../common/batch/shard_router.js';
 import {
-  AppendResult,
   KeyedLog,
   KeyedRecord,
   StoredRecord,
@@ -36,14 +33,12 @@
 import {IntakeWriter} from './intake_writer.js';
 import {IntakeResult} from './pending_write.js';
 import {JobLookup, LogUnavailableError} from './job_lookup.js';
-import {FencedWriter, WRITER_NAME} from './fenced_writer.js';
 import {LogTail} from './log_tail.js';
-import {MeteredWorkerCalls} from './metered_worker_calls.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
-import {RoleWriter} from './role_writer.js';
-import {Takeover} from './takeover.js';
+import {SerialExecutor} from './serial_executor.js';
+import {ShardRole, ShardRoleHost} from './shard_role.js';
+import {Term} from './term.js';
 import {WorkerList} from './worker_list.js';
-import {Term, TermEndReason} from './term.js';
 
 /**
  * Minimum interval between two reads of a topic; the scheduler reads the intake
@@ -70,14 +65,8 @@
 /** Timeout of an append of the instance's record, and delay before a retry. */
 const ANNOUNCE_TIMEOUT_MS: Millis = 2 * SECOND;
 
-/** Timeout of the append that claims the scheduler role. */
-const CLAIM_TIMEOUT_MS: Millis = 800;
-
-/**
- * The first sequence number of a term is random and below this, so that two
- * instances that claim the same epoch use different numbers.
- */
-const FIRST_SEQUENCE_LIMIT = 2 ** 30;
+/** Age of a scheduler's last record up to which its load counts as known. */
+const MAX_LOAD_AGE_MS: Millis = 3 * SECOND;
 
 /** Decodes records that the operator and the workers write. */
 export interface RecordDecoder {
@@ -91,7 +80,8 @@
 export interface BatchInstanceDependencies {
   readonly name: string;
   readonly log: KeyedLog;
-  readonly workerClient: RelayedWorkerCalls;
+  /** Creates the client by which the scheduler of a term calls workers. */
+  readonly createWorkerCalls: () => RelayedWorkerCalls;
   readonly decoder: RecordDecoder;
   readonly clock: Clock;
   readonly wallClock: Clock;
@@ -111,8 +101,8 @@
 
 /**
  * An instance of the system: answers callers from its replica of the log,
- * appends their jobs and cancellations, and runs the scheduler while it holds
- * the scheduler role.
+ * appends their jobs and cancellations, and runs the schedulers of the shards
+ * whose scheduler role it holds.
  */
 export class BatchInstance {
   /** Latest configuration of the operator; undefined before it is read. */
@@ -122,20 +112,22 @@
   private readonly workers: WorkerList;
   readonly lookup: JobLookup;
   private readonly intake: IntakeWriter;
-  private readonly election: Election;
   /** Tells this process apart from earlier ones under the same name. */
   private readonly incarnation = randomBytes(6).toString('hex');
   private readonly statesTail: LogTail;
   private readonly intakeTail: LogTail;
   private readonly operatorTail: LogTail;
   private readonly workersTail: LogTail;
-  private readonly takeover: Takeover;
-  /** Current term; undefined unless this instance is the scheduler. */
-  private term: Term | undefined;
+  /** Parts of this instance in the shards, by shard. */
+  private readonly roles = new Map<string, ShardRole>();
+  private readonly roleHost: ShardRoleHost;
+  private readonly router: ShardRouter;
   private stopping = false;
 
   constructor(private readonly dependencies: BatchInstanceDependencies) {
-    const {log, clock, claimDelayMs, decisions} = dependencies;
+    const {log, clock, decisions, announcement} = dependencies;
+    const {dataCentre = ''} = announcement;
+    this.router = new ShardRouter(dataCentre, Math.random);
     this.view = new JobView((key, error) =>
       decisions.decide('record-fault', {key, error: String(error)}),
     );
@@ -145,16 +137,15 @@
       record => this.onIntake([record]),
       () => this.intakeTail.consecutiveFailures,
     );
-    this.election = new Election(this.incarnation, claimDelayMs, clock.now());
     this.statesTail = this.createTail(
       Topic.STATES,
       () => STATES_READ_INTERVAL_MS,
-      records => this.onStates(records),
+      (records, isReset) => this.onStates(records, isReset),
       succeeded => this.onStatesRead(succeeded),
     );
     this.intakeTail = this.createTail(
       Topic.INTAKE,
-      () => (this.term ? 0 : INTAKE_READ_INTERVAL_MS),
+      () => (this.isScheduler ? 0 : INTAKE_READ_INTERVAL_MS),
       records => this.onIntake(records),
     );
     this.operatorTail = this.createTail(
@@ -176,19 +167,27 @@
       record => dependencies.decoder.worker(record),
       (key, error) => this.onFault(`worker entry ${key}`, error),
     );
-    this.takeover = new Takeover({
-      log,
-      clock,
+    this.roleHost = {
+      ...dependencies,
+      incarnation: this.incarnation,
       view: this.view,
+      workers: this.workers,
+      statesTail: this.statesTail,
       intakeTail: this.intakeTail,
       workersTail: this.workersTail,
-    });
+      takeovers: new SerialExecutor(),
+      configuration: () => this.configuration!,
+      loads: () => this.shardLoads(),
+      isStopping: () => this.stopping,
+      onRoleChange: () => this.onRoleChange(),
+    };
+    this.addRole(WHOLE_FLEET);
     this.lookup = new JobLookup({
       view: this.view,
       intakeTail: this.intakeTail,
       statesTail: this.statesTail,
       clock,
-      writer: () => this.term,
+      writer: job => this.writerOf(job),
     });
   }
 
@@ -209,8 +208,40 @@
     );
   }
 
+  /** Whether this instance is the scheduler of a shard. */
   get isScheduler(): boolean {
-    return this.term !== undefined;
+    return this.terms().next().value !== undefined;
+  }
+
+  private *terms(): Generator<Term> {
+    for (const {term} of this.roles.values()) if (term) yield term;
+  }
+
+  /** Term of the scheduler that owns a job; undefined if it is elsewhere. */
+  private writerOf(id: string): Term | undefined {
+    const job = this.view.jobs.get(id);
+    if (job === undefined) return undefined;
+    const term = this.roles.get(this.view.ownerOf(job))?.term;
+    return term?.scheduler.isLeaving(id) ? undefined : term;
+  }
+
+  /** Loads of the shards whose schedulers have stored a record lately. */
+  private shardLoads(): ReadonlyMap<string, ShardLoad> {
+    const now = this.dependencies.clock.now();
+    const loads = new Map<string, ShardLoad>();
+    for (const [shard, {election}] of this.roles) {
+      const load = this.view.schedulerOf(shard)?.load;
+      if (load === undefined || election.silence(now) > MAX_LOAD_AGE_MS) {
+        continue;
+      }
+      loads.set(shard, load);
+    }
+    return loads;
+  }
+
+  private addRole(shard: string): void {
+    const {claimDelayMs} = this.dependencies;
+    this.roles.set(shard, new ShardRole(shard, this.roleHost, claimDelayMs));
   }
 
   start(): void {
@@ -235,7 +266,7 @@
   /** Reports not ready, resigns from its role and makes no more claims. */
   stop(): void {
     this.stopping = true;
-    this.term?.resign();
+    for (const term of this.terms()) term.resign();
     const {name, clock} = this.dependencies;
     void this.intake.withdraw(name, clock.now() + ANNOUNCE_TIMEOUT_MS);
   }
@@ -258,7 +289,8 @@
   ): Promise<IntakeResult> {
     if (this.view.phase(id) !== undefined) return IntakeResult.STORED;
     const acceptedAt = this.dependencies.wallClock.now();
-    const submission = {queue, acceptedAt, shape};
+    const shard = this.router.route(this.view.layout, this.shardLoads());
+    const submission = {queue, acceptedAt, shape, shard};
     return this.intake.submit(id, submission, deadline);
   }
 
@@ -311,15 +343,27 @@
     ];
   }
 
-  private onStates(records: readonly KeyedRecord[]): void {
+  private onStates(records: readonly KeyedRecord[], isReset: boolean): void {
     const now = this.dependencies.clock.now();
-    for (const record of records) this.view.apply(record, now);
-    this.election.onHeartbeat(this.view.scheduler, now);
+    const beats = new Set<string>();
+    for (const record of records) {
+      this.view.apply(record, now, isReset);
+      if (record.key[0] === RecordKind.SCHEDULER) {
+        beats.add(record.key.slice(1));
+      }
+    }
+    for (const shard of beats) {
+      const record = this.view.schedulerOf(shard);
+      this.roles.get(shard)?.election.onHeartbeat(record, now);
+    }
   }
 
   private onStatesRead(succeeded: boolean): void {
-    if (succeeded) this.election.onLogReadable(this.dependencies.clock.now());
-    else this.election.onLogUnreadable();
+    const now = this.dependencies.clock.now();
+    for (const {election} of this.roles.values()) {
+      if (succeeded) election.onLogReadable(now);
+      else election.onLogUnreadable();
+    }
   }
 
   private onIntake(records: readonly KeyedRecord[]): void {
@@ -332,13 +376,49 @@
         this.onFault(`record ${record.key}`, error);
       }
     }
-    this.term?.signal();
+    for (const term of this.terms()) term.signal();
   }
 
   private onIntakeRecord(key: string): void {
     if (key[0] === RecordKind.INSTANCE) this.onInstance(key);
+    if (key === LAYOUT_KEY) this.onLayout();
     const job = this.view.jobs.get(key.slice(1));
-    if (job !== undefined) this.term?.scheduler.onJob(job);
+    if (job === undefined) return;
+    this.roles.get(this.view.ownerOf(job))?.term?.scheduler.onJob(job);
+  }
+
+  /** Takes part in the shards of a new layout, and in no others. */
+  private onLayout(): void {
+    const {shards} = this.view.layout;
+    this.dependencies.decisions.decide('layout', {shards});
+    for (const [shard, {term}] of [...this.roles]) {
+      if (shards.includes(shard)) continue;
+      term?.resign();
+      this.roles.delete(shard);
+    }
+    for (const shard of shards) {
+      if (!this.roles.has(shard)) this.addRole(shard);
+    }
+    this.updateWeakness();
+    this.onStatesRead(true);
+  }
+
+  private updateWeakness(): void {
+    const {processors} = this.dependencies.announcement;
+    const all = [...this.view.instances.values()];
+    const isWeak = isWeaker(
+      processors,
+      all.map(record => record.processors),
+    );
+    for (const {election} of this.roles.values()) election.setWeak(isWeak);
+  }
+
+  private onRoleChange(): void {
+    const active = [...this.roles.values()].filter(({isActive}) => isActive);
+    for (const role of this.roles.values()) {
+      role.election.setBusy(active.some(other => other !== role));
+    }
+    if (active.length === 0) this.workersTail.pause();
   }
 
   /** Logs an error that ends only what it occurred in. */
@@ -352,8 +432,7 @@
     const {name, decisions} = this.dependencies;
     const {processors} = this.dependencies.announcement;
     const {instances} = this.view;
-    const all = [...instances.values()].map(record => record.processors);
-    this.election.setWeak(isWeaker(processors, all));
+    this.updateWeakness();
     const other = key.slice(1);
     const announced = instances.get(other)?.processors;
     if (announced === undefined) {
@@ -361,9 +440,9 @@
       if (other === name && !this.stopping) void this.announce();
       return;
     }
-    if (this.term === undefined || !isWeaker(processors, [announced])) return;
+    if (!this.isScheduler || !isWeaker(processors, [announced])) return;
     decisions.decide('yield', {processors, to: other, has: announced});
-    this.term.resign();
+    for (const term of this.terms()) term.resign();
   }
 
   private onOperator(records: readonly KeyedRecord[]): void {
@@ -378,202 +457,24 @@
         version: configuration.version,
         queues: configuration.queues.length,
       });
-      this.term?.scheduler.onConfiguration(configuration);
+      for (const term of this.terms()) {
+        term.scheduler.onConfiguration(configuration);
+      }
     }
   }
 
   private onWorkers(records: readonly KeyedRecord[], isReset: boolean): void {
     this.workers.apply(records, isReset);
-    if (this.term === undefined) return;
-    const {byId} = this.workers;
-    this.dependencies.workerClient.setFleet(this.view.instances, byId);
-    this.term.scheduler.onWorkerListings(byId);
+    for (const role of this.roles.values()) role.onWorkers(this.workers.byId);
   }
 
   private async runElections(): Promise<void> {
     while (!this.stopping) {
       await sleep(ELECTION_PERIOD_MS);
       if (!this.isLoaded) continue;
-      const untilClaimMs = this.election.timeUntilClaim(
-        this.dependencies.clock.now(),
-      );
-      if (untilClaimMs === undefined || untilClaimMs > 0) continue;
-      try {
-        await this.claim();
-      } catch (error) {
-        this.onFault('term', error);
-      }
-    }
-  }
-
-  /** Claims the scheduler role and, on success, runs a term until it ends. */
-  private async claim(): Promise<void> {
-    const {log, name, decisions} = this.dependencies;
-    // A version that kept the role in the progress topic may have run before.
-    if (
-      this.view.scheduler === undefined &&
-      !(await this.takeover.loadProgress())
-    ) {
-      return;
-    }
-    this.statesTail.pause();
-    const epoch = (this.view.scheduler?.epoch ?? 0) + 1;
-    const record: SchedulerRecord = {
-      epoch,
-      instance: name,
-      incarnation: this.incarnation,
-      resigned: false,
-      quickTakeovers: this.election.quickTakeovers(
-        this.dependencies.clock.now(),
-      ),
-    };
-    const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
-    const claimedAt = this.dependencies.permissionClock.now();
-    const end = this.statesTail.nextOffset;
-    const response = await log.append(
-      Topic.STATES,
-      [{key: SCHEDULER_KEY, value: packRecord(record)}],
-      {expectedEnd: end, writer: {name: WRITER_NAME, epoch, sequence}},
-      CLAIM_TIMEOUT_MS,
-    );
-    const {quickTakeovers} = record;
-    const {result} = response;
-    decisions.decide('claim', {epoch, result, end, quickTakeovers});
-    let nextOffset = end;
-    try {
-      if (result === AppendResult.STORED) {
-        const begin = response.end ?? end + 1;
-        nextOffset = await this.runTerm(record, claimedAt, sequence + 1, begin);
-        const now = this.dependencies.clock.now();
-        this.election.onHeartbeat(this.view.scheduler, now);
-      }
-    } finally {
-      this.statesTail.resume(nextOffset);
-    }
-    // Gives the tail time to catch up before the next claim.
-    await sleep(STATES_READ_INTERVAL_MS * 3);
-  }
-
-  /**
-   * Runs a term until it ends.
-   * @param claimedAt time of the permission clock before the claim was sent.
-   * @param sequence sequence number of its first append.
-   * @param end end of the states topic after the claim.
-   * @returns the offset from which the states topic is to be read on.
-   */
-  private async runTerm(
-    record: SchedulerRecord,
-    claimedAt: Millis,
-    sequence: number,
-    end: number,
-  ): Promise<number> {
-    const {log, clock, permissionClock, decisions} = this.dependencies;
-    let nextOffset = end;
-    const previous = this.view.scheduler;
-    const previousAuthorityMs =
-      previous === undefined || previous.resigned
-        ? 0
-        : this.dependencies.timings().authorityMs;
-    this.view.scheduler = record;
-    let isFenced = false;
-    let scheduler: Scheduler | undefined;
-    const onFenced = (): void => {
-      isFenced = true;
-      this.term?.onFenced();
-    };
-    const role = new RoleWriter(log, permissionClock, record, sequence, {
-      onFenced,
-      onStored: (records, topicEnd, sentAt) => {
-        nextOffset = topicEnd ?? nextOffset + records.length;
-        this.statesTail.markSynced();
-        for (const entry of records) this.view.apply(entry, clock.now());
-        scheduler?.leases.confirmAuthority(sentAt);
-      },
-    });
-    const progress = new FencedWriter(
-      log,
-      Topic.PROGRESS,
-      record.epoch,
-      randomInt(FIRST_SEQUENCE_LIMIT),
-      permissionClock,
-      {
-        onFenced,
-        onStored: (_records, _end, sentAt) =>
-          scheduler?.leases.confirmAuthority(sentAt),
-      },
-    );
-    let reason: TermEndReason = TermEndReason.FENCED;
-    try {
-      await this.takeover.load(progress, () => isFenced);
-      if (!isFenced) {
-        scheduler = this.createScheduler(record.epoch, previousAuthorityMs);
-        scheduler.leases.confirmAuthority(claimedAt);
-        this.term = this.beginTerm(scheduler, role, progress, claimedAt);
-        // The instance may have been told to stop during the takeover.
-        if (this.stopping) this.term.resign();
-        reason = await this.term.run();
+      for (const role of [...this.roles.values()]) {
+        if (role.isClaimDue) void role.claim();
       }
-    } finally {
-      this.term = undefined;
-      role.close();
-      progress.close();
-      this.dependencies.workerClient.release();
-      this.workersTail.pause();
-      decisions.decide('term-ends', {epoch: record.epoch, reason});
     }
-    if (reason === TermEndReason.FENCED) this.election.onLogUnreadable();
-    return nextOffset;
-  }
-
-  /** Restores the scheduler's state and creates its term. */
-  private beginTerm(
-    scheduler: Scheduler,
-    role: RoleWriter,
-    progress: FencedWriter,
-    claimedAt: Millis,
-  ): Term {
-    const {log, workerClient, clock, permissionClock, decisions, costs} =
-      this.dependencies;
-    workerClient.setFleet(this.view.instances, this.workers.byId);
-    scheduler.restore(this.view);
-    scheduler.onWorkerListings(this.workers.byId);
-    const {state} = scheduler;
-    decisions.decide('term-begins', {
-      epoch: state.epoch,
-      jobs: state.jobs.size,
-      waiting: state.waitingTasks.size,
-      takeoverMs: Math.round(permissionClock.now() - claimedAt),
-    });
-    return new Term(scheduler, {
-      log,
-      workerClient: new MeteredWorkerCalls(workerClient, costs),
-      clock,
-      role,
-      progress,
-      costReport: new CostReport(state, this.dependencies.processUsage),
-    });
-  }
-
-  private createScheduler(
-    epoch: number,
-    previousAuthorityMs: Millis,
-  ): Scheduler {
-    const {clock, wallClock, permissionClock, decisions, costs} =
-      this.dependencies;
-    const configuration = this.configuration!;
-    return new Scheduler(
-      new SchedulerState(
-        epoch,
-        previousAuthorityMs,
-        this.dependencies.timings(),
-        clock,
-        wallClock,
-        decisions,
-        configuration,
-        permissionClock,
-        costs,
-      ),
-      this.view.interference,
-    );
   }
 }
--- a/src/node/batch/fenced_writer.ts
+++ b/src/node/batch/fenced_writer.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {AdaptiveTimeout} from '../../common/base/adaptive_timeout.js';
 import {Clock, Millis} from '../../common/base/clock.js';
+import {WHOLE_FLEET} from '../../common/batch/shard_layout.js';
 import {
   AppendResponse,
   AppendResult,
@@ -10,7 +11,12 @@
 } from '../../common/batch/store.js';
 
 /** Writer name by which the store fences the appends of earlier schedulers. */
-export const WRITER_NAME = 'scheduler';
+const WRITER_NAME = 'scheduler';
+
+/** Writer name of the schedulers of a shard. */
+export function writerName(shard: string): string {
+  return shard === WHOLE_FLEET ? WRITER_NAME : `${WRITER_NAME}.${shard}`;
+}
 
 /** Bounds of the adaptive timeout of one append. */
 const MIN_APPEND_TIMEOUT_MS: Millis = 150;
@@ -67,6 +73,7 @@
     firstSequence: number,
     private readonly clock: Clock,
     private readonly listener: FencedWriterListener,
+    private readonly shard: string = WHOLE_FLEET,
   ) {
     this.nextSequence = firstSequence;
   }
@@ -105,6 +112,11 @@
     return this.unsettled.get(key) ?? Promise.resolve(true);
   }
 
+  /** Whether no append of this key is in flight or of unknown outcome. */
+  isSettled(key: string): boolean {
+    return !this.unsettled.has(key);
+  }
+
   private async appendChunk(records: readonly KeyedRecord[]): Promise<boolean> {
     const {last} = this;
     this.openAppends++;
@@ -156,7 +168,7 @@
     const response = await this.log.append(
       this.topic,
       records,
-      {writer: {name: WRITER_NAME, epoch: this.epoch, sequence}},
+      {writer: {name: writerName(this.shard), epoch: this.epoch, sequence}},
       this.timeout.value,
     );
     if (response.result === AppendResult.UNKNOWN) this.timeout.onTimeout();
--- a/src/node/batch/job_lookup.ts
+++ b/src/node/batch/job_lookup.ts
@@ -39,8 +39,8 @@
   readonly intakeTail: LogTail;
   readonly statesTail: LogTail;
   readonly clock: Clock;
-  /** Returns undefined unless this instance holds the scheduler role. */
-  readonly writer: () => StateWriter | undefined;
+  /** Returns undefined unless this instance has the job's scheduler. */
+  readonly writer: (job: string) => StateWriter | undefined;
 }
 
 /**
@@ -80,7 +80,7 @@
    */
   private async refreshState(id: string): Promise<boolean> {
     const {statesTail} = this.dependencies;
-    const writer = this.dependencies.writer();
+    const writer = this.dependencies.writer(id);
     const refreshed = writer?.isAuthoritative
       ? writer.settled(RecordKind.STATE + id)
       : statesTail.refresh();
--- a/src/node/batch/role_writer.ts
+++ b/src/node/batch/role_writer.ts
@@ -5,9 +5,10 @@
 } from '../../common/batch/election.js';
 import {
   packRecord,
-  SCHEDULER_KEY,
+  schedulerKey,
   SchedulerRecord,
 } from '../../common/batch/job_records.js';
+import {ShardLoad, WHOLE_FLEET} from '../../common/batch/shard_layout.js';
 import {KeyedLog, KeyedRecord, Topic} from '../../common/batch/store.js';
 import {FencedWriter, FencedWriterListener} from './fenced_writer.js';
 
@@ -15,15 +16,16 @@
 const CHECK_INTERVAL_MS: Millis = 100;
 
 /**
- * Writes the states topic during a term and keeps the scheduler role by it: a
- * heartbeat is written whenever no other record was for a while. It doesn't
- * wait for the scheduler's other work, so that a takeover, a long batch or a
- * slow progress topic isn't taken for a failure of the scheduler.
+ * Writes the states topic during a term and keeps the scheduler role by it:
+ * heartbeats are written at a fixed interval, with other records if there are
+ * any. They don't wait for the scheduler's other work, so that a takeover, a
+ * long batch or a slow progress topic isn't taken for a failure of the
+ * scheduler. The topic is shared by the schedulers of all shards.
  */
 export class RoleWriter {
   private readonly writer: FencedWriter;
-  /** Local time at which the last append was requested. */
-  private lastRequestedAt: Millis = -Infinity;
+  /** Local time at which the last heartbeat was requested. */
+  private lastBeatAt: Millis = -Infinity;
   /** Local time before the last stored append was sent. */
   private lastStoredAt: Millis = -Infinity;
   private readonly timer: NodeJS.Timeout;
@@ -35,6 +37,9 @@
     private readonly record: SchedulerRecord,
     firstSequence: number,
     listener: FencedWriterListener,
+    private readonly shard: string = WHOLE_FLEET,
+    /** Returns the shard's load, if it is known. */
+    private readonly load: () => ShardLoad | undefined = () => undefined,
   ) {
     this.writer = new FencedWriter(
       log,
@@ -49,6 +54,7 @@
           listener.onStored(records, end, sentAt);
         },
       },
+      shard,
     );
     this.timer = setInterval(() => this.beat(), CHECK_INTERVAL_MS);
   }
@@ -63,31 +69,47 @@
 
   /** Stores states of jobs; resolves to whether they are stored. */
   append(records: readonly KeyedRecord[]): Promise<boolean> {
-    this.lastRequestedAt = this.clock.now();
-    return this.writer.append(records);
+    if (!this.isBeatDue) return this.writer.append(records);
+    return this.writer.append([...records, this.heartbeat()]);
   }
 
   /** Stores a heartbeat; resolves to whether it is stored. */
   appendHeartbeat(): Promise<boolean> {
-    return this.append([{key: SCHEDULER_KEY, value: packRecord(this.record)}]);
+    return this.writer.append([this.heartbeat()]);
   }
 
   /** Starts a heartbeat if one is due and no append is under way. */
   beat(): void {
-    const silentMs = this.clock.now() - this.lastRequestedAt;
-    if (this.writer.isBusy || silentMs < HEARTBEAT_INTERVAL_MS) return;
+    if (this.writer.isBusy || !this.isBeatDue) return;
     void this.appendHeartbeat();
   }
 
+  private get isBeatDue(): boolean {
+    return this.clock.now() - this.lastBeatAt >= HEARTBEAT_INTERVAL_MS;
+  }
+
+  private heartbeat(): KeyedRecord {
+    this.lastBeatAt = this.clock.now();
+    const load = this.load();
+    const record = load === undefined ? this.record : {...this.record, load};
+    return {key: schedulerKey(this.shard), value: packRecord(record)};
+  }
+
   settled(key: string): Promise<boolean> {
     return this.writer.settled(key);
   }
 
+  /** Whether no append of this key is in flight or of unknown outcome. */
+  isSettled(key: string): boolean {
+    return this.writer.isSettled(key);
+  }
+
   /** Stores that the role is given up, and writes nothing after it. */
   async resign(): Promise<void> {
     clearInterval(this.timer);
     const record = {...this.record, resigned: true};
-    await this.append([{key: SCHEDULER_KEY, value: packRecord(record)}]);
+    const key = schedulerKey(this.shard);
+    await this.writer.append([{key, value: packRecord(record)}]);
   }
 
   /** Writes nothing more. */
--- /dev/null
+++ b/src/node/batch/shard_role.ts
@@ -0,0 +1,430 @@
+import {randomInt} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Clock, Millis, SECOND} from '../../common/base/clock.js';
+import {CostMeter} from '../../common/batch/cost_meter.js';
+import {CostReport, ProcessUsage} from '../../common/batch/cost_report.js';
+import {Election} from '../../common/batch/election.js';
+import {
+  InstanceRecord,
+  LAYOUT_KEY,
+  packLayout,
+  packRecord,
+  RecordKind,
+  schedulerKey,
+  SchedulerRecord,
+} from '../../common/batch/job_records.js';
+import {JobView} from '../../common/batch/job_view.js';
+import {Scheduler} from '../../common/batch/scheduler.js';
+import {
+  DecisionLog,
+  SchedulerState,
+  SchedulerTimings,
+} from '../../common/batch/scheduler_state.js';
+import {
+  layoutFor,
+  ShardLayout,
+  ShardLoad,
+  WHOLE_FLEET,
+} from '../../common/batch/shard_layout.js';
+import {
+  AppendResult,
+  KeyedLog,
+  progressTopic,
+  Topic,
+} from '../../common/batch/store.js';
+import {BatchConfiguration, WorkerListing} from '../../common/batch/types.js';
+import {FencedWriter, writerName} from './fenced_writer.js';
+import {LogTail} from './log_tail.js';
+import {MeteredWorkerCalls} from './metered_worker_calls.js';
+import {RelayedWorkerCalls} from './relayed_worker_calls.js';
+import {RoleWriter} from './role_writer.js';
+import {SerialExecutor} from './serial_executor.js';
+import {Takeover} from './takeover.js';
+import {Term, TermEndReason} from './term.js';
+import {WorkerList} from './worker_list.js';
+
+/** Timeout of the append that claims the scheduler role. */
+const CLAIM_TIMEOUT_MS: Millis = 800;
+
+/**
+ * The first sequence number of a term is random and below this, so that two
+ * instances that claim the same epoch use different numbers.
+ */
+const FIRST_SEQUENCE_LIMIT = 2 ** 30;
+
+/** Delay after a term or a failed claim, in which records are read. */
+const CLAIM_PAUSE_MS: Millis = 750;
+
+/** Delay before the states topic is read again for this instance's claim. */
+const CLAIM_READ_DELAY_MS: Millis = 50;
+
+/**
+ * Time in a term before the fleet is divided, in which instances and workers
+ * announce themselves.
+ */
+const DIVISION_DELAY_MS: Millis = 2 * SECOND;
+
+/** What all roles of an instance share. */
+export interface ShardRoleHost {
+  readonly name: string;
+  /** Tells this process apart from earlier ones under the same name. */
+  readonly incarnation: string;
+  readonly announcement: InstanceRecord;
+  readonly log: KeyedLog;
+  readonly clock: Clock;
+  readonly wallClock: Clock;
+  readonly permissionClock: Clock;
+  readonly decisions: DecisionLog;
+  readonly timings: () => SchedulerTimings;
+  readonly createWorkerCalls: () => RelayedWorkerCalls;
+  readonly costs: CostMeter;
+  readonly processUsage: ProcessUsage;
+  readonly view: JobView;
+  readonly workers: WorkerList;
+  readonly statesTail: LogTail;
+  readonly intakeTail: LogTail;
+  readonly workersTail: LogTail;
+  /** Takeovers share the replica, so they load one after the other. */
+  readonly takeovers: SerialExecutor;
+  readonly configuration: () => BatchConfiguration;
+  /** Loads of the shards whose schedulers are alive. */
+  readonly loads: () => ReadonlyMap<string, ShardLoad>;
+  readonly isStopping: () => boolean;
+  /** Called when this instance becomes or is no longer a shard's scheduler. */
+  readonly onRoleChange: () => void;
+}
+
+/** The writers of one term. */
+interface TermWriters {
+  readonly role: RoleWriter;
+  readonly progress: FencedWriter;
+  /** Writes hand-overs and the layout to the intake. */
+  readonly handOvers: FencedWriter;
+}
+
+/**
+ * An instance's part in one shard: claims the scheduler role of the shard when
+ * it is vacant, and runs the scheduler for a term.
+ */
+export class ShardRole {
+  readonly election: Election;
+  /** Current term; undefined unless this instance is the scheduler. */
+  term: Term | undefined;
+  /** Whether a claim, a takeover or a term is under way. */
+  isActive = false;
+  private readonly takeover: Takeover;
+  private readonly decisions: DecisionLog;
+  private workerCalls: RelayedWorkerCalls | undefined;
+  private writers: TermWriters | undefined;
+  private termBeganAt: Millis = 0;
+
+  constructor(
+    readonly shard: string,
+    private readonly host: ShardRoleHost,
+    claimDelayMs: Millis,
+  ) {
+    const {announcement, clock, decisions} = host;
+    const isRemote = shard !== WHOLE_FLEET && shard !== announcement.dataCentre;
+    this.election = new Election(
+      host.incarnation,
+      claimDelayMs,
+      clock.now(),
+      isRemote,
+    );
+    this.takeover = new Takeover({...host, shard});
+    this.decisions =
+      shard === WHOLE_FLEET
+        ? decisions
+        : new ShardDecisionLog(decisions, shard);
+  }
+
+  /** Whether a claim is due. */
+  get isClaimDue(): boolean {
+    if (this.isActive) return false;
+    return this.election.timeUntilClaim(this.host.clock.now()) === 0;
+  }
+
+  /** Claims the scheduler role and, on success, runs a term until it ends. */
+  async claim(): Promise<void> {
+    this.isActive = true;
+    this.host.onRoleChange();
+    try {
+      await this.claimOnce();
+    } catch (error) {
+      this.onFault('term', error);
+    }
+    // Gives the tail time to catch up before the next claim.
+    await sleep(CLAIM_PAUSE_MS);
+    this.isActive = false;
+    this.host.onRoleChange();
+  }
+
+  /** Applies the current list of workers. */
+  onWorkers(listings: ReadonlyMap<string, WorkerListing>): void {
+    if (this.term === undefined) return;
+    const own = this.ownWorkers(listings);
+    this.workerCalls?.setFleet(this.host.view.instances, own);
+    this.term.scheduler.onWorkerListings(own);
+  }
+
+  private async claimOnce(): Promise<void> {
+    const {log, name, incarnation, view, statesTail, clock} = this.host;
+    // A version that kept the role in the progress topic may have run before.
+    const isUnclaimed = view.schedulerOf(this.shard) === undefined;
+    if (isUnclaimed && this.shard === WHOLE_FLEET) {
+      if (!(await this.takeover.loadProgress())) return;
+    }
+    // A heartbeat that was not read yet may show that the scheduler is alive.
+    if (!(await statesTail.refresh())) return;
+    if (this.election.timeUntilClaim(clock.now()) !== 0) return;
+    const epoch = view.highestEpoch + 1;
+    const quickTakeovers = this.election.quickTakeovers(clock.now());
+    const record: SchedulerRecord = {
+      epoch,
+      instance: name,
+      incarnation,
+      resigned: false,
+      quickTakeovers,
+    };
+    const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
+    const claimedAt = this.host.permissionClock.now();
+    const {result} = await log.append(
+      Topic.STATES,
+      [{key: schedulerKey(this.shard), value: packRecord(record)}],
+      {writer: {name: writerName(this.shard), epoch, sequence}},
+      CLAIM_TIMEOUT_MS,
+    );
+    this.decisions.decide('claim', {epoch, result, quickTakeovers});
+    if (result !== AppendResult.STORED) return;
+    await this.runTerm(record, claimedAt, sequence + 1);
+    this.election.onHeartbeat(view.schedulerOf(this.shard), clock.now());
+  }
+
+  /**
+   * Runs a term until it ends.
+   * @param claimedAt time of the permission clock before the claim was sent.
+   * @param sequence sequence number of its first append.
+   */
+  private async runTerm(
+    record: SchedulerRecord,
+    claimedAt: Millis,
+    sequence: number,
+  ): Promise<void> {
+    const {takeovers} = this.host;
+    let isFenced = false;
+    const writers = this.createWriters(record, sequence, () => {
+      isFenced = true;
+      this.term?.onFenced();
+    });
+    this.writers = writers;
+    let reason: TermEndReason = TermEndReason.FENCED;
+    try {
+      await takeovers.run(async () => {
+        await this.takeover.load(
+          writers.progress,
+          writers.handOvers,
+          () => isFenced,
+        );
+        await this.readClaim(record.epoch, () => isFenced);
+        if (!isFenced && this.isInLayout) {
+          this.term = this.beginTerm(record, writers, claimedAt);
+        }
+      });
+      if (this.term !== undefined) reason = await this.term.run();
+      else if (!isFenced) await writers.role.resign();
+    } finally {
+      this.term = undefined;
+      this.writers = undefined;
+      writers.role.close();
+      writers.progress.close();
+      writers.handOvers.close();
+      this.workerCalls?.release();
+      this.decisions.decide('term-ends', {epoch: record.epoch, reason});
+    }
+    if (reason === TermEndReason.FENCED) this.election.onLogUnreadable();
+  }
+
+  private get isInLayout(): boolean {
+    return this.host.view.layout.has(this.shard);
+  }
+
+  private createWriters(
+    record: SchedulerRecord,
+    sequence: number,
+    onFenced: () => void,
+  ): TermWriters {
+    const {log, permissionClock: clock, view} = this.host;
+    const {shard} = this;
+    const {epoch} = record;
+    const confirm = (sentAt: Millis): void =>
+      this.term?.scheduler.leases.confirmAuthority(sentAt);
+    const role = new RoleWriter(
+      log,
+      clock,
+      record,
+      sequence,
+      {
+        onFenced,
+        onStored: (records, _end, sentAt) => {
+          const now = this.host.clock.now();
+          for (const entry of records) {
+            // Heartbeats are applied in the order of the topic, by its tail.
+            if (entry.key[0] !== RecordKind.SCHEDULER) view.apply(entry, now);
+          }
+          confirm(sentAt);
+        },
+      },
+      shard,
+    );
+    const createWriter = (topic: Topic): FencedWriter =>
+      new FencedWriter(
+        log,
+        topic,
+        epoch,
+        randomInt(FIRST_SEQUENCE_LIMIT),
+        clock,
+        {onFenced, onStored: (_records, _end, sentAt) => confirm(sentAt)},
+        shard,
+      );
+    return {
+      role,
+      progress: createWriter(progressTopic(shard)),
+      handOvers: createWriter(Topic.INTAKE),
+    };
+  }
+
+  /**
+   * Reads the states topic up to this instance's claim, so that the last record
+   * of the predecessor is known.
+   */
+  private async readClaim(
+    epoch: number,
+    isFenced: () => boolean,
+  ): Promise<void> {
+    const {view, statesTail} = this.host;
+    while (!isFenced() && view.schedulerOf(this.shard)?.epoch !== epoch) {
+      if (!(await statesTail.refresh())) await sleep(CLAIM_READ_DELAY_MS);
+    }
+  }
+
+  /** Restores the scheduler's state and creates its term. */
+  private beginTerm(
+    record: SchedulerRecord,
+    writers: TermWriters,
+    claimedAt: Millis,
+  ): Term {
+    const {host} = this;
+    const {log, clock, permissionClock, view, workers} = host;
+    const {role, progress} = writers;
+    const scheduler = this.createScheduler(record.epoch);
+    scheduler.leases.confirmAuthority(claimedAt);
+    this.workerCalls ??= host.createWorkerCalls();
+    const {workerCalls} = this;
+    const own = this.ownWorkers(workers.byId);
+    workerCalls.setFleet(view.instances, own);
+    scheduler.restore(view);
+    scheduler.onWorkerListings(own);
+    const {state} = scheduler;
+    this.termBeganAt = clock.now();
+    this.decisions.decide('term-begins', {
+      epoch: state.epoch,
+      jobs: state.jobs.size,
+      waiting: state.waitingTasks.size,
+      workers: own.size,
+      takeoverMs: Math.round(permissionClock.now() - claimedAt),
+    });
+    const term = new Term(scheduler, {
+      log,
+      workerClient: new MeteredWorkerCalls(workerCalls, host.costs),
+      clock,
+      role,
+      progress,
+      costReport: new CostReport(state, host.processUsage),
+      onTick: () => this.divideIfNeeded(),
+    });
+    // The instance may have been told to stop during the takeover.
+    if (host.isStopping()) term.resign();
+    return term;
+  }
+
+  private createScheduler(epoch: number): Scheduler {
+    const {host} = this;
+    const timings = host.timings();
+    const predecessor = host.view.predecessorOf(this.shard);
+    const state = new SchedulerState(
+      epoch,
+      predecessor?.resigned === true ? 0 : timings.authorityMs,
+      timings,
+      host.clock,
+      host.wallClock,
+      this.decisions,
+      host.configuration(),
+      host.permissionClock,
+      host.costs,
+      this.shard,
+    );
+    return new Scheduler(state, host.view.interference);
+  }
+
+  private ownWorkers(
+    listings: ReadonlyMap<string, WorkerListing>,
+  ): ReadonlyMap<string, WorkerListing> {
+    const {layout} = this.host.view;
+    if (!layout.isDivided) return listings;
+    return new Map(
+      [...listings].filter(
+        ([, {dataCentre}]) => layout.shardOf(dataCentre) === this.shard,
+      ),
+    );
+  }
+
+  /**
+   * Divides a fleet that one scheduler can't carry, before its first job. The
+   * schedulers of the shards replace this one.
+   */
+  private divideIfNeeded(): void {
+    const {term, host} = this;
+    const {view, clock, announcement, workers} = host;
+    if (term === undefined || view.layout.isDivided) return;
+    const {state} = term.scheduler;
+    if (!state.placesTasks || view.jobs.size > 0) return;
+    if (clock.now() - this.termBeganAt < DIVISION_DELAY_MS) return;
+    const processors = [announcement, ...view.instances.values()].map(
+      record => record.processors,
+    );
+    const dataCentres = [...workers.byId.values()].map(
+      ({dataCentre}) => dataCentre,
+    );
+    const layout = layoutFor(dataCentres, Math.max(...processors));
+    if (!layout.isDivided) return;
+    state.placesTasks = false;
+    this.decisions.decide('fleet-divided', {
+      workers: dataCentres.length,
+      shards: layout.shards,
+    });
+    void this.divide(term, layout);
+  }
+
+  private async divide(term: Term, layout: ShardLayout): Promise<void> {
+    const value = packLayout(layout.shards);
+    await this.writers?.handOvers.append([{key: LAYOUT_KEY, value}]);
+    term.resign();
+  }
+
+  private onFault(part: string, error: unknown): void {
+    const text = error instanceof Error ? error.stack : String(error);
+    this.decisions.decide('fault', {part, error: text});
+  }
+}
+
+/** Adds the shard to each decision. */
+class ShardDecisionLog implements DecisionLog {
+  constructor(
+    private readonly log: DecisionLog,
+    private readonly shard: string,
+  ) {}
+
+  decide(decision: string, fields: Readonly<Record<string, unknown>>): void {
+    this.log.decide(decision, {shard: this.shard, ...fields});
+  }
+}
--- a/src/node/batch/takeover.ts
+++ b/src/node/batch/takeover.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Clock, Millis} from '../../common/base/clock.js';
 import {JobView} from '../../common/batch/job_view.js';
-import {KeyedLog, ReadResult, Topic} from '../../common/batch/store.js';
+import {KeyedLog, progressTopic, ReadResult} from '../../common/batch/store.js';
 import {FencedWriter} from './fenced_writer.js';
 import {LogTail} from './log_tail.js';
 
@@ -13,6 +13,7 @@
 
 /** The log, and the replica that a takeover completes. */
 export interface TakeoverDependencies {
+  readonly shard: string;
   readonly log: KeyedLog;
   readonly clock: Clock;
   readonly view: JobView;
@@ -25,13 +26,20 @@
   constructor(private readonly dependencies: TakeoverDependencies) {}
 
   /**
-   * Fences the progress topic, so that no predecessor can change it, and loads
-   * it, the rest of the intake and the workers. Ends early when `isFenced`.
+   * Fences the progress topic and the hand-overs in the intake, so that no
+   * predecessor can change them, and loads both topics and the workers. Ends
+   * early when `isFenced`.
    */
-  async load(progress: FencedWriter, isFenced: () => boolean): Promise<void> {
+  async load(
+    progress: FencedWriter,
+    handOvers: FencedWriter,
+    isFenced: () => boolean,
+  ): Promise<void> {
     const {view, intakeTail, workersTail} = this.dependencies;
     workersTail.resume(-1);
-    const intake = this.repeat(() => intakeTail.refresh(), isFenced);
+    const intake = handOvers
+      .fence()
+      .then(() => this.repeat(() => intakeTail.refresh(), isFenced));
     if (await progress.fence()) {
       view.dropProgress();
       await this.repeat(() => this.loadProgress(), isFenced);
@@ -44,8 +52,8 @@
 
   /** Reads the newest records of the progress topic; returns whether it did. */
   async loadProgress(): Promise<boolean> {
-    const {log, clock, view} = this.dependencies;
-    const {result, records} = await log.newest(Topic.PROGRESS);
+    const {log, clock, view, shard} = this.dependencies;
+    const {result, records} = await log.newest(progressTopic(shard));
     if (result !== ReadResult.READ) return false;
     for (const entry of records) view.apply(entry, clock.now());
     return true;
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -3,6 +3,7 @@
 import {CostReport} from '../../common/batch/cost_report.js';
 import {RecordKind} from '../../common/batch/job_records.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
+import {WHOLE_FLEET} from '../../common/batch/shard_layout.js';
 import {Command, CommandKind} from '../../common/batch/scheduler_state.js';
 import {KeyedLog, KeyedRecord, Topic} from '../../common/batch/store.js';
 import {
@@ -60,6 +61,8 @@
   /** Writes the progress topic. */
   readonly progress: FencedWriter;
   readonly costReport: CostReport;
+  /** Called at each check of what depends on time alone. */
+  readonly onTick?: () => void;
 }
 
 /**
@@ -132,6 +135,13 @@
     return this.host.role.settled(key);
   }
 
+  /** Whether all states of a job that were passed on are stored. */
+  isStateStored(job: string): boolean {
+    const key = RecordKind.STATE + job;
+    const isWaiting = this.unwrittenStates.some(record => record.key === key);
+    return !isWaiting && this.host.role.isSettled(key);
+  }
+
   /** Sends immediate commands and requests a batch after the append delay. */
   signal(): void {
     this.host.role.beat();
@@ -195,6 +205,7 @@
     const {scheduler} = this;
     scheduler.tick();
     this.host.costReport.run();
+    this.host.onTick?.();
     if (scheduler.leases.isFenced) this.end(TermEndReason.FENCED);
     for (const worker of scheduler.state.workers.values()) {
       if (this.renewedWorkers.has(worker)) continue;
@@ -252,7 +263,13 @@
 
   /** Not retried, as leftover records of an expired job are harmless. */
   private async removeExpiredJobs(ids: readonly string[]): Promise<void> {
-    const kinds = [RecordKind.SUBMISSION, RecordKind.CANCELLATION];
+    const kinds: RecordKind[] = [
+      RecordKind.SUBMISSION,
+      RecordKind.CANCELLATION,
+    ];
+    if (this.scheduler.state.shard !== WHOLE_FLEET) {
+      kinds.push(RecordKind.HAND_OVER);
+    }
     const records = ids.flatMap(id =>
       kinds.map(kind => ({key: kind + id, value: new Uint8Array()})),
     );
