Remove the submission of an expired job before its state

Cause: two minutes after a job's end its progress and state were removed first and its submission afterwards, by one append that was not repeated. If that append failed, the submission stayed for good, and an instance that started later took it for a new job and ran it again. Found by reading.

The submission is removed first, by the fenced writer of the term, which repeats the append until it is stored; progress and state follow. The test fails with the former order: the task is started twice.

--- a/src/common/batch/scheduler.test.ts
+++ b/src/common/batch/scheduler.test.ts
@@ -390,6 +390,21 @@
     expect(fleet.view.jobs.has(JOB)).toBe(false);
   });
 
+  it('keeps the state of an expired job until its submission is removed', () => {
+    // Guards against a job that runs again two minutes after its end: its state
+    // was removed, its submission was not, so a successor took it for a new job.
+    const worker = fleet.addWorker('w1');
+    fleet.submit(JOB, [{}]);
+    fleet.run(2000);
+    fleet.failsRemovals = true;
+    fleet.run(122_000);
+    // An instance that starts reads what is left in the topics.
+    fleet.submit(JOB, [{}]);
+    fleet.takeOver();
+    fleet.run(2000);
+    expect(worker.starts).toHaveLength(1);
+  });
+
   it('starts no run on a draining worker and moves its perpetual runs', () => {
     // Guards against perpetual runs that end with their worker.
     const leaving = fleet.addWorker('w1');
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -39,7 +39,10 @@
    * told must not be undone by a takeover.
    */
   readonly states: readonly KeyedRecord[];
-  /** Ids of jobs whose submissions may be removed from the intake topic. */
+  /**
+   * Ids of jobs whose records are to be removed from the intake topic. Their
+   * states stay until `onSubmissionsRemoved`.
+   */
   readonly expired: readonly string[];
   /** Commands to send after the records are durable. */
   readonly commands: readonly Command[];
@@ -69,6 +72,8 @@
   private readonly leavingJobs = new Set<string>();
   /** Jobs of other shards whose progress is to be removed from this topic. */
   private readonly departedJobs = new Set<string>();
+  /** Expired jobs whose submissions are removed, and their states not yet. */
+  private readonly removedJobs = new Set<string>();
 
   constructor(
     readonly state: SchedulerState,
@@ -271,17 +276,17 @@
       states.push({key: RecordKind.STATE + job.id, value: packState(change)});
     }
     state.jobsToStore.clear();
-    const expired = this.takeExpiredJobIds();
-    for (const id of expired) {
+    for (const id of this.removedJobs) {
       records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
       states.push({key: RecordKind.STATE + id, value: new Uint8Array()});
     }
+    this.removedJobs.clear();
     records.push(...this.weightRecords());
     states.push(...this.leases.lostWorkerRecords());
     return {
       records,
       states,
-      expired,
+      expired: this.takeExpiredJobIds(),
       commands: state.afterCommit.splice(0),
       ends: [...this.leases.unacknowledgedEnds()],
     };
@@ -325,6 +330,14 @@
     }
   }
 
+  /**
+   * Handles the removal of expired jobs from the intake topic. Only now are
+   * their states removed: without its state a submission is a new job.
+   */
+  onSubmissionsRemoved(ids: readonly string[]): void {
+    for (const id of ids) this.removedJobs.add(id);
+  }
+
   /** Returns the commands that need no record, and clears them. */
   takeImmediate(): Command[] {
     return this.state.immediate.splice(0);
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -186,6 +186,8 @@
   /** Whether the scheduler fails before it stores the states of a batch. */
   dropsStates = false;
   scheduler: Scheduler;
+  /** Whether expired jobs can't be removed from the intake. */
+  failsRemovals = false;
   /** Run time of tasks on simulated workers. */
   taskMs: Millis = 1000;
   /** Names of tasks that crash each worker that starts them. */
@@ -365,6 +367,16 @@
     scheduler.onBatchStored(batch);
     scheduler.onStatesStored(states);
     for (const command of batch.commands) this.execute(command);
+    if (!this.failsRemovals) this.removeSubmissions(batch.expired);
+  }
+
+  private removeSubmissions(ids: readonly string[]): void {
+    const now = this.clock.now();
+    for (const id of ids) {
+      const key = RecordKind.SUBMISSION + id;
+      this.view.apply({key, value: new Uint8Array()}, now);
+    }
+    this.scheduler.onSubmissionsRemoved(ids);
   }
 
   private renew(worker: SimulatedWorker): void {
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -98,8 +98,8 @@
 interface TermWriters {
   readonly role: RoleWriter;
   readonly progress: FencedWriter;
-  /** Writes hand-overs and the layout to the intake. */
-  readonly handOvers: FencedWriter;
+  /** Writes to the intake under the epoch of the term. */
+  readonly intake: FencedWriter;
 }
 
 /**
@@ -222,7 +222,7 @@
       await takeovers.run(async () => {
         await this.takeover.load(
           writers.progress,
-          writers.handOvers,
+          writers.intake,
           () => isFenced,
         );
         await this.readClaim(record.epoch, () => isFenced);
@@ -237,7 +237,7 @@
       this.writers = undefined;
       writers.role.close();
       writers.progress.close();
-      writers.handOvers.close();
+      writers.intake.close();
       this.workerCalls?.release();
       this.decisions.decide('term-ends', {epoch: record.epoch, reason});
     }
@@ -289,7 +289,7 @@
     return {
       role,
       progress: createWriter(progressTopic(shard)),
-      handOvers: createWriter(Topic.INTAKE),
+      intake: createWriter(Topic.INTAKE),
     };
   }
 
@@ -314,8 +314,8 @@
     claimedAt: Millis,
   ): Term {
     const {host} = this;
-    const {log, clock, permissionClock, view, workers} = host;
-    const {role, progress} = writers;
+    const {clock, permissionClock, view, workers} = host;
+    const {role, progress, intake} = writers;
     const scheduler = this.createScheduler(record.epoch);
     scheduler.leases.confirmAuthority(claimedAt);
     this.workerCalls ??= host.createWorkerCalls();
@@ -334,11 +334,11 @@
       takeoverMs: Math.round(permissionClock.now() - claimedAt),
     });
     const term = new Term(scheduler, {
-      log,
       workerClient: new MeteredWorkerCalls(workerCalls, host.costs),
       clock,
       role,
       progress,
+      intake,
       costReport: new CostReport(state, host.processUsage),
       onTick: () => this.divideIfNeeded(),
     });
@@ -407,7 +407,7 @@
 
   private async divide(term: Term, layout: ShardLayout): Promise<void> {
     const value = packLayout(layout.shards);
-    await this.writers?.handOvers.append([{key: LAYOUT_KEY, value}]);
+    await this.writers?.intake.append([{key: LAYOUT_KEY, value}]);
     term.resign();
   }
 
--- a/src/node/batch/takeover.ts
+++ b/src/node/batch/takeover.ts
@@ -26,18 +26,17 @@
   constructor(private readonly dependencies: TakeoverDependencies) {}
 
   /**
-   * Fences the progress topic and the hand-overs in the intake, so that no
-   * predecessor can change them, and loads both topics and the workers. Ends
-   * early when `isFenced`.
+   * Fences the progress topic and the predecessor's records in the intake, and
+   * loads both topics and the workers. Ends early when `isFenced`.
    */
   async load(
     progress: FencedWriter,
-    handOvers: FencedWriter,
+    intakeWriter: FencedWriter,
     isFenced: () => boolean,
   ): Promise<void> {
     const {view, intakeTail, workersTail} = this.dependencies;
     workersTail.resume(-1);
-    const intake = handOvers
+    const intake = intakeWriter
       .fence()
       .then(() => this.repeat(() => intakeTail.refresh(), isFenced));
     if (await progress.fence()) {
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -164,17 +164,13 @@
     };
     const listener = {onStored: () => {}, onFenced: () => term.onFenced()};
     const role = new RoleWriter(log, clock, record, 0, listener);
-    const progress = new FencedWriter(
-      log,
-      Topic.PROGRESS,
-      record.epoch,
-      0,
-      clock,
-      listener,
-    );
+    const createWriter = (topic: Topic) =>
+      new FencedWriter(log, topic, record.epoch, 0, clock, listener);
+    const progress = createWriter(Topic.PROGRESS);
+    const intake = createWriter(Topic.INTAKE);
     scheduler = newScheduler(clock);
     const costReport = new CostReport(scheduler.state, new NodeProcessUsage());
-    const host = {log, workerClient, clock, role, progress, costReport};
+    const host = {workerClient, clock, role, progress, intake, costReport};
     term = new Term(scheduler, host);
   });
 
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -5,7 +5,7 @@
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {WHOLE_FLEET} from '../../common/batch/shard_layout.js';
 import {Command, CommandKind} from '../../common/batch/scheduler_state.js';
-import {KeyedLog, KeyedRecord, Topic} from '../../common/batch/store.js';
+import {KeyedRecord} from '../../common/batch/store.js';
 import {
   WorkerResponse,
   WorkerCallResult,
@@ -28,9 +28,6 @@
 /** Longest wait for a signal before the next batch is taken. */
 const MAX_BATCH_WAIT_MS: Millis = 300;
 
-/** Timeout of the removal of expired jobs from the intake topic. */
-const REMOVAL_TIMEOUT_MS: Millis = 800;
-
 /** First delay before a worker call is retried; it doubles. */
 const INITIAL_RETRY_DELAY_MS: Millis = 60;
 
@@ -53,13 +50,14 @@
 
 /** Parts of the instance that a term uses. */
 export interface TermHost {
-  readonly log: KeyedLog;
   readonly workerClient: WorkerCalls;
   readonly clock: Clock;
   /** Writes the states topic. */
   readonly role: RoleWriter;
   /** Writes the progress topic. */
   readonly progress: FencedWriter;
+  /** Writes to the intake under the epoch of the term. */
+  readonly intake: FencedWriter;
   readonly costReport: CostReport;
   /** Called at each check of what depends on time alone. */
   readonly onTick?: () => void;
@@ -261,7 +259,7 @@
     this.isWritingStates = false;
   }
 
-  /** Not retried, as leftover records of an expired job are harmless. */
+  /** Removes expired jobs from the intake, and then their other records. */
   private async removeExpiredJobs(ids: readonly string[]): Promise<void> {
     const kinds: RecordKind[] = [
       RecordKind.SUBMISSION,
@@ -273,7 +271,8 @@
     const records = ids.flatMap(id =>
       kinds.map(kind => ({key: kind + id, value: new Uint8Array()})),
     );
-    await this.host.log.append(Topic.INTAKE, records, {}, REMOVAL_TIMEOUT_MS);
+    if (!(await this.host.intake.append(records))) return;
+    this.scheduler.onSubmissionsRemoved(ids);
   }
 
   private sendImmediateCommands(): void {
