Let all candidates of a shard claim the same epoch

Cause: the epoch of a claim was above those of all shards, so candidates that had read different claims of other shards used different epochs, and the store accepted both.

A claim uses the shard's own last epoch, or that of the scheduler of the whole fleet, plus one; of two with the same epoch the store accepts one.

--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -116,12 +116,14 @@
     return this.schedulers.get(shard)?.predecessor;
   }
 
-  /** Highest epoch of any shard's scheduler; 0 before the first claim. */
-  get highestEpoch(): number {
-    const epochs = [...this.schedulers.values()].map(
-      ({record}) => record.epoch,
-    );
-    return Math.max(0, ...epochs);
+  /**
+   * Epoch of the next claim of a shard. Workers may have seen fencing tokens of
+   * the scheduler that had the whole fleet, so the first epoch is above its.
+   * All candidates use the same epoch, of which the store accepts one claim.
+   */
+  nextEpoch(shard: string): number {
+    const latest = this.schedulerOf(shard) ?? this.schedulerOf(WHOLE_FLEET);
+    return (latest?.epoch ?? 0) + 1;
   }
 
   /** Shard that owns a job. */
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -177,7 +177,7 @@
     // A heartbeat that was not read yet may show that the scheduler is alive.
     if (!(await statesTail.refresh())) return;
     if (this.election.timeUntilClaim(clock.now()) !== 0) return;
-    const epoch = view.highestEpoch + 1;
+    const epoch = view.nextEpoch(this.shard);
     const quickTakeovers = this.election.quickTakeovers(clock.now());
     const record: SchedulerRecord = {
       epoch,
