Test that the shard router weighs shards by their workers

No test failed when the share of workers was left out of the weights. A shard with 100 workers now has to get about four times the jobs of one with 25; that mutation fails the test.

--- a/src/common/batch/shard_router.test.ts
+++ b/src/common/batch/shard_router.test.ts
@@ -168,6 +168,17 @@
     expect(counts.get('e')!).toBeLessThan(Math.min(...equal));
   });
 
+  it('sends jobs to shards in proportion to their workers', () => {
+    // Guards against a small shard that gets as many jobs as a large one.
+    const loads = loadsOf({a: 2000, b: 0, c: 0});
+    loads.set('b', load(0, 100)).set('c', load(0, 25));
+    const counts = routeMany(loads);
+    const ratio = counts.get('b')! / counts.get('c')!;
+    expect(ratio).toBeGreaterThan(3.5);
+    expect(ratio).toBeLessThan(4.5);
+    expect(counts.get('a')!).toBeGreaterThan(counts.get('b')!);
+  });
+
   it('moves what is needed when one data centre has twice the jobs', () => {
     // Guards against backlogs that grow without bound, and against jobs that
     // move to and fro because loads are known late.
