--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -9,16 +9,9 @@
   RESERVE_WAIT_IN_SHORTAGE_MS,
   CandidateWorkers,
 } from './candidate_workers.js';
+import {PRIORITY_WEIGHT, stepRank} from './step_rank.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
-/**
- * Rank per priority level, and the penalty added to the rank of late jobs, both
- * in ms of remaining work on one core. Remaining work is capped at half of
- * LATE_PENALTY, so it never outweighs either.
- */
-const PRIORITY_WEIGHT = 1e9;
-const LATE_PENALTY = 1e8;
-
 /** Rank of perpetual tasks that waited too long: before all others. */
 const STARVED_RANK = -PRIORITY_WEIGHT;
 
@@ -108,8 +101,9 @@
    * last slice come first. Returns whether all steps were tried.
    */
   private scanSlice(): boolean {
+    const now = this.state.now();
     const workers = [...this.state.workers.values()].filter(worker =>
-      this.isUsable(worker),
+      isUsable(worker, now),
     );
     if (workers.length === 0) return true;
     const steps = this.waitingSteps();
@@ -152,24 +146,6 @@
     if (isWaiting) this.shortTasksWaitedAt = now;
   }
 
-  /** Whether new runs may be placed on a worker. */
-  private isUsable(worker: WorkerState): boolean {
-    const now = this.state.now();
-    const {listing} = worker;
-    if (listing === undefined || worker.isDraining) return false;
-    if (worker.isRecordedAsLost) return false;
-    if (
-      !worker.isResponsive ||
-      now - worker.lastResponseAt > MAX_RESPONSE_AGE_MS
-    ) {
-      return false;
-    }
-    if (worker.quarantinedUntil > now) return false;
-    // A stray run uses resources until it has stopped, and is not reserved.
-    if (worker.hasStrayRuns) return false;
-    return worker.born === listing.born;
-  }
-
   /**
    * Returns the steps with waiting tasks that the scan has not tried yet, in
    * order of their rank.
@@ -187,34 +163,12 @@
       .map(([step, tasks]) => {
         const rank = isStarved(step, tasks, now)
           ? STARVED_RANK
-          : this.rank(step, now);
+          : stepRank(step, this.state.timePredictor, now);
         return {step, tasks, rank};
       })
       .sort((a, b) => a.rank - b.rank);
   }
 
-  /**
-   * Rank of a step; the lowest is served first. Steps are ordered by priority,
-   * then by the least remaining work, so that as many jobs as possible are in
-   * time under overload. Late jobs come after those that can still be in time,
-   * the most overdue one first. Perpetual steps come after all other jobs of
-   * their priority, the one with the least slack first.
-   */
-  private rank(step: ActiveStep, now: Millis): number {
-    const {job} = step.occurrence;
-    const {timePredictor} = this.state;
-    const {priority} = job.queue;
-    if (step.shape.perpetual) {
-      return (priority + 1) * PRIORITY_WEIGHT + timePredictor.slack(step, now);
-    }
-    if (!timePredictor.isLate(step, now)) {
-      return priority * PRIORITY_WEIGHT + timePredictor.remainingWork(job, now);
-    }
-    return (
-      priority * PRIORITY_WEIGHT + LATE_PENALTY + timePredictor.slack(step, now)
-    );
-  }
-
   /** Places tasks of a step; returns why the others, if any, wait. */
   private placeTasks(
     step: ActiveStep,
@@ -374,6 +328,23 @@
   }
 }
 
+/** Whether new runs may be placed on a worker. */
+export function isUsable(worker: WorkerState, now: Millis): boolean {
+  const {listing} = worker;
+  if (listing === undefined || worker.isDraining) return false;
+  if (worker.isRecordedAsLost) return false;
+  if (
+    !worker.isResponsive ||
+    now - worker.lastResponseAt > MAX_RESPONSE_AGE_MS
+  ) {
+    return false;
+  }
+  if (worker.quarantinedUntil > now) return false;
+  // A stray run uses resources until it has stopped, and is not reserved.
+  if (worker.hasStrayRuns) return false;
+  return worker.born === listing.born;
+}
+
 /**
  * Whether a perpetual task has waited too long. Otherwise, smaller short tasks
  * would take all capacity before enough of it is free on one worker.
--- a/src/common/batch/placement_cost.ts
+++ b/src/common/batch/placement_cost.ts
@@ -196,7 +196,7 @@
 }
 
 /** Whether a worker has capacity for one more task of a step. */
-function hasRoom(
+export function hasRoom(
   {shape, occurrence}: ActiveStep,
   worker: WorkerState,
 ): boolean {
