Add the policy for handing jobs over to other shards

A job may wait in a shard that can't serve it: no listed worker there could ever run one of its steps, none of the workers is usable, a perpetual task has no room, its data is elsewhere, or the backlog is clearly longer than in other shards.

HandOverPolicy chooses such jobs, at most 20 for each call, never one that is over or has a run. Listed workers are grouped by service, size and labels once per change. The work that leaves for a shorter backlog is limited by the difference, and by what is already on its way.

--- /dev/null
+++ b/src/common/batch/hand_over.ts
@@ -0,0 +1,24 @@
+import {ActiveJob} from './active_job.js';
+
+/** Why a job is handed over to another shard. */
+export const HandOverReason = {
+  /** No listed worker of this shard could ever run one of the steps. */
+  NO_WORKER_FITS: 'no worker fits',
+  /** The data of the job's steps is in a rack of the other shard. */
+  DATA: 'data',
+  /** No worker of this shard is usable. */
+  UNREACHABLE: 'unreachable',
+  /** No usable worker of this shard has room for a perpetual task. */
+  NO_ROOM: 'no room',
+  /** The backlog of this shard is clearly longer than the other one's. */
+  BACKLOG: 'backlog',
+} as const;
+export type HandOverReason =
+  (typeof HandOverReason)[keyof typeof HandOverReason];
+
+/** A job to hand over to another shard. */
+export interface HandOver {
+  readonly job: ActiveJob;
+  readonly to: string;
+  readonly reason: HandOverReason;
+}
--- /dev/null
+++ b/src/common/batch/hand_over_policy.ts
@@ -0,0 +1,393 @@
+import {Millis, SECOND} from '../base/clock.js';
+import {ActiveJob, ActiveStep, ActiveTask, isStepReady} from './active_job.js';
+import {HandOver, HandOverReason} from './hand_over.js';
+import {HandOverBudget} from './hand_over_budget.js';
+import {HandOverDestinations, spread} from './hand_over_destinations.js';
+import {HandOverLedger} from './hand_over_ledger.js';
+import {isFinal} from './job_records.js';
+import {ListedCapacity} from './listed_capacity.js';
+import {isUsable} from './placement.js';
+import {hasRoom} from './placement_cost.js';
+import {SchedulerState} from './scheduler_state.js';
+import {ShardLayout, ShardLoad} from './shard_layout.js';
+import {WorkerListing} from './types.js';
+import {
+  DetailedLoad,
+  hasRun,
+  unfinishedSteps,
+  WaitingJob,
+  WaitingWork,
+} from './waiting_work.js';
+import {WorkerContact} from './worker_contact.js';
+
+/** Hand-overs of a job after which it moves only if it can't run at all. */
+const MAX_GENERATION = 3;
+
+/** Maximum numbers of hand-overs, and of tasks to look at, for each call. */
+const MAX_HAND_OVERS = 20;
+const MAX_SCANNED_TASKS = 2000;
+
+/** Maximum number of jobs behind the front to look at in each call. */
+const MAX_BALANCE_TRIES = 200;
+
+/** Maximum number of searches for a worker with room in each call. */
+const MAX_ROOM_SEARCHES = 10;
+
+/**
+ * Time that a perpetual task waits for room in this shard; twice as long after
+ * each hand-over of the job.
+ */
+const ROOM_WAIT_MS: Millis = 2 * SECOND;
+
+/** Time that other jobs wait before they leave for a shorter backlog. */
+const BACKLOG_WAIT_MS: Millis = SECOND;
+
+/** Backlog of jobs at the front of the order that stay. */
+const FRONT_MS: Millis = SECOND;
+
+/** Minimum time between two updates of the grouped listings. */
+const LISTINGS_INTERVAL_MS: Millis = 0.5 * SECOND;
+
+/** Times for which the load of this shard and the order of jobs are kept. */
+const LOAD_TTL_MS: Millis = 0.3 * SECOND;
+const ORDER_TTL_MS: Millis = SECOND;
+
+/** A waiting job without runs. */
+interface Candidate {
+  readonly job: ActiveJob;
+  /** A waiting task of the job. */
+  readonly task: ActiveTask;
+  /** Steps that are not done. */
+  readonly steps: readonly ActiveStep[];
+}
+
+/** Returns the shard that takes a job; undefined if it stays. */
+type Rule = (candidate: Candidate, now: Millis) => string | undefined;
+
+/** Chooses waiting jobs that the scheduler of a shard hands over. */
+export class HandOverPolicy {
+  private readonly work: WaitingWork;
+  private readonly capacity: ListedCapacity;
+  private readonly ledger = new HandOverLedger();
+  private readonly destinations: HandOverDestinations;
+  private readonly contact = new WorkerContact();
+  private readonly budget = new HandOverBudget();
+  private listings: ReadonlyMap<string, WorkerListing> = new Map();
+  private isGroupingStale = false;
+  /** Whether this shard's listings are complete enough to miss a worker. */
+  private isListed = false;
+  private groupedAt: Millis = -Infinity;
+  private ownLoad: DetailedLoad = {
+    backlogMs: 0,
+    usableWorkers: 0,
+    cpuMilli: 0,
+  };
+  private loadedAt: Millis = -Infinity;
+  /** Jobs behind the front of the order that were not tried yet, reversed. */
+  private behindFront: WaitingJob[] = [];
+  private orderedAt: Millis = -Infinity;
+  private cursor: Iterator<ActiveTask>;
+  private roomSearches = 0;
+  /** Jobs to which no rule applies while workers are listed as in a version. */
+  private plainJobs = new WeakSet<ActiveJob>();
+  private plainVersion = 0;
+
+  /** Rules for single jobs; the first one that applies decides. */
+  private readonly rules: readonly (readonly [HandOverReason, Rule])[] = [
+    [HandOverReason.NO_WORKER_FITS, candidate => this.whereItFits(candidate)],
+    [HandOverReason.UNREACHABLE, candidate => this.awayFromSilence(candidate)],
+    [HandOverReason.DATA, (candidate, now) => this.whereDataIs(candidate, now)],
+    [
+      HandOverReason.NO_ROOM,
+      (candidate, now) => this.whereRoomIs(candidate, now),
+    ],
+  ];
+
+  /**
+   * @param shard name of this scheduler's shard.
+   * @param generationOf number of times that a job was handed over.
+   */
+  constructor(
+    private readonly state: SchedulerState,
+    private readonly shard: string,
+    private readonly generationOf: (job: ActiveJob) => number,
+  ) {
+    this.work = new WaitingWork(state);
+    this.capacity = new ListedCapacity(shard);
+    this.destinations = new HandOverDestinations(
+      shard,
+      this.capacity,
+      this.ledger,
+    );
+    this.cursor = state.waitingTasks.values();
+  }
+
+  setLayout(layout: ShardLayout): void {
+    this.destinations.layout = layout;
+    this.isGroupingStale = true;
+  }
+
+  /**
+   * Sets the listings of all workers of the fleet, by id. To be called after
+   * each change, also if the map is the same.
+   */
+  setListings(listings: ReadonlyMap<string, WorkerListing>): void {
+    this.listings = listings;
+    this.isGroupingStale = true;
+  }
+
+  /** Sets the last known loads of the shards. */
+  setLoads(loads: ReadonlyMap<string, ShardLoad>): void {
+    this.destinations.loads = loads;
+  }
+
+  /** Load of this shard without the jobs that were chosen lately. */
+  load(now: Millis): ShardLoad {
+    this.ledger.expire(now);
+    this.ownLoad = this.work.load(job => this.ledger.has(job), now);
+    this.loadedAt = now;
+    const {backlogMs, usableWorkers} = this.ownLoad;
+    return {backlogMs, usableWorkers};
+  }
+
+  /**
+   * Chooses a limited number of jobs to hand over. A chosen job is not chosen
+   * again for a while.
+   */
+  *choose(now: Millis): Generator<HandOver> {
+    if (!this.destinations.layout.isDivided) return;
+    const elapsed = this.contact.update(this.state.workers.values(), now);
+    this.ledger.expire(now);
+    this.groupListings(now);
+    if (now - this.loadedAt >= LOAD_TTL_MS) this.load(now);
+    this.roomSearches = 0;
+    let left = MAX_HAND_OVERS;
+    for (const handOver of this.search(elapsed, now)) {
+      yield handOver;
+      if (--left === 0) return;
+    }
+  }
+
+  private *search(elapsed: Millis, now: Millis): Generator<HandOver> {
+    yield* this.scan(now);
+    yield* this.balance(elapsed, now);
+  }
+
+  private groupListings(now: Millis): void {
+    this.capacity.expire(now);
+    const isDue = now - this.groupedAt >= LISTINGS_INTERVAL_MS;
+    if (this.isGroupingStale && isDue) {
+      const {layout} = this.destinations;
+      this.capacity.update(this.listings.values(), layout, now);
+      this.isGroupingStale = false;
+      this.groupedAt = now;
+    }
+    if (this.capacity.version !== this.plainVersion) {
+      this.plainVersion = this.capacity.version;
+      this.plainJobs = new WeakSet();
+    }
+    const hasWorkers = this.capacity.cpuMilli(this.shard) > 0;
+    if (hasWorkers || this.contact.isLost) this.isListed = true;
+  }
+
+  /** Applies the rules for single jobs to the next part of the queue. */
+  private *scan(now: Millis): Generator<HandOver> {
+    const {waitingTasks} = this.state;
+    const seen = new Set<ActiveJob>();
+    const count = Math.min(MAX_SCANNED_TASKS, waitingTasks.size);
+    for (let index = 0; index < count; index++) {
+      if (this.roomSearches >= MAX_ROOM_SEARCHES) return;
+      const task = this.nextTask();
+      if (task === undefined) return;
+      const {job} = task.step.occurrence;
+      if (seen.has(job)) continue;
+      seen.add(job);
+      if (this.plainJobs.has(job) && !this.contact.isLost) continue;
+      if (!this.isWaiting(job)) continue;
+      const handOver = this.applyRules(job, task, now);
+      if (handOver !== undefined) yield handOver;
+    }
+  }
+
+  /** Next waiting task, in a cycle through all of them. */
+  private nextTask(): ActiveTask | undefined {
+    const next = this.cursor.next();
+    if (next.done !== true) return next.value;
+    this.cursor = this.state.waitingTasks.values();
+    const first = this.cursor.next();
+    return first.done === true ? undefined : first.value;
+  }
+
+  /** Whether a job is neither over nor about to leave. */
+  private isWaiting(job: ActiveJob): boolean {
+    if (isFinal(job.phase) || this.ledger.has(job)) return false;
+    return this.state.jobs.get(job.id) === job;
+  }
+
+  private applyRules(
+    job: ActiveJob,
+    task: ActiveTask,
+    now: Millis,
+  ): HandOver | undefined {
+    const candidate = {job, task, steps: unfinishedSteps(job)};
+    if (this.isPlain(candidate)) this.plainJobs.add(job);
+    for (const [reason, rule] of this.rules) {
+      const to = rule(candidate, now);
+      if (to === undefined) continue;
+      return hasRun(job) ? undefined : this.handOver(job, to, reason, now);
+    }
+    return undefined;
+  }
+
+  /** Whether only the silence of all workers would make a job leave. */
+  private isPlain({steps}: Candidate): boolean {
+    if (!this.destinations.canRunAll(steps, this.shard)) return false;
+    return steps.every(({shape}) => !shape.perpetual && shape.dataRack === '');
+  }
+
+  private handOver(
+    job: ActiveJob,
+    to: string,
+    reason: HandOverReason,
+    now: Millis,
+  ): HandOver {
+    const workMs = this.work.ofJob(job);
+    this.ledger.add(job, to, workMs, now);
+    const {backlogMs, cpuMilli} = this.ownLoad;
+    const left = backlogMs - spread(workMs, cpuMilli);
+    this.ownLoad = {...this.ownLoad, backlogMs: Math.max(0, left)};
+    return {job, to, reason};
+  }
+
+  /** Rule for jobs that can't run here with the listed workers. */
+  private whereItFits({steps}: Candidate): string | undefined {
+    if (this.destinations.canRunAll(steps, this.shard)) return undefined;
+    if (!this.isListed) return undefined;
+    const canContinue = steps.some(
+      step => isStepReady(step) && this.capacity.canRun(step, this.shard),
+    );
+    if (canContinue) {
+      const shards = this.destinations.shardsForAll(steps);
+      return this.destinations.shortest(shards);
+    }
+    const fitting = this.destinations.shardsForRest(steps);
+    return (
+      this.destinations.shortest(fitting) ??
+      this.destinations.firstUnknown(fitting)
+    );
+  }
+
+  /** Rule for a shard without usable workers. */
+  private awayFromSilence({job, steps}: Candidate): string | undefined {
+    if (!this.contact.isLost) return undefined;
+    if (this.isSettled(job)) return undefined;
+    return this.destinations.shortest(this.destinations.shardsForRest(steps));
+  }
+
+  /** Rule for jobs that run faster in the shard that has their data. */
+  private whereDataIs(
+    {job, task, steps}: Candidate,
+    now: Millis,
+  ): string | undefined {
+    if (job.hasStarted || this.generationOf(job) > 0) return undefined;
+    const withData = steps.filter(({shape}) => shape.dataRack !== '');
+    if (withData.length === 0) return undefined;
+    const count = (shard: string) =>
+      withData.filter(step => this.capacity.hasData(step, shard)).length;
+    const ownCount = count(this.shard);
+    if (ownCount === withData.length) return undefined;
+    const shards = this.destinations.shardsForAll(steps);
+    const most = Math.max(...shards.map(count));
+    if (most <= ownCount) return undefined;
+    const to = this.destinations.shortest(
+      shards.filter(shard => count(shard) === most),
+    );
+    if (to === undefined) return undefined;
+    const {timePredictor, timings} = this.state;
+    const savedMs =
+      (timings.remoteFactor - 1) * timePredictor.criticalPath(task.step, now);
+    const addedMs =
+      this.destinations.expectedBacklog(to) - this.ownLoad.backlogMs;
+    return addedMs < savedMs ? to : undefined;
+  }
+
+  /** Rule for perpetual tasks that wait for room. */
+  private whereRoomIs(
+    {job, task, steps}: Candidate,
+    now: Millis,
+  ): string | undefined {
+    const {step} = task;
+    if (!step.shape.perpetual || !this.contact.isPresent) return undefined;
+    if (this.isSettled(job) || hasRun(job)) return undefined;
+    const limit = ROOM_WAIT_MS * 2 ** this.generationOf(job);
+    if (now - task.readySince <= limit) return undefined;
+    this.roomSearches++;
+    for (const worker of this.state.workers.values()) {
+      if (isUsable(worker, now) && hasRoom(step, worker)) return undefined;
+    }
+    const to = this.destinations.shortest(
+      this.destinations.shardsForAll(steps),
+    );
+    if (to === undefined) return undefined;
+    const isShorter =
+      this.destinations.expectedBacklog(to) < this.ownLoad.backlogMs;
+    return isShorter ? to : undefined;
+  }
+
+  /** Hands over jobs to shards with clearly shorter backlogs. */
+  private *balance(elapsed: Millis, now: Millis): Generator<HandOver> {
+    const peers = this.destinations.peers();
+    this.budget.accrue(this.ownLoad, peers, elapsed);
+    if (!this.contact.isPresent) return;
+    const isAllowed = () => peers.some(({shard}) => this.budget.allows(shard));
+    if (!isAllowed()) return;
+    this.orderJobs(now);
+    for (let tries = 0; tries < MAX_BALANCE_TRIES && isAllowed(); tries++) {
+      const waiting = this.behindFront.pop();
+      if (waiting === undefined) return;
+      const to = this.whereItStartsEarlier(waiting);
+      if (to === undefined) continue;
+      this.budget.spend(to, waiting.workMs);
+      yield this.handOver(waiting.job, to, HandOverReason.BACKLOG, now);
+    }
+  }
+
+  /** Collects jobs that have waited and are not about to start here. */
+  private orderJobs(now: Millis): void {
+    if (now - this.orderedAt < ORDER_TTL_MS) return;
+    this.orderedAt = now;
+    let aheadMs = 0;
+    this.behindFront = this.work.inOrder(now).filter(waiting => {
+      const isBehind = spread(aheadMs, this.ownLoad.cpuMilli) >= FRONT_MS;
+      aheadMs += waiting.workMs;
+      return isBehind && this.hasWaitedInVain(waiting, now);
+    });
+    this.behindFront.reverse();
+  }
+
+  private hasWaitedInVain(
+    {job, waitingSince}: WaitingJob,
+    now: Millis,
+  ): boolean {
+    if (now - waitingSince < BACKLOG_WAIT_MS) return false;
+    return !job.hasStarted && !this.isSettled(job);
+  }
+
+  private whereItStartsEarlier({job, workMs}: WaitingJob): string | undefined {
+    if (!this.isWaiting(job) || job.hasStarted || hasRun(job)) return undefined;
+    const shards = this.destinations.shardsForAll(unfinishedSteps(job));
+    const to = this.destinations.shortest(
+      shards.filter(shard => this.budget.allows(shard)),
+    );
+    if (to === undefined) return undefined;
+    const addedMs = spread(workMs, this.capacity.cpuMilli(to));
+    const isEarlier =
+      this.destinations.expectedBacklog(to) + addedMs < this.ownLoad.backlogMs;
+    return isEarlier ? to : undefined;
+  }
+
+  /** Whether a job was handed over too often to leave a shard that fits. */
+  private isSettled(job: ActiveJob): boolean {
+    return this.generationOf(job) >= MAX_GENERATION;
+  }
+}
