Hand jobs over to shards that can serve them

Cause: a job stays in the shard that accepted it, also if no worker there can run it, if its workers don't respond, or if its queue is much longer than others'.

--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -4,9 +4,12 @@
 import {CostMeter} from '../../common/batch/cost_meter.js';
 import {CostReport, ProcessUsage} from '../../common/batch/cost_report.js';
 import {Election} from '../../common/batch/election.js';
+import {HandOver} from '../../common/batch/hand_over.js';
+import {HandOverPolicy} from '../../common/batch/hand_over_policy.js';
 import {
   InstanceRecord,
   LAYOUT_KEY,
+  packHandOver,
   packLayout,
   packRecord,
   RecordKind,
@@ -29,6 +32,7 @@
 import {
   AppendResult,
   KeyedLog,
+  KeyedRecord,
   progressTopic,
   Topic,
 } from '../../common/batch/store.js';
@@ -115,6 +119,7 @@
   private readonly takeover: Takeover;
   private readonly decisions: DecisionLog;
   private workerCalls: RelayedWorkerCalls | undefined;
+  private policy: HandOverPolicy | undefined;
   private writers: TermWriters | undefined;
   private termBeganAt: Millis = 0;
 
@@ -165,6 +170,7 @@
     const own = this.ownWorkers(listings);
     this.workerCalls?.setFleet(this.host.view.instances, own);
     this.term.scheduler.onWorkerListings(own);
+    this.policy?.setListings(listings);
   }
 
   private async claimOnce(): Promise<void> {
@@ -234,6 +240,7 @@
       else if (!isFenced) await writers.role.resign();
     } finally {
       this.term = undefined;
+      this.policy = undefined;
       this.writers = undefined;
       writers.role.close();
       writers.progress.close();
@@ -275,6 +282,7 @@
         },
       },
       shard,
+      () => this.policy?.load(this.host.clock.now()),
     );
     const createWriter = (topic: Topic): FencedWriter =>
       new FencedWriter(
@@ -325,6 +333,7 @@
     scheduler.restore(view);
     scheduler.onWorkerListings(own);
     const {state} = scheduler;
+    this.policy = this.createPolicy(state);
     this.termBeganAt = clock.now();
     this.decisions.decide('term-begins', {
       epoch: state.epoch,
@@ -340,7 +349,10 @@
       progress,
       intake,
       costReport: new CostReport(state, host.processUsage),
-      onTick: () => this.divideIfNeeded(),
+      onTick: () => {
+        this.divideIfNeeded();
+        this.handOverJobs();
+      },
     });
     // The instance may have been told to stop during the takeover.
     if (host.isStopping()) term.resign();
@@ -366,6 +378,20 @@
     return new Scheduler(state, host.view.interference);
   }
 
+  /** A fleet that is not divided has no shard to hand jobs over to. */
+  private createPolicy(state: SchedulerState): HandOverPolicy | undefined {
+    const {layout} = this.host.view;
+    if (!layout.isDivided) return undefined;
+    const policy = new HandOverPolicy(
+      state,
+      this.shard,
+      ({handOvers}) => handOvers,
+    );
+    policy.setLayout(layout);
+    policy.setListings(this.host.workers.byId);
+    return policy;
+  }
+
   private ownWorkers(
     listings: ReadonlyMap<string, WorkerListing>,
   ): ReadonlyMap<string, WorkerListing> {
@@ -378,6 +404,47 @@
     );
   }
 
+  /** Hands over jobs that other shards can serve better. */
+  private handOverJobs(): void {
+    const {term, policy} = this;
+    if (term === undefined || policy === undefined) return;
+    policy.setLoads(this.host.loads());
+    const jobs: string[] = [];
+    const records: KeyedRecord[] = [];
+    for (const handOver of policy.choose(this.host.clock.now())) {
+      const record = this.release(term, handOver);
+      if (record === undefined) continue;
+      jobs.push(handOver.job.id);
+      records.push(record);
+    }
+    if (records.length > 0) void this.storeHandOvers(term, jobs, records);
+  }
+
+  /** Gives up a job, unless its state or records are being stored. */
+  private release(
+    term: Term,
+    {job, to, reason}: HandOver,
+  ): KeyedRecord | undefined {
+    const {id} = job;
+    if (!term.isStateStored(id)) return undefined;
+    const record = term.scheduler.handOver(job, to);
+    if (record === undefined) return undefined;
+    const {number} = record;
+    this.decisions.decide('hand-over', {job: id, to, reason, number});
+    return {key: RecordKind.HAND_OVER + id, value: packHandOver(record)};
+  }
+
+  private async storeHandOvers(
+    {scheduler}: Term,
+    jobs: readonly string[],
+    records: readonly KeyedRecord[],
+  ): Promise<void> {
+    const {view, clock} = this.host;
+    if (!(await this.writers?.intake.append(records))) return;
+    for (const record of records) view.apply(record, clock.now());
+    for (const job of jobs) scheduler.onHandedOver(job);
+  }
+
   /**
    * Divides a fleet that one scheduler can't carry, before its first job. The
    * schedulers of the shards replace this one.
