Model the shards and hand-overs of several schedulers

Cause: a large fleet is to be divided among several schedulers, and no model covered two owners of jobs, their fences and the hand-over of a job. Change: spec/shards.pml with two shards, their terms and takeovers, one job of two steps and its hand-overs; three complete searches and 15 mutations in check.sh; docs/MODEL.md lists the bounds, the mutations and findings 9 to 15, rules that the implementation needs.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -189,6 +189,27 @@
 mutation liveness jobs.pml NO_RECONCILIATION_TIMEOUT -DIDEMPOTENT -DLIVENESS -DFAULTS=2
 mutation liveness jobs.pml NO_SILENCE_LIMIT -DIDEMPOTENT -DLIVENESS -DFAULTS=2
 
+# Shards. Each search chooses from several sets of bounds; see `init` there.
+model shards/takeovers safety shards.pml -DEACH_TAKEOVER
+model shards/faults safety shards.pml -DEACH_FAULT
+mutation safety shards.pml NO_INTAKE_FENCE
+mutation safety shards.pml INTAKE_READ_BEFORE_FENCE
+mutation safety shards.pml NO_PROGRESS_FENCE
+mutation safety shards.pml HAND_OVER_WITH_RUN
+mutation safety shards.pml HAND_OVER_WITH_STATE_IN_FLIGHT
+mutation safety shards.pml HAND_OVER_WITHOUT_ATTEMPT
+mutation safety shards.pml OLD_PROGRESS_COUNTS -DFAILURES=1
+mutation safety shards.pml REMOVAL_AFTER_RETURN
+mutation safety shards.pml START_BEFORE_RECORD
+mutation safety shards.pml PLACES_DURING_HAND_OVER
+mutation safety shards.pml NO_TOKEN_CHECK
+mutation safety shards.pml NEWEST_SUBMISSION_ASSIGNS -DTERMS_B=2 -DGENERATIONS=1
+
+model shards/ends liveness shards.pml -DLIVENESS -DEACH_FAULT
+mutation liveness shards.pml LATE_ANSWER_FORGETS -DLIVENESS -DTERMS_A=1
+mutation liveness shards.pml SHARED_PRODUCER -DLIVENESS -DTERMS_B=2 -DGENERATIONS=1
+mutation liveness shards.pml CLAIM_AT_END_OF_STATES -DLIVENESS -DGENERATIONS=0
+
 wait
 passed=$(grep -c '^passed' "$work/results" || true)
 # A check that ended without a line has failed.
