Take a job back whose hand-over is not confirmed yet

Cause: the owner of a job ignored the job until the answer to the append of its hand-over came, and forgot it then. If the next owner gave it back before (an answer may be lost and the append repeated), no scheduler had the job any more.

The record of a later hand-over ends the wait, and an answer to an earlier one is ignored. The test fails before the change: the job is never started.

--- a/src/common/batch/job_hand_over.test.ts
+++ b/src/common/batch/job_hand_over.test.ts
@@ -73,8 +73,9 @@
 
   /** Hands the job over; the record is stored at once. */
   function handOver(from: SimulatedFleet, to: SimulatedFleet): void {
-    store(release(from, to.scheduler.state.shard));
-    from.scheduler.onHandedOver(ID);
+    const record = release(from, to.scheduler.state.shard);
+    store(record);
+    from.scheduler.onHandedOver(ID, record.number);
     notify(to);
   }
 
@@ -194,6 +195,24 @@
     expect(workerOfA.starts).toEqual([`${ID}.0.1.0`]);
   });
 
+  it('takes a job back before the answer to its hand-over arrives', () => {
+    // Guards against a job that no scheduler has any more: a late answer makes
+    // its owner forget a job that came back (finding 10 of the model).
+    workerOfA.isUnreachable = true;
+    workerOfB.phase = WorkerPhase.DRAINING;
+    submit({});
+    const record = release(a, 'b');
+    store(record);
+    notify(b);
+    handOver(b, a);
+    workerOfA.isUnreachable = false;
+    run(500);
+    a.scheduler.onHandedOver(ID, record.number);
+    run(3000);
+    expect(workerOfA.starts).toEqual([`${ID}.0.0.0`]);
+    expect(known(a).state?.phase).toBe(JobPhase.COMPLETE);
+  });
+
   it('lets the next owner cancel a job whose cancellation came on the way', () => {
     // Guards against a cancelled job that runs after its hand-over.
     workerOfA.isUnreachable = true;
@@ -202,7 +221,7 @@
     apply(RecordKind.CANCELLATION + ID, Uint8Array.of(1));
     notify(a);
     store(record);
-    a.scheduler.onHandedOver(ID);
+    a.scheduler.onHandedOver(ID, record.number);
     notify(b);
     run(3000);
     expect(starts()).toBe(0);
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -68,8 +68,8 @@
   private readonly pacing: Pacing;
   private readonly evacuation: Evacuation;
   private readonly stallDetector: StallDetector;
-  /** Jobs whose hand-over to another shard is being stored. */
-  private readonly leavingJobs = new Set<string>();
+  /** Numbers of the hand-overs that are being stored, by job. */
+  private readonly leavingJobs = new Map<string, number>();
   /** Jobs of other shards whose progress is to be removed from this topic. */
   private readonly departedJobs = new Set<string>();
   /** Expired jobs whose submissions are removed, and their states not yet. */
@@ -117,8 +117,13 @@
 
   /** Adds a job or applies a cancellation that was read from the log. */
   onJob(known: KnownJob): void {
-    // A cancellation that is read now is left to the next owner.
-    if (this.leavingJobs.has(known.id)) return;
+    const leaving = this.leavingJobs.get(known.id);
+    if (leaving !== undefined) {
+      // A cancellation that is read now is left to the next owner. The job may
+      // also have come back before the answer to the append.
+      if ((known.handOver?.number ?? 0) <= leaving) return;
+      this.leavingJobs.delete(known.id);
+    }
     if (known.cancelled) this.lifecycle.cancel(known.id);
     this.lifecycle.add(known);
   }
@@ -130,8 +135,8 @@
    */
   handOver(job: ActiveJob, shard: string): HandOverRecord | undefined {
     if (!this.lifecycle.release(job)) return undefined;
-    this.leavingJobs.add(job.id);
     const number = job.handOvers + 1;
+    this.leavingJobs.set(job.id, number);
     return {shard, number, progress: {...job.toRecord(), handOvers: number}};
   }
 
@@ -140,8 +145,9 @@
     return this.leavingJobs.has(job);
   }
 
-  /** Handles the stored hand-over of a job. */
-  onHandedOver(job: string): void {
+  /** Handles the answer that a hand-over of a job is stored. */
+  onHandedOver(job: string, number: number): void {
+    if (this.leavingJobs.get(job) !== number) return;
     this.leavingJobs.delete(job);
     this.departedJobs.add(job);
   }
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -7,6 +7,7 @@
 import {HandOver} from '../../common/batch/hand_over.js';
 import {HandOverPolicy} from '../../common/batch/hand_over_policy.js';
 import {
+  HandOverRecord,
   InstanceRecord,
   LAYOUT_KEY,
   packHandOver,
@@ -409,40 +410,42 @@
     const {term, policy} = this;
     if (term === undefined || policy === undefined) return;
     policy.setLoads(this.host.loads());
-    const jobs: string[] = [];
+    const numbers = new Map<string, number>();
     const records: KeyedRecord[] = [];
     for (const handOver of policy.choose(this.host.clock.now())) {
       const record = this.release(term, handOver);
       if (record === undefined) continue;
-      jobs.push(handOver.job.id);
-      records.push(record);
+      const {id} = handOver.job;
+      numbers.set(id, record.number);
+      const value = packHandOver(record);
+      records.push({key: RecordKind.HAND_OVER + id, value});
     }
-    if (records.length > 0) void this.storeHandOvers(term, jobs, records);
+    if (records.length > 0) void this.storeHandOvers(term, numbers, records);
   }
 
   /** Gives up a job, unless its state or records are being stored. */
   private release(
     term: Term,
     {job, to, reason}: HandOver,
-  ): KeyedRecord | undefined {
+  ): HandOverRecord | undefined {
     const {id} = job;
     if (!term.isStateStored(id)) return undefined;
     const record = term.scheduler.handOver(job, to);
     if (record === undefined) return undefined;
     const {number} = record;
     this.decisions.decide('hand-over', {job: id, to, reason, number});
-    return {key: RecordKind.HAND_OVER + id, value: packHandOver(record)};
+    return record;
   }
 
   private async storeHandOvers(
     {scheduler}: Term,
-    jobs: readonly string[],
+    numbers: ReadonlyMap<string, number>,
     records: readonly KeyedRecord[],
   ): Promise<void> {
     const {view, clock} = this.host;
     if (!(await this.writers?.intake.append(records))) return;
     for (const record of records) view.apply(record, clock.now());
-    for (const job of jobs) scheduler.onHandedOver(job);
+    for (const [job, number] of numbers) scheduler.onHandedOver(job, number);
   }
 
   /**
