Derive the first owner of a job from its id

Cause: the accepting instance wrote a job's shard into the submission. Callers repeat a submission at another instance, so two records with different shards can be stored under one key: replicas that follow the topic kept the first, those that load the newest records had the last, and two shards owned the job.

A hash of the id over the layout decides, in proportion to the workers, and load is evened out by hand-overs. The layout records the workers of each shard. The weighted hash moves from the plan of relays to its own module.

--- a/src/common/base/rendezvous.ts
+++ b/src/common/base/rendezvous.ts
@@ -27,3 +27,35 @@
   }
   return bestNode;
 }
+
+/** Bytes of a digest that make up a number, and the number of their values. */
+const HASH_BYTES = 6;
+const HASH_VALUES = 2 ** (8 * HASH_BYTES);
+
+/** A hash of the text, above 0 and below 1. */
+function unitHash(text: string): number {
+  const digest = createHash('sha256').update(text).digest();
+  return (digest.readUIntBE(0, HASH_BYTES) + 0.5) / HASH_VALUES;
+}
+
+/**
+ * Selects the node of a key by weighted rendezvous hashing: each node gets a
+ * share of the keys in proportion to its weight.
+ *
+ * @returns the node, or undefined when `nodes` is empty.
+ */
+export function selectByWeightedHash<T extends {readonly name: string}>(
+  key: string,
+  nodes: readonly T[],
+  weightOf: (node: T) => number,
+): T | undefined {
+  let best: T | undefined;
+  let highest = -Infinity;
+  for (const node of nodes) {
+    const score = weightOf(node) / -Math.log(unitHash(`${key} ${node.name}`));
+    if (score <= highest) continue;
+    highest = score;
+    best = node;
+  }
+  return best;
+}
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -1,6 +1,6 @@
 import {Packr} from 'msgpackr';
 import {InterferenceWeights} from './interference.js';
-import {ShardLoad, WHOLE_FLEET} from './shard_layout.js';
+import {ShardLayout, ShardLoad, WHOLE_FLEET} from './shard_layout.js';
 import {JobShape, Queue, StepShape} from './types.js';
 
 /** Phase of a job as reported to callers. */
@@ -88,8 +88,6 @@
   /** Wall-clock time of acceptance, in ms since 1970. */
   readonly acceptedAt: number;
   readonly shape: JobShape;
-  /** Shard that the job was assigned to. Absent in records of earlier versions. */
-  readonly shard?: string;
 }
 
 /** The hand-over of a job to another shard. */
@@ -156,7 +154,7 @@
   INTERFERENCE: 'm',
   /** An instance of the system. */
   INSTANCE: 'i',
-  /** Names of the shards. */
+  /** List of the shards. */
   LAYOUT: 'd',
   /** Hand-over of a job to another shard. */
   HAND_OVER: 'o',
@@ -302,23 +300,26 @@
   return {shard, number, progress: progressOf(progress)};
 }
 
-/** Encodes the names of the shards. */
-export function packLayout(shards: readonly string[]): Uint8Array {
-  return packr.pack(shards);
+/** Encodes the list of the shards by position. */
+export function packLayout({shards, workers}: ShardLayout): Uint8Array {
+  return packr.pack([shards, workers]);
 }
 
 /**
- * Decodes the names of the shards.
- * @throws TypeError if there are none.
+ * Decodes the list of the shards.
+ * @throws TypeError if there are none, or if one has no name or no workers.
  */
-export function unpackLayout(bytes: Uint8Array): readonly string[] {
-  const shards = packr.unpack(bytes) as unknown;
+export function unpackLayout(bytes: Uint8Array): ShardLayout {
+  const [shards, workers] = packr.unpack(bytes) as [string[], number[]];
   const isValid =
     Array.isArray(shards) &&
+    Array.isArray(workers) &&
     shards.length > 0 &&
-    shards.every(shard => typeof shard === 'string');
-  if (!isValid) throw new TypeError('Layout names no shards.');
-  return shards as readonly string[];
+    shards.every(
+      (name, index) => typeof name === 'string' && workers[index] > 0,
+    );
+  if (!isValid) throw new TypeError('Layout has no valid shards.');
+  return new ShardLayout(shards, workers);
 }
 
 /** Encodes a job's state by position, without field names. */
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -127,9 +127,8 @@
   }
 
   /** Shard that owns a job. */
-  ownerOf({id, submission, handOver}: KnownJob): string {
-    const assigned = handOver?.shard ?? submission?.shard ?? WHOLE_FLEET;
-    return this.layout.shardOfJob(id, assigned);
+  ownerOf({id, handOver}: KnownJob): string {
+    return handOver?.shard ?? this.layout.shardOfJob(id);
   }
 
   /** Number of jobs of a queue without a started task, less cancelled ones. */
@@ -153,7 +152,7 @@
       return;
     }
     if (key === LAYOUT_KEY) {
-      this.layout = new ShardLayout(unpackLayout(value));
+      this.layout = unpackLayout(value);
       return;
     }
     if (key === INTERFERENCE_KEY) {
--- a/src/common/batch/relay_plan.ts
+++ b/src/common/batch/relay_plan.ts
@@ -1,4 +1,4 @@
-import {createHash} from 'node:crypto';
+import {selectByWeightedHash} from '../base/rendezvous.js';
 
 /**
  * Workers that an instance can call per core without slowing its callers, and
@@ -60,7 +60,7 @@
     // The data centre of a worker that is not listed yet is unknown.
     const active =
       this.active.get(dataCentre) ?? [...this.active.values()].flat();
-    const chosen = selectByWeight(worker, active);
+    const chosen = selectByWeightedHash(worker, active, relayWeight);
     if (chosen === undefined) this.relays.delete(worker);
     else this.relays.set(worker, chosen.name);
     return chosen?.name;
@@ -92,29 +92,6 @@
   return chosen;
 }
 
-/** Weighted rendezvous hashing: shares are in proportion to processors. */
-function selectByWeight(
-  worker: string,
-  candidates: readonly RelayCandidate[],
-): RelayCandidate | undefined {
-  let best: RelayCandidate | undefined;
-  let highest = -Infinity;
-  for (const candidate of candidates) {
-    const score =
-      candidate.processors / -Math.log(unitHash(`${worker} ${candidate.name}`));
-    if (score <= highest) continue;
-    highest = score;
-    best = candidate;
-  }
-  return best;
-}
-
-/** Bytes of a digest that make up a number, and the number of their values. */
-const HASH_BYTES = 6;
-const HASH_VALUES = 2 ** (8 * HASH_BYTES);
-
-/** A hash of the text, above 0 and below 1. */
-function unitHash(text: string): number {
-  const digest = createHash('sha256').update(text).digest();
-  return (digest.readUIntBE(0, HASH_BYTES) + 0.5) / HASH_VALUES;
+function relayWeight({processors}: RelayCandidate): number {
+  return processors;
 }
--- a/src/common/batch/shard_layout.ts
+++ b/src/common/batch/shard_layout.ts
@@ -1,5 +1,5 @@
 import {Millis} from '../base/clock.js';
-import {selectByRendezvousHash} from '../base/rendezvous.js';
+import {selectByWeightedHash} from '../base/rendezvous.js';
 
 /** Name of the only shard of a fleet that is not divided. */
 export const WHOLE_FLEET = '';
@@ -19,6 +19,12 @@
   readonly usableWorkers: number;
 }
 
+/** A shard, with the number of its workers when the fleet was divided. */
+interface Shard {
+  readonly name: string;
+  readonly workers: number;
+}
+
 /**
  * The shards into which the workers are divided, each with a scheduler of its
  * own. A shard has the workers of one data centre, whose name it bears.
@@ -26,8 +32,22 @@
 export class ShardLayout {
   static readonly UNDIVIDED = new ShardLayout([WHOLE_FLEET]);
 
-  /** @param shards names of the shards; at least one. */
-  constructor(readonly shards: readonly string[]) {}
+  /** Shards with the weights by which keys are divided among them. */
+  private readonly weighted: readonly Shard[];
+
+  /**
+   * @param shards names of the shards; at least one.
+   * @param workers workers of each shard when the fleet was divided.
+   */
+  constructor(
+    readonly shards: readonly string[],
+    readonly workers: readonly number[] = shards.map(() => 1),
+  ) {
+    this.weighted = shards.map((name, index) => ({
+      name,
+      workers: workers[index],
+    }));
+  }
 
   get isDivided(): boolean {
     return this.shards.length > 1;
@@ -39,25 +59,28 @@
 
   /** Shard of the workers in a data centre. */
   shardOf(dataCentre: string): string {
-    return this.resolve(dataCentre, dataCentre);
+    return this.has(dataCentre) ? dataCentre : this.shardOfKey(dataCentre);
   }
 
   /**
-   * Shard of a job that was assigned to a shard when it was accepted. The
-   * layout may have changed at that moment.
+   * Shard of a job before its first hand-over. It depends on the id alone: two
+   * instances may accept the same job at the same time, and must agree.
    */
-  shardOfJob(job: string, assigned: string): string {
-    return this.resolve(assigned, job);
+  shardOfJob(id: string): string {
+    return this.shardOfKey(id);
   }
 
-  /** All instances resolve an unknown shard in the same way. */
-  private resolve(shard: string, key: string): string {
+  /** Divides keys in proportion to the workers of the shards. */
+  private shardOfKey(key: string): string {
     if (!this.isDivided) return this.shards[0];
-    if (this.has(shard)) return shard;
-    return selectByRendezvousHash(key, this.shards)!;
+    return selectByWeightedHash(key, this.weighted, workerCount)!.name;
   }
 }
 
+function workerCount({workers}: Shard): number {
+  return workers;
+}
+
 /**
  * Returns the layout for a fleet.
  * @param dataCentres data centre of each worker.
@@ -67,9 +90,17 @@
   dataCentres: Iterable<string>,
   processors: number,
 ): ShardLayout {
-  const all = [...dataCentres];
-  const names = [...new Set(all)].filter(name => name !== '').sort();
-  const isCarriedByOne = all.length <= processors * WORKERS_PER_CORE;
-  if (isCarriedByOne || names.length < 2) return ShardLayout.UNDIVIDED;
-  return new ShardLayout(names);
+  const counts = new Map<string, number>();
+  let total = 0;
+  for (const name of dataCentres) {
+    total++;
+    if (name !== '') counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  const isCarriedByOne = total <= processors * WORKERS_PER_CORE;
+  if (isCarriedByOne || counts.size < 2) return ShardLayout.UNDIVIDED;
+  const names = [...counts.keys()].sort();
+  return new ShardLayout(
+    names,
+    names.map(name => counts.get(name)!),
+  );
 }
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -17,7 +17,6 @@
   SchedulerTimings,
 } from '../../common/batch/scheduler_state.js';
 import {ShardLoad, WHOLE_FLEET} from '../../common/batch/shard_layout.js';
-import {ShardRouter} from '../../common/batch/shard_router.js';
 import {
   KeyedLog,
   KeyedRecord,
@@ -121,13 +120,10 @@
   /** Parts of this instance in the shards, by shard. */
   private readonly roles = new Map<string, ShardRole>();
   private readonly roleHost: ShardRoleHost;
-  private readonly router: ShardRouter;
   private stopping = false;
 
   constructor(private readonly dependencies: BatchInstanceDependencies) {
-    const {log, clock, decisions, announcement} = dependencies;
-    const {dataCentre = ''} = announcement;
-    this.router = new ShardRouter(dataCentre, Math.random);
+    const {log, clock, decisions} = dependencies;
     this.view = new JobView((key, error) =>
       decisions.decide('record-fault', {key, error: String(error)}),
     );
@@ -289,8 +285,7 @@
   ): Promise<IntakeResult> {
     if (this.view.phase(id) !== undefined) return IntakeResult.STORED;
     const acceptedAt = this.dependencies.wallClock.now();
-    const shard = this.router.route(this.view.layout, this.shardLoads());
-    const submission = {queue, acceptedAt, shape, shard};
+    const submission = {queue, acceptedAt, shape};
     return this.intake.submit(id, submission, deadline);
   }
 
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -476,7 +476,7 @@
   }
 
   private async divide(term: Term, layout: ShardLayout): Promise<void> {
-    const value = packLayout(layout.shards);
+    const value = packLayout(layout);
     await this.writers?.intake.append([{key: LAYOUT_KEY, value}]);
     term.resign();
   }
