Choose workers for the tasks of a step from a heap

Cause: each task went through all candidates of its step, and each placed task searched them again for its worker, so scans grew with starts times workers. Change: from the second task of a step on, the candidates are in heaps ordered by cost, then by the order of the workers, one for those that keep their reserve and one for the others, with a map from worker to candidate. Candidates above a task's interference limit are dropped when they are met, as the limit falls or stays the same from task to task. A task with a higher limit that may need one of them, one with a failure or a crash, and steps with a cost that is not a number (a task and a worker without processors) go through all candidates as before. Costs, ranks, slices and constants are the same, and so are all choices.

--- a/src/common/batch/candidate_workers.ts
+++ b/src/common/batch/candidate_workers.ts
@@ -1,5 +1,6 @@
 import {Millis, SECOND} from '../base/clock.js';
 import {ActiveStep, ActiveTask} from './active_job.js';
+import {CandidateEntry, CandidateHeap, isCheaper} from './candidate_heap.js';
 import {PlacementCost} from './placement_cost.js';
 import {WorkerState} from './worker_state.js';
 
@@ -52,13 +53,31 @@
   readonly keepsReserve: boolean;
 }
 
+/** The candidates of a step, ordered by cost. */
+interface CandidateHeaps {
+  readonly keepingReserve: CandidateHeap;
+  readonly usingReserve: CandidateHeap;
+  /** Indexes of the candidates by worker. */
+  readonly indexes: ReadonlyMap<WorkerState, number>;
+}
+
 /**
  * The workers that have capacity for tasks of one step. All tasks of a step
  * need the same, so a worker's cost is computed once, and again each time that
  * a task is placed on it.
  */
 export class CandidateWorkers {
-  private readonly candidates: CandidateWorker[] = [];
+  /** In the order of the workers; those that lack capacity now are stale. */
+  private readonly entries: CandidateEntry[] = [];
+  /** Number of entries that are not stale. */
+  private count = 0;
+  /** Whether a task without costs of its own was tried. */
+  private hasSearched = false;
+  /** Created for the second such task, as one search costs less. */
+  private heaps: CandidateHeaps | undefined;
+  /** Whether a cost was not a number, which has no place in a heap. */
+  private hasUnorderedCosts = false;
+
   constructor(
     private readonly step: ActiveStep,
     workers: Iterable<WorkerState>,
@@ -71,12 +90,14 @@
   ) {
     for (const worker of workers) {
       const candidate = costs.candidate(step, worker, now);
-      if (candidate !== undefined) this.candidates.push(candidate);
+      if (candidate === undefined) continue;
+      this.setEntry(candidate, this.entries.length);
+      this.count++;
     }
   }
 
   get isEmpty(): boolean {
-    return this.candidates.length === 0;
+    return this.count === 0;
   }
 
   /** Worker with the lowest cost; undefined if the task has to wait. */
@@ -94,13 +115,30 @@
 
   /** Updates or removes a worker after a task was placed on it. */
   refresh(worker: WorkerState): void {
-    const index = this.candidates.findIndex(
-      candidate => candidate.worker === worker,
-    );
-    if (index < 0) return;
+    const index = this.indexOf(worker);
+    if (index < 0 || this.entries[index].isStale) return;
+    this.entries[index].isStale = true;
     const candidate = this.costs.candidate(this.step, worker, this.now);
-    if (candidate !== undefined) this.candidates[index] = candidate;
-    else this.candidates.splice(index, 1);
+    if (candidate === undefined) {
+      this.count--;
+      return;
+    }
+    const entry = this.setEntry(candidate, index);
+    if (this.heaps === undefined) return;
+    const {keepingReserve, usingReserve} = this.heaps;
+    (candidate.keepsReserve ? keepingReserve : usingReserve).add(entry);
+  }
+
+  private indexOf(worker: WorkerState): number {
+    if (this.heaps !== undefined) return this.heaps.indexes.get(worker) ?? -1;
+    return this.entries.findIndex(({candidate}) => candidate.worker === worker);
+  }
+
+  private setEntry(candidate: CandidateWorker, index: number): CandidateEntry {
+    const entry = {candidate, index, isStale: false};
+    this.entries[index] = entry;
+    if (Number.isNaN(candidate.cost)) this.hasUnorderedCosts = true;
+    return entry;
   }
 
   private cheapest(
@@ -108,10 +146,41 @@
     mustKeepReserve: boolean,
   ): WorkerState | undefined {
     const limit = this.interferenceLimit(task);
+    if (hasTaskCost(task) || this.hasUnorderedCosts) {
+      return this.searchAll(task, limit, mustKeepReserve);
+    }
+    if (!this.hasSearched) {
+      this.hasSearched = true;
+      return this.searchAll(task, limit, mustKeepReserve);
+    }
+    this.heaps ??= this.createHeaps(limit);
+    const {keepingReserve, usingReserve} = this.heaps;
+    const heaps = mustKeepReserve
+      ? [keepingReserve]
+      : [keepingReserve, usingReserve];
+    if (!heaps.every(heap => heap.isCompleteUpTo(limit))) {
+      return this.searchAll(task, limit, mustKeepReserve);
+    }
+    let best: CandidateEntry | undefined;
+    for (const heap of heaps) {
+      const entry = heap.cheapest(task.name, limit);
+      if (entry === undefined) continue;
+      if (best === undefined || isCheaper(entry, best)) best = entry;
+    }
+    return best?.candidate.worker;
+  }
+
+  /** Goes through all candidates, for a task that the heaps can't serve. */
+  private searchAll(
+    task: ActiveTask,
+    limit: number,
+    mustKeepReserve: boolean,
+  ): WorkerState | undefined {
     let best: WorkerState | undefined;
     let lowestCost = Infinity;
-    for (const {worker, cost, interferenceCost, keepsReserve} of this
-      .candidates) {
+    for (const {candidate, isStale} of this.entries) {
+      if (isStale) continue;
+      const {worker, cost, interferenceCost, keepsReserve} = candidate;
       if (mustKeepReserve && !keepsReserve) continue;
       if (interferenceCost > limit) continue;
       if (worker.runs.has(task.name)) continue;
@@ -123,6 +192,23 @@
     return best;
   }
 
+  private createHeaps(limit: number): CandidateHeaps {
+    const keepingReserve: CandidateEntry[] = [];
+    const usingReserve: CandidateEntry[] = [];
+    const indexes = new Map<WorkerState, number>();
+    for (const entry of this.entries) {
+      if (entry.isStale) continue;
+      const {worker, keepsReserve} = entry.candidate;
+      indexes.set(worker, entry.index);
+      (keepsReserve ? keepingReserve : usingReserve).push(entry);
+    }
+    return {
+      keepingReserve: new CandidateHeap(keepingReserve, limit),
+      usingReserve: new CandidateHeap(usingReserve, limit),
+      indexes,
+    };
+  }
+
   /** Cost that depends on what happened to a task before. */
   private taskCost(task: ActiveTask, worker: WorkerState): number {
     const failureCost = task.failedOn === worker.id ? LAST_FAILURE_COST : 0;
@@ -147,3 +233,8 @@
     return Math.min(limit, maxLimit);
   }
 }
+
+/** Whether a task has costs of its own on some workers. */
+function hasTaskCost({failedOn, crashes}: ActiveTask): boolean {
+  return failedOn !== '' || crashes.length > 0;
+}
