--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import {EntryBenchmarkOptions, runEntryBenchmark} from './entry.js';
 import {PolicyBenchmarkOptions, runPolicyBenchmark} from './policy.js';
 import {WORKLOADS} from './policy_workloads.js';
+import {runRelayBenchmark} from './relay.js';
 
 const cli = meow(
   `
@@ -13,6 +14,7 @@
     entry     added latency and throughput of the request path on loopback
     capacity  slopes of processor time, memory and bytes by size
     policy    policies against baselines under a simulated clock
+    relay     processor time of messages between scheduler and relay
 
   Options
     --json FILE        write the figures to FILE as JSON
@@ -82,6 +84,7 @@
       parts: cli.flags.part.split(',').filter(part => part !== ''),
     }),
   policy: () => runPolicyBenchmark(parsePolicyOptions()),
+  relay: runRelayBenchmark,
 };
 
 const [name = ''] = cli.input;
