Send the spec of a job once in a frame of starts

Cause: each relayed start carried the spec of its job, up to 4,000 bytes, also where a frame had several starts of one job. Change: a frame lists its specs, and starts refer to them. The starts of a job share one text in the bench too, as they do in the program.

--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -56,13 +56,16 @@
 
 function startFrames(): RelayCall[][] {
   const frames: RelayCall[][] = [];
+  let spec = '';
   for (let i = 0; i < START_COUNT; i++) {
     if (i % STARTS_PER_FRAME === 0) frames.push([]);
     const job = Math.floor(i / STARTS_PER_JOB);
+    // All starts of a job share one text.
+    if (i % STARTS_PER_JOB === 0) spec = `${job} `.padEnd(SPEC_BYTES, 'x');
     const request = {
       task: `${jobName(job)}.0.1.${i % STARTS_PER_JOB}`,
       attempt: 1,
-      spec: `${job} `.padEnd(SPEC_BYTES, 'x'),
+      spec,
       checkpoint: '',
       ticket: '',
     };
--- a/src/node/batch/relay_frames.test.ts
+++ b/src/node/batch/relay_frames.test.ts
@@ -102,6 +102,31 @@
     );
   });
 
+  it('carry the spec of a job once', () => {
+    // Guards against starts whose specs alone fill the scheduler's network.
+    const SPEC_LENGTH = 4000;
+    const specs = ['a'.repeat(SPEC_LENGTH), 'b'.repeat(SPEC_LENGTH)];
+    const requests = Array.from({length: 100}, (unused, id) => ({
+      id,
+      worker: 0,
+      call: {
+        kind: RelayCallKind.START,
+        request: {
+          task: `a.0.0.${id}`,
+          attempt: 1,
+          spec: specs[id % specs.length],
+          checkpoint: '',
+          ticket: '',
+        },
+        leaseUntil: 1,
+        token: 1,
+      },
+    }));
+    const frame = packRequests({newWorkers: [], requests});
+    expect(frame.length).toBeLessThan(4 * SPEC_LENGTH);
+    expect(unpackRequests(frame).requests).toEqual(requests);
+  });
+
   it('carry each field of a response', () => {
     // Guards against a field that another one's position gets.
     fc.assert(
@@ -114,20 +139,23 @@
 
   it.each([
     ['a frame', 5],
-    ['new workers', [0, []]],
-    ['requests', [[], 'x']],
-    ['a worker', [['w1'], []]],
-    ['address', [[['w1', 5]], []]],
-    ['a request', [[], [7]]],
-    ['number of a request', [[], [['1', 0, 1, ['a', 1, 1]]]]],
-    ['number of a worker', [[], [[1, '0', 1, ['a', 1, 1]]]]],
-    ['kind of call', [[], [[1, 0, 4, []]]]],
-    ['fields of a call', [[], [[1, 0, 1]]]],
-    ['task', [[], [[1, 0, 1, [1, 1, 1]]]]],
-    ['attempt', [[], [[1, 0, 1, ['a', '1', 1]]]]],
-    ['token', [[], [[1, 0, 1, ['a', 1]]]]],
-    ['spec', [[], [[1, 0, 0, ['a', 1, 5, '', '', 1, 1]]]]],
-    ['end of the lease', [[], [[1, 0, 2, [1, 1, 'x', 1, 1]]]]],
+    ['new workers', [0, [], []]],
+    ['specs', [[], 'x', []]],
+    ['requests', [[], [], 'x']],
+    ['a worker', [['w1'], [], []]],
+    ['address', [[['w1', 5]], [], []]],
+    ['a request', [[], [], [7]]],
+    ['number of a request', [[], [], [['1', 0, 1, ['a', 1, 1]]]]],
+    ['number of a worker', [[], [], [[1, '0', 1, ['a', 1, 1]]]]],
+    ['kind of call', [[], [], [[1, 0, 4, []]]]],
+    ['fields of a call', [[], [], [[1, 0, 1]]]],
+    ['task', [[], [], [[1, 0, 1, [1, 1, 1]]]]],
+    ['attempt', [[], [], [[1, 0, 1, ['a', '1', 1]]]]],
+    ['token', [[], [], [[1, 0, 1, ['a', 1]]]]],
+    ['spec', [[], [5], [[1, 0, 0, ['a', 1, 0, '', '', 1, 1]]]]],
+    ['spec', [[], ['s'], [[1, 0, 0, ['a', 1, 1, '', '', 1, 1]]]]],
+    ['spec', [[], ['s'], [[1, 0, 0, ['a', 1, 's', '', '', 1, 1]]]]],
+    ['end of the lease', [[], [], [[1, 0, 2, [1, 1, 'x', 1, 1]]]]],
   ])('of requests are refused for a malformed %s', (name, value) => {
     // Guards against a call to a worker with a field that is missing.
     const frame = packr.pack(value);
