Send only the changes of workers' reports over relay links

Cause: a relay sent each report whole, although most rows are those of the last report and an end is repeated until it is acknowledged. Change: both ends of a link keep the last report of each worker. A row that is known goes as its index, one of which only the progress differs as index and progress; rows that are not referred to are gone. RelayLink hands on the whole report, in the worker's order. A new link or incarnation begins with a full report.

--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -20,6 +20,8 @@
   packRequests,
   unpackRequests,
 } from '../src/node/batch/relay_requests.js';
+import {ReportPacker} from '../src/node/batch/report_packer.js';
+import {ReportUnpacker} from '../src/node/batch/report_unpacker.js';
 import {WorkerNumbers} from '../src/node/batch/worker_numbers.js';
 import {SystemClock} from '../src/node/system_clock.js';
 import {cpuTimeMicros, median} from './capacity_measure.js';
@@ -115,7 +117,7 @@
     if (i % REPORTS_PER_FRAME === 0) frames.push([]);
     const round = 1 + Math.floor(i / WORKER_COUNT);
     const response = responseOf(i % WORKER_COUNT, round);
-    frames.at(-1)!.push({id: i + 1, response});
+    frames.at(-1)!.push({id: i + 1, worker: i % WORKER_COUNT, response});
   }
   return frames;
 }
@@ -159,13 +161,27 @@
   };
 }
 
+/** Encodes frames as a relay does for a link. */
+function packReports(
+  frames: readonly (readonly RelayResponse[])[],
+): Uint8Array[] {
+  const reports = new ReportPacker();
+  return frames.map(responses =>
+    packReply({responses, isDraining: false}, reports),
+  );
+}
+
+/** Decodes frames as a link does. */
+function unpackReports(frames: readonly Uint8Array[]): void {
+  const reports = new ReportUnpacker();
+  for (const frame of frames) unpackReply(frame, reports);
+}
+
 function measureReports(): Figures {
   const frames = reportFrames();
   const count = WORKER_COUNT * REPORTS_PER_WORKER;
-  const [packed, pack] = timed(count, () =>
-    frames.map(responses => packReply({responses, isDraining: false})),
-  );
-  const [, unpack] = timed(count, () => packed.map(unpackReply));
+  const [packed, pack] = timed(count, () => packReports(frames));
+  const [, unpack] = timed(count, () => unpackReports(packed));
   return {
     'report: unpack (scheduler), us': unpack,
     'report: pack (relay), us': pack,
--- a/src/node/batch/relay_frames.test.ts
+++ b/src/node/batch/relay_frames.test.ts
@@ -5,6 +5,8 @@
 import {RelayCallKind} from './relay_messages.js';
 import {packReply, unpackReply} from './relay_replies.js';
 import {packRequests, unpackRequests} from './relay_requests.js';
+import {ReportPacker} from './report_packer.js';
+import {ReportUnpacker} from './report_unpacker.js';
 
 const packr = new Packr({useRecords: false});
 
@@ -83,6 +85,7 @@
 const RESPONSES = fc.array(
   fc.record({
     id: fc.nat(),
+    worker: fc.nat(),
     response: fc.record({
       result: fc.constantFrom(...Object.values(WorkerCallResult)),
       clockMs: fc.option(NUMBER, {nil: undefined}),
@@ -132,7 +135,8 @@
     fc.assert(
       fc.property(RESPONSES, fc.boolean(), (responses, isDraining) => {
         const frame = {responses, isDraining};
-        expect(unpackReply(packReply(frame))).toEqual(frame);
+        const bytes = packReply(frame, new ReportPacker());
+        expect(unpackReply(bytes, new ReportUnpacker())).toEqual(frame);
       }),
     );
   });
@@ -167,21 +171,27 @@
     ['a frame', null],
     ['responses', [false]],
     ['a response', [false, [0]]],
-    ['number of a response', [false, [['x', 0, null]]]],
-    ['result', [false, [[1, 11, null]]]],
-    ['clock', [false, [[1, 0, 'x']]]],
-    ['a report', [false, [[1, 0, 5, 7]]]],
-    ['incarnation', [false, [[1, 0, 5, [null, 5, [], []]]]]],
-    ['running runs', [false, [[1, 0, 5, [1, 5, 0, []]]]]],
-    ['ends', [false, [[1, 0, 5, [1, 5, []]]]]],
-    ['a run', [false, [[1, 0, 5, [1, 5, ['a'], []]]]]],
-    ['gauge', [false, [[1, 0, 5, [1, 5, [['a', 1, '', 5]], []]]]]],
-    ['an end', [false, [[1, 0, 5, [1, 5, [], ['a']]]]]],
-    ['outcome', [false, [[1, 0, 5, [1, 5, [], [[1, 'a', 1, 6, '']]]]]]],
+    ['number of a response', [false, [['x', 0, 0, null]]]],
+    ['number of a worker', [false, [[1, 'x', 0, null]]]],
+    ['result', [false, [[1, 0, 11, null]]]],
+    ['clock', [false, [[1, 0, 0, 'x']]]],
+    ['a report', [false, [[1, 0, 0, 5, 7]]]],
+    ['incarnation', [false, [[1, 0, 0, 5, [null, 5, [], []]]]]],
+    ['running runs', [false, [[1, 0, 0, 5, [1, 5, 1, []]]]]],
+    ['ends', [false, [[1, 0, 0, 5, [1, 5, []]]]]],
+    ['a run', [false, [[1, 0, 0, 5, [1, 5, ['a'], []]]]]],
+    ['task', [false, [[1, 0, 0, 5, [1, 5, [[null, 1, '', 5, 0]], []]]]]],
+    ['gauge', [false, [[1, 0, 0, 5, [1, 5, [['a', 1, '', 5]], []]]]]],
+    ['an earlier row', [false, [[1, 0, 0, 5, [1, 5, [0], []]]]]],
+    ['an earlier row', [false, [[1, 0, 0, 5, [1, 5, [[0, 5, 0]], []]]]]],
+    ['an earlier row', [false, [[1, 0, 0, 5, [1, 5, [], [0]]]]]],
+    ['an end', [false, [[1, 0, 0, 5, [1, 5, [], ['a']]]]]],
+    ['outcome', [false, [[1, 0, 0, 5, [1, 5, [], [[1, 'a', 1, 6, '']]]]]]],
   ])('of replies are refused for a malformed %s', (name, value) => {
     // Guards against a report with a run left out: it would count as ended.
     const frame = packr.pack(value);
-    expect(() => unpackReply(frame)).toThrow(TypeError);
-    expect(() => unpackReply(frame)).toThrow(`Malformed frame: ${name} `);
+    const unpack = () => unpackReply(frame, new ReportUnpacker());
+    expect(unpack).toThrow(TypeError);
+    expect(unpack).toThrow(`Malformed frame: ${name} `);
   });
 });
--- a/src/node/batch/relay_link.ts
+++ b/src/node/batch/relay_link.ts
@@ -14,6 +14,7 @@
 } from './relay_messages.js';
 import {unpackReply} from './relay_replies.js';
 import {packRequests} from './relay_requests.js';
+import {ReportUnpacker} from './report_unpacker.js';
 import {WorkerNumbers} from './worker_numbers.js';
 
 const CONNECT_TIMEOUT_MS: Millis = 1 * SECOND;
@@ -35,6 +36,7 @@
     (response: RenewalResponse) => void
   >();
   private readonly workers = new WorkerNumbers();
+  private readonly reports = new ReportUnpacker();
   private readonly outbox = new FrameBatch<RelayRequest>(
     requests => this.send(requests),
     0,
@@ -103,7 +105,7 @@
   private onMessage(data: Buffer): void {
     this.onReceived();
     try {
-      const {responses, isDraining} = unpackReply(data);
+      const {responses, isDraining} = unpackReply(data, this.reports);
       for (const {id, response} of responses) {
         this.waiting.get(id)?.(response);
         this.waiting.delete(id);
--- a/src/node/batch/relay_messages.ts
+++ b/src/node/batch/relay_messages.ts
@@ -68,6 +68,8 @@
 /** A worker's response to the request with this number. */
 export interface RelayResponse {
   readonly id: number;
+  /** Number of the worker on the link. */
+  readonly worker: number;
   readonly response: RenewalResponse;
 }
 
--- a/src/node/batch/relay_replies.ts
+++ b/src/node/batch/relay_replies.ts
@@ -1,16 +1,12 @@
 import {Packr} from 'msgpackr';
-import {
-  ReportedEnd,
-  ReportedRun,
-  RunOutcome,
-  WorkerReport,
-} from '../../common/batch/types.js';
 import {
   RenewalResponse,
   WorkerCallResult,
 } from '../../common/batch/worker_calls.js';
-import {asArray, asNumber, asString, decodeCode} from './frame_fields.js';
+import {asArray, asNumber, decodeCode} from './frame_fields.js';
 import {RelayResponse, ReplyFrame} from './relay_messages.js';
+import {ReportPacker} from './report_packer.js';
+import {ReportUnpacker} from './report_unpacker.js';
 
 const packr = new Packr({useRecords: false});
 
@@ -28,100 +24,61 @@
   [WorkerCallResult.UNKNOWN]: 10,
 };
 
-const OUTCOME_CODES: Readonly<Record<RunOutcome, number>> = {
-  [RunOutcome.DONE]: 0,
-  [RunOutcome.FAILED]: 1,
-  [RunOutcome.STOPPED]: 2,
-  [RunOutcome.LEASE_EXPIRED]: 3,
-  [RunOutcome.BROKEN]: 4,
-  [RunOutcome.ALONE]: 5,
-};
-
 const RESULTS_BY_CODE = new Map(
   Object.values(WorkerCallResult).map(result => [RESULT_CODES[result], result]),
 );
 
-const OUTCOMES_BY_CODE = new Map(
-  Object.values(RunOutcome).map(outcome => [OUTCOME_CODES[outcome], outcome]),
-);
-
-/** Encodes a frame from a relay by position, without field names. */
-export function packReply({responses, isDraining}: ReplyFrame): Uint8Array {
-  return packr.pack([isDraining, responses.map(packResponse)]);
+/**
+ * Encodes a frame from a relay by position, without field names.
+ * @param reports encoder of the reports on the link of this frame.
+ */
+export function packReply(
+  {responses, isDraining}: ReplyFrame,
+  reports: ReportPacker,
+): Uint8Array {
+  const packed = responses.map(response => packResponse(response, reports));
+  return packr.pack([isDraining, packed]);
 }
 
-function packResponse({id, response}: RelayResponse): readonly unknown[] {
+function packResponse(
+  {id, worker, response}: RelayResponse,
+  reports: ReportPacker,
+): readonly unknown[] {
   const {result, clockMs = null, report} = response;
-  const code = RESULT_CODES[result];
-  if (report === undefined) return [id, code, clockMs];
-  return [id, code, clockMs, packReport(report)];
-}
-
-function packReport(report: WorkerReport): readonly unknown[] {
-  const {born, clockMs, running, ends} = report;
-  return [born, clockMs, running.map(packRun), ends.map(packEnd)];
-}
-
-function packRun(run: ReportedRun): readonly unknown[] {
-  return [run.task, run.attempt, run.checkpoint, run.percent, run.gauge];
-}
-
-function packEnd(end: ReportedEnd): readonly unknown[] {
-  const code = OUTCOME_CODES[end.end];
-  return [end.sequence, end.task, end.attempt, code, end.checkpoint];
+  const fields: unknown[] = [id, worker, RESULT_CODES[result], clockMs];
+  if (report !== undefined) fields.push(reports.pack(worker, report));
+  return fields;
 }
 
 /**
  * Decodes a frame from a relay.
+ * @param reports decoder of the reports on the link of this frame.
  * @throws Error if the frame is malformed.
  */
-export function unpackReply(frame: Uint8Array): ReplyFrame {
+export function unpackReply(
+  frame: Uint8Array,
+  reports: ReportUnpacker,
+): ReplyFrame {
   const [isDraining, responses] = asArray(packr.unpack(frame), 'a frame');
   return {
-    responses: asArray(responses, 'responses').map(unpackResponse),
+    responses: asArray(responses, 'responses').map(entry =>
+      unpackResponse(entry, reports),
+    ),
     isDraining: isDraining === true,
   };
 }
 
-function unpackResponse(entry: unknown): RelayResponse {
-  const [id, code, clock, report] = asArray(entry, 'a response');
+function unpackResponse(
+  entry: unknown,
+  reports: ReportUnpacker,
+): RelayResponse {
+  const [id, number, code, clock, report] = asArray(entry, 'a response');
+  const worker = asNumber(number, 'number of a worker');
   const result = decodeCode(RESULTS_BY_CODE, code, 'result');
   const clockMs = clock === null ? undefined : asNumber(clock, 'clock');
   const response: RenewalResponse =
     report === undefined
       ? {result, clockMs}
-      : {result, clockMs, report: unpackReport(report)};
-  return {id: asNumber(id, 'number of a response'), response};
-}
-
-function unpackReport(fields: unknown): WorkerReport {
-  const [born, clock, running, ends] = asArray(fields, 'a report');
-  return {
-    born: asNumber(born, 'incarnation'),
-    clockMs: asNumber(clock, 'clock'),
-    running: asArray(running, 'running runs').map(unpackRun),
-    ends: asArray(ends, 'ends').map(unpackEnd),
-  };
-}
-
-function unpackRun(fields: unknown): ReportedRun {
-  const [task, attempt, checkpoint, percent, gauge] = asArray(fields, 'a run');
-  return {
-    task: asString(task, 'task'),
-    attempt: asNumber(attempt, 'attempt'),
-    checkpoint: asString(checkpoint, 'checkpoint'),
-    percent: asNumber(percent, 'percent'),
-    gauge: asNumber(gauge, 'gauge'),
-  };
-}
-
-function unpackEnd(fields: unknown): ReportedEnd {
-  const [sequence, task, attempt, code, checkpoint] = asArray(fields, 'an end');
-  return {
-    sequence: asNumber(sequence, 'number of an end'),
-    task: asString(task, 'task'),
-    attempt: asNumber(attempt, 'attempt'),
-    end: decodeCode(OUTCOMES_BY_CODE, code, 'outcome'),
-    checkpoint: asString(checkpoint, 'checkpoint'),
-  };
+      : {result, clockMs, report: reports.unpack(worker, report)};
+  return {id: asNumber(id, 'number of a response'), worker, response};
 }
--- a/src/node/batch/worker_relay.test.ts
+++ b/src/node/batch/worker_relay.test.ts
@@ -1,5 +1,4 @@
-import {createServer as createHttpServer, Server} from 'node:http';
-import {createServer} from 'node:net';
+import {createServer, Server} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {WebSocket, WebSocketServer} from 'ws';
 import {InstanceRecord} from '../../common/batch/job_records.js';
@@ -13,9 +12,9 @@
   WorkerResponse,
 } from '../../common/batch/worker_calls.js';
 import {SystemClock} from '../system_clock.js';
+import {freeAddress} from './free_address.test_support.js';
 import {RelayLink} from './relay_link.js';
 import {RELAY_PATH, RelayCallKind} from './relay_messages.js';
-import {packReply} from './relay_replies.js';
 import {packRequests} from './relay_requests.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
 import {WorkerRelay} from './worker_relay.js';
@@ -66,15 +65,6 @@
 };
 const RENEW = {kind: RelayCallKind.RENEW, renewal: RENEWAL} as const;
 
-/** Returns a loopback address whose port was free a moment ago. */
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>(resolve => server.listen(0, HOST, resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return `${HOST}:${port}`;
-}
-
 function createListings(count: number): Map<string, WorkerListing> {
   const listings = Array.from({length: count}, (_, i) => ({
     id: `w${i}`,
@@ -218,7 +208,7 @@
 
   /** Runs a relay at a path that answers each frame with a fixed one. */
   async function listen(path: string, reply: Uint8Array): Promise<void> {
-    server = createHttpServer((_request, response) => {
+    server = createServer((_request, response) => {
       response.writeHead(404).end();
     });
     sockets = new WebSocketServer({server, path});
@@ -232,7 +222,7 @@
 
   it.each([
     ['frame', [0xc0]],
-    ['result', [0x92, 0xc2, 0x91, 0x93, 1, 99, 0xc0]],
+    ['result', [0x92, 0xc2, 0x91, 0x94, 1, 0, 99, 0xc0]],
   ])('ends with a clear reason at a malformed %s', async (name, bytes) => {
     // Guards against a scheduler that one frame takes down, and against a
     // response that is made up from a malformed one.
@@ -249,7 +239,7 @@
   it('sends nothing to a relay of another version', async () => {
     // Guards against calls that a relay of an earlier version misreads, and
     // against workers that are not called while it stays the only relay.
-    await listen('/relay', packReply({responses: [], isDraining: false}));
+    await listen('/relay', Buffer.from([]));
     const direct = new FakeCalls();
     const reasons: string[] = [];
     const relayed = new RelayedWorkerCalls({
--- a/src/node/batch/worker_relay.ts
+++ b/src/node/batch/worker_relay.ts
@@ -20,6 +20,7 @@
 } from './relay_messages.js';
 import {packReply} from './relay_replies.js';
 import {unpackRequests} from './relay_requests.js';
+import {ReportPacker} from './report_packer.js';
 
 /**
  * Time for which responses are collected: reports of many workers reach the
@@ -88,8 +89,7 @@
   /** Asks schedulers for no more requests; those in flight are answered. */
   startDraining(): void {
     this.isDraining = true;
-    const frame = packReply({responses: [], isDraining: true});
-    for (const socket of this.sockets.clients) socket.send(frame);
+    for (const socket of this.sockets.clients) socket.send(drainingFrame());
   }
 
   close(): void {
@@ -99,13 +99,13 @@
   }
 
   private serve(socket: WebSocket): void {
+    const reports = new ReportPacker();
     const replies = new FrameBatch<RelayResponse>(responses => {
       if (socket.readyState !== WebSocket.OPEN) return;
-      socket.send(packReply({responses, isDraining: this.isDraining}));
+      const {isDraining} = this;
+      socket.send(packReply({responses, isDraining}, reports));
     }, REPLY_DELAY_MS);
-    if (this.isDraining) {
-      socket.send(packReply({responses: [], isDraining: true}));
-    }
+    if (this.isDraining) socket.send(drainingFrame());
     socket.on('error', error =>
       this.decisions.decide('relay-link-failed', {error: String(error)}),
     );
@@ -129,21 +129,28 @@
   }
 
   private async handle(
-    {id, call}: RelayRequest,
-    worker: WorkerAddress,
+    {id, worker, call}: RelayRequest,
+    address: WorkerAddress,
     replies: FrameBatch<RelayResponse>,
   ): Promise<void> {
     const handler = HANDLERS[call.kind] as RelayHandler<RelayCallKind>;
     try {
-      replies.add({id, response: await handler(this.calls, worker, call)});
+      const response = await handler(this.calls, address, call);
+      replies.add({id, worker, response});
     } catch (error) {
       // The request may have been sent before the error.
       this.decisions.decide('fault', {
         part: 'worker-relay',
-        worker: worker.id,
+        worker: address.id,
         error: String(error),
       });
-      replies.add({id, response: {result: WorkerCallResult.UNKNOWN}});
+      const response = {result: WorkerCallResult.UNKNOWN};
+      replies.add({id, worker, response});
     }
   }
 }
+
+/** A frame without responses that asks for no more requests. */
+function drainingFrame(): Uint8Array {
+  return packReply({responses: [], isDraining: true}, new ReportPacker());
+}
