--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import {PolicyBenchmarkOptions, runPolicyBenchmark} from './policy.js';
 import {ProfileOptions, runProfile} from './profile.js';
 import {WORKLOADS} from './policy_workloads.js';
+import {runRelayBenchmark} from './relay.js';
 
 const cli = meow(
   `
@@ -15,6 +16,7 @@
     capacity  slopes of processor time, memory and bytes by size
     profile   cost of the parts of a scheduler behind relays
     policy    policies against baselines under a simulated clock
+    relay     processor time of messages between scheduler and relay
 
   Options
     --json FILE        write the figures to FILE as JSON
@@ -114,6 +116,7 @@
     }),
   profile: () => runProfile(parseProfileOptions()),
   policy: () => runPolicyBenchmark(parsePolicyOptions()),
+  relay: runRelayBenchmark,
 };
 
 const [name = ''] = cli.input;
--- a/src/node/batch/relay_link.ts
+++ b/src/node/batch/relay_link.ts
@@ -9,12 +9,14 @@
 import {FrameBatch} from './frame_batch.js';
 import {
   MAX_RELAY_FRAME_BYTES,
-  packRequests,
   RELAY_PATH,
   RelayCall,
   RelayRequest,
-  unpackReply,
 } from './relay_messages.js';
+import {unpackReply} from './relay_replies.js';
+import {packRequests} from './relay_requests.js';
+import {ReportUnpacker} from './report_unpacker.js';
+import {WorkerNumbers} from './worker_numbers.js';
 
 const CONNECT_TIMEOUT_MS: Millis = 1 * SECOND;
 
@@ -34,6 +36,8 @@
     number,
     (response: RenewalResponse) => void
   >();
+  private readonly workers = new WorkerNumbers();
+  private readonly reports = new ReportUnpacker();
   private readonly outbox = new FrameBatch<RelayRequest>(
     requests => this.socket.send(this.pack(requests)),
     0,
@@ -74,10 +78,10 @@
       return Promise.resolve({result: WorkerCallResult.NOT_SENT});
     }
     const id = this.nextId++;
-    const {id: workerId, address} = worker;
+    const number = this.workers.numberOf(worker);
     return new Promise(resolve => {
       this.waiting.set(id, resolve);
-      this.outbox.add({id, worker: {id: workerId, address}, call});
+      this.outbox.add({id, worker: number, call});
     });
   }
 
@@ -87,7 +91,10 @@
   }
 
   private pack(requests: readonly RelayRequest[]): Uint8Array {
-    return this.costs.measure(CostPart.CODECS, () => packRequests(requests));
+    const newWorkers = this.workers.takeNew();
+    return this.costs.measure(CostPart.CODECS, () =>
+      packRequests({newWorkers, requests}),
+    );
   }
 
   private onOpen(): void {
@@ -103,7 +110,7 @@
     this.onReceived();
     try {
       const {responses, isDraining} = this.costs.measure(CostPart.CODECS, () =>
-        unpackReply(data),
+        unpackReply(data, this.reports),
       );
       for (const {id, response} of responses) {
         this.waiting.get(id)?.(response);
