Spread new jobs by the demand on the shards

Change: heartbeats carry the processors that running and waiting tasks ask for, in proportion to those of the shard. A new job is handed over, before it is placed, with a probability that grows with the difference to a shard that is less in demand.

--- a/src/common/batch/hand_over.ts
+++ b/src/common/batch/hand_over.ts
@@ -10,6 +10,8 @@
   UNREACHABLE: 'unreachable',
   /** No usable worker of this shard has room for a perpetual task. */
   NO_ROOM: 'no room',
+  /** New jobs ask for more processors here than in the other shard. */
+  DEMAND: 'demand',
   /** The backlog of this shard is clearly longer than the other one's. */
   BACKLOG: 'backlog',
 } as const;
--- a/src/common/batch/hand_over_policy.ts
+++ b/src/common/batch/hand_over_policy.ts
@@ -1,5 +1,6 @@
 import {Millis, SECOND} from '../base/clock.js';
 import {ActiveJob, ActiveStep, ActiveTask, isStepReady} from './active_job.js';
+import {DemandBalance} from './demand_balance.js';
 import {HandOver, HandOverReason} from './hand_over.js';
 import {HandOverBudget} from './hand_over_budget.js';
 import {HandOverDestinations, spread} from './hand_over_destinations.js';
@@ -72,6 +73,7 @@
   private readonly destinations: HandOverDestinations;
   private readonly contact = new WorkerContact();
   private readonly budget = new HandOverBudget();
+  private readonly demandBalance: DemandBalance;
   private listings: ReadonlyMap<string, WorkerListing> = new Map();
   private isGroupingStale = false;
   /** Whether this shard's listings are complete enough to miss a worker. */
@@ -80,6 +82,7 @@
   private ownLoad: DetailedLoad = {
     backlogMs: 0,
     usableWorkers: 0,
+    demand: 0,
     cpuMilli: 0,
   };
   private loadedAt: Millis = -Infinity;
@@ -106,12 +109,15 @@
   /**
    * @param shard name of this scheduler's shard.
    * @param generationOf number of times that a job was handed over.
+   * @param random returns a random number from 0 to 1, without 1.
    */
   constructor(
     private readonly state: SchedulerState,
     private readonly shard: string,
     private readonly generationOf: (job: ActiveJob) => number,
+    random: () => number = Math.random,
   ) {
+    this.demandBalance = new DemandBalance(random);
     this.work = new WaitingWork(state);
     this.capacity = new ListedCapacity(shard);
     this.destinations = new HandOverDestinations(
@@ -146,8 +152,24 @@
     this.ledger.expire(now);
     this.ownLoad = this.work.load(job => this.ledger.has(job), now);
     this.loadedAt = now;
-    const {backlogMs, usableWorkers} = this.ownLoad;
-    return {backlogMs, usableWorkers};
+    const {backlogMs, usableWorkers, demand} = this.ownLoad;
+    return {backlogMs, usableWorkers, demand};
+  }
+
+  /**
+   * Chooses another shard for a job that this scheduler has just taken, before
+   * any of its tasks is placed; undefined if it stays.
+   */
+  chooseForNew(job: ActiveJob, now: Millis): HandOver | undefined {
+    if (job.handOvers > 0 || job.hasStarted || !this.isListed) return undefined;
+    const {demand, usableWorkers} = this.ownLoad;
+    const own = {demand, usableWorkers};
+    const loads = this.destinations.loads;
+    if (this.demandBalance.isEven(own, loads)) return undefined;
+    const shards = this.destinations.shardsForAll(unfinishedSteps(job));
+    const to = this.demandBalance.choose(own, shards, loads);
+    if (to === undefined) return undefined;
+    return this.handOver(job, to, HandOverReason.DEMAND, now);
   }
 
   /**
--- a/src/common/batch/shard_layout.ts
+++ b/src/common/batch/shard_layout.ts
@@ -17,6 +17,11 @@
   readonly backlogMs: Millis;
   /** Workers that accept starts. */
   readonly usableWorkers: number;
+  /**
+   * Processors that the tasks which run or wait ask for, divided by those of the
+   * usable workers. Absent in records of earlier versions.
+   */
+  readonly demand?: number;
 }
 
 /** A shard, with the number of its workers when the fleet was divided. */
--- a/src/common/batch/waiting_work.ts
+++ b/src/common/batch/waiting_work.ts
@@ -24,6 +24,7 @@
 
 /** Load of a shard, with the processors that its usable workers have. */
 export interface DetailedLoad extends ShardLoad {
+  readonly demand: number;
   readonly cpuMilli: number;
 }
 
@@ -34,9 +35,11 @@
   /** Load of the shard without the jobs that `isLeaving` selects. */
   load(isLeaving: (job: ActiveJob) => boolean, now: Millis): DetailedLoad {
     let workMs = 0;
+    let demandMilli = 0;
     for (const [step, tasks] of this.countBySteps()) {
       if (isLeaving(step.occurrence.job)) continue;
       workMs += tasks * this.taskWork(step);
+      demandMilli += tasks * step.shape.cpuMilli;
     }
     let usableWorkers = 0;
     let cpuMilli = 0;
@@ -44,9 +47,12 @@
       if (!isUsable(worker, now)) continue;
       usableWorkers++;
       cpuMilli += worker.capacity.cpuMilli;
+      demandMilli += worker.reserved.cpuMilli + worker.bestEffortCpuMilli;
     }
-    const backlogMs = (workMs * 1000) / Math.max(MIN_CPU_MILLI, cpuMilli);
-    return {backlogMs, usableWorkers, cpuMilli};
+    const capacity = Math.max(MIN_CPU_MILLI, cpuMilli);
+    const backlogMs = (workMs * 1000) / capacity;
+    const demand = demandMilli / capacity;
+    return {backlogMs, usableWorkers, demand, cpuMilli};
   }
 
   /** Expected work of a job's waiting tasks, in ms of one core. */
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -379,7 +379,7 @@
     if (key === LAYOUT_KEY) this.onLayout();
     const job = this.view.jobs.get(key.slice(1));
     if (job === undefined) return;
-    this.roles.get(this.view.ownerOf(job))?.term?.scheduler.onJob(job);
+    this.roles.get(this.view.ownerOf(job))?.onJob(job);
   }
 
   /** Takes part in the shards of a new layout, and in no others. */
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -17,7 +17,7 @@
   schedulerKey,
   SchedulerRecord,
 } from '../../common/batch/job_records.js';
-import {JobView} from '../../common/batch/job_view.js';
+import {JobView, KnownJob} from '../../common/batch/job_view.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {
   DecisionLog,
@@ -405,14 +405,31 @@
     );
   }
 
-  /** Hands over jobs that other shards can serve better. */
+  /** Takes a job that was read, or hands it over before it is started. */
+  onJob(known: KnownJob): void {
+    const {term, policy} = this;
+    if (term === undefined) return;
+    const {scheduler} = term;
+    const isNew = !scheduler.state.jobs.has(known.id);
+    scheduler.onJob(known);
+    const job = scheduler.state.jobs.get(known.id);
+    if (!isNew || job === undefined || known.state !== undefined) return;
+    const handOver = policy?.chooseForNew(job, this.host.clock.now());
+    if (handOver !== undefined) this.handOver(term, [handOver]);
+  }
+
+  /** Hands over waiting jobs that other shards can serve better. */
   private handOverJobs(): void {
     const {term, policy} = this;
     if (term === undefined || policy === undefined) return;
     policy.setLoads(this.host.loads());
+    this.handOver(term, policy.choose(this.host.clock.now()));
+  }
+
+  private handOver(term: Term, handOvers: Iterable<HandOver>): void {
     const numbers = new Map<string, number>();
     const records: KeyedRecord[] = [];
-    for (const handOver of policy.choose(this.host.clock.now())) {
+    for (const handOver of handOvers) {
       const record = this.release(term, handOver);
       if (record === undefined) continue;
       const {id} = handOver.job;
