Exchange between shards what is learned of the interference

Each shard learns the 480 pairs of images from a fifth of the samples. Change: each second a scheduler stores what follows from its own samples (weight and sum of squares of each pair) in a topic that only schedulers read, and uses what the others have stored as further priors. What came from others is not passed on.

--- a/src/common/batch/interference.test.ts
+++ b/src/common/batch/interference.test.ts
@@ -98,4 +98,50 @@
     trainer.train('calming', -5);
     expect(model.weight('shop', 'calming')).toBe(0);
   });
+
+  it('knows a pair of images from the samples of other shards', () => {
+    // Guards against shards that each have to learn all pairs of images from a
+    // part of the samples (quiet-1 of tuapapa-sched-large: 4,585 tasks stopped
+    // because they disturbed a serving task).
+    const other = new InterferenceModel();
+    const otherTrainer = new ModelTrainer(other);
+    otherTrainer.train('heavy', 10);
+    otherTrainer.train('light', 0);
+    const before = model.weightUpperBound('shop', 'light');
+    model.setPeerEvidence([other.exportEvidence()]);
+    expect(model.weight('shop', 'heavy')).toBeGreaterThan(7);
+    expect(model.weight('shop', 'light')).toBeLessThan(1);
+    expect(model.weightUpperBound('shop', 'light')).toBeLessThan(before - 2);
+  });
+
+  it('passes on nothing that it has from other shards', () => {
+    // Guards against evidence that grows by itself on its way around.
+    const other = new InterferenceModel();
+    new ModelTrainer(other).train('heavy', 10);
+    model.setPeerEvidence([other.exportEvidence()]);
+    expect(model.exportEvidence()).toEqual({shop: {}});
+    trainer.train('light', 0);
+    expect(Object.keys(model.exportEvidence()['shop'])).toEqual(['light']);
+  });
+
+  it('replaces what other shards had passed on before', () => {
+    // Guards against the same samples that count more with each exchange.
+    const other = new InterferenceModel();
+    const otherTrainer = new ModelTrainer(other);
+    otherTrainer.train('heavy', 10);
+    const evidence = other.exportEvidence();
+    model.setPeerEvidence([evidence]);
+    const once = model.weightUpperBound('shop', 'heavy');
+    for (let times = 0; times < 20; times++) model.setPeerEvidence([evidence]);
+    expect(model.weightUpperBound('shop', 'heavy')).toBe(once);
+  });
+
+  it('believes own samples that contradict other shards', () => {
+    // Guards against a wrong weight that others keep up.
+    const other = new InterferenceModel();
+    new ModelTrainer(other).train('heavy', 10);
+    model.setPeerEvidence([other.exportEvidence()]);
+    for (let times = 0; times < 10; times++) trainer.train('heavy', 2);
+    expect(model.weight('shop', 'heavy')).toBeLessThan(4);
+  });
 });
--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -27,12 +27,21 @@
 /** Strength of that expectation, as a sum of squares of feature values. */
 const PRIOR_STRENGTH = 0.02;
 
+/** What is expected of a pair of images without samples. */
+const DEFAULT_PRIOR = {mean: PRIOR_MEAN, weight: PRIOR_STRENGTH};
+
 /** Standard deviation of headroom changes that usage doesn't explain. */
 const SAMPLE_NOISE = 0.15;
 
 /** Factor by which weights from an earlier scheduler are stronger priors. */
 const INHERITED_STRENGTH_FACTOR = 10;
 
+/**
+ * Factor by which samples of other schedulers count less than own ones. What
+ * they pass on leaves out how their features depend on each other.
+ */
+const PEER_STRENGTH_FACTOR = 0.5;
+
 /**
  * Decay per sample of the earlier samples. Old samples count less because
  * load and interference change within seconds.
@@ -78,6 +87,15 @@
   Record<string, Readonly<Record<string, number>>>
 >;
 
+/**
+ * What a scheduler has learned from its own samples, by serving image and
+ * best-effort image: the weight, and the sum of squares of the shares in the
+ * samples.
+ */
+export type InterferenceEvidence = Readonly<
+  Record<string, Readonly<Record<string, readonly [number, number]>>>
+>;
+
 /** Linear model of the interference between images. */
 export class InterferenceModel {
   /** Models by serving image. */
@@ -103,13 +121,54 @@
     for (const [image, {regression}] of this.models) {
       const weights = [...regression.coefficients()].map(([name, value]) => [
         name,
-        Math.round(value * 100) / 100,
+        roundTo(value, 2),
       ]);
       all[image] = Object.fromEntries(weights);
     }
     return all;
   }
 
+  /** What this scheduler has learned from its own samples. */
+  exportEvidence(): InterferenceEvidence {
+    const all: Record<string, Record<string, readonly [number, number]>> = {};
+    for (const [image, {regression}] of this.models) {
+      const evidence: Record<string, readonly [number, number]> = {};
+      for (const [name, weight] of regression.ownCoefficients()) {
+        const sumOfSquares = regression.sumOfSquares(name);
+        if (sumOfSquares < PRIOR_STRENGTH) continue;
+        evidence[name] = [roundTo(weight, 2), roundTo(sumOfSquares, 3)];
+      }
+      all[image] = evidence;
+    }
+    return all;
+  }
+
+  /** Takes over what the schedulers of other shards have learned by now. */
+  setPeerEvidence(peers: Iterable<InterferenceEvidence>): void {
+    const sums = new Map<ImageModel, Map<string, [number, number]>>();
+    for (const evidence of peers) {
+      for (const [image, weights] of Object.entries(evidence)) {
+        const model = this.model(image);
+        const pairs = sums.get(model) ?? new Map<string, [number, number]>();
+        sums.set(model, pairs);
+        for (const [name, [weight, sumOfSquares]] of Object.entries(weights)) {
+          const strength = sumOfSquares * PEER_STRENGTH_FACTOR;
+          const [total, product] = pairs.get(name) ?? [0, 0];
+          pairs.set(name, [total + strength, product + strength * weight]);
+        }
+      }
+    }
+    for (const [model, pairs] of sums) {
+      for (const [name, [weight, product]] of pairs) {
+        model.regression.addFeature(name, DEFAULT_PRIOR);
+        const mean = product / weight;
+        model.regression.setPeerPrior(name, {mean, weight});
+      }
+      model.regression.solve();
+      model.meanWeight = undefined;
+    }
+  }
+
   /**
    * Adds a sample of one serving task.
    *
@@ -152,7 +211,9 @@
   weightUpperBound(image: string, bestEffortImage: string): number {
     const {regression} = this.model(image);
     const sumOfSquares =
-      PRIOR_STRENGTH + regression.sumOfSquares(bestEffortImage);
+      PRIOR_STRENGTH +
+      regression.sumOfSquares(bestEffortImage) +
+      regression.peerWeight(bestEffortImage);
     return (
       this.weight(image, bestEffortImage) +
       SAMPLE_NOISE / Math.sqrt(sumOfSquares)
@@ -173,9 +234,8 @@
     now: Millis,
   ): void {
     const model = this.model(image);
-    const prior = {mean: PRIOR_MEAN, weight: PRIOR_STRENGTH};
     for (const bestEffortImage of changes.keys()) {
-      model.regression.addFeature(bestEffortImage, prior);
+      model.regression.addFeature(bestEffortImage, DEFAULT_PRIOR);
     }
     const expected = this.headroomLoss(image, changes);
     model.regression.addSample(changes, clamp(loss, expected, MAX_RESIDUAL));
@@ -222,6 +282,11 @@
   return count === 0 ? PRIOR_MEAN : sum / count;
 }
 
+function roundTo(value: number, decimals: number): number {
+  const factor = 10 ** decimals;
+  return Math.round(value * factor) / factor;
+}
+
 function clamp(value: number, center: number, distance: number): number {
   return Math.min(center + distance, Math.max(center - distance, value));
 }
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -1,5 +1,5 @@
 import {Packr} from 'msgpackr';
-import {InterferenceWeights} from './interference.js';
+import {InterferenceEvidence, InterferenceWeights} from './interference.js';
 import {ShardLayout, ShardLoad, WHOLE_FLEET} from './shard_layout.js';
 import {JobShape, Queue, StepShape} from './types.js';
 
@@ -394,6 +394,31 @@
   return record!;
 }
 
+/** Encodes what a scheduler has learned of the interference. */
+export function packEvidence(evidence: InterferenceEvidence): Uint8Array {
+  return packr.pack(evidence);
+}
+
+/**
+ * Decodes what a scheduler has learned of the interference.
+ * @throws TypeError if it isn't made of weights and positive strengths.
+ */
+export function unpackEvidence(bytes: Uint8Array): InterferenceEvidence {
+  const evidence = packr.unpack(bytes) as InterferenceEvidence | null;
+  const rows = Object.values(evidence ?? {}).flatMap(weights =>
+    Object.values(weights),
+  );
+  const isValid =
+    evidence !== null &&
+    typeof evidence === 'object' &&
+    rows.every(
+      row =>
+        Array.isArray(row) && Number.isFinite(row[0]) && Number(row[1]) > 0,
+    );
+  if (!isValid) throw new TypeError('Record has no interference evidence.');
+  return evidence;
+}
+
 /** Decodes the learned interference weights. */
 export function unpackInterference(bytes: Uint8Array): InterferenceWeights {
   return packr.unpack(bytes) as InterferenceWeights;
--- a/src/common/batch/ridge_regression.ts
+++ b/src/common/batch/ridge_regression.ts
@@ -8,6 +8,10 @@
   private readonly matrix: number[][] = [];
   private readonly rightHandSide: number[] = [];
   private readonly priors: Prior[] = [];
+  /** Evidence from elsewhere, which counts as a further prior. */
+  private readonly peerPriors: (Prior | undefined)[] = [];
+  /** Coefficients that follow from the own samples and priors alone. */
+  private ownSolution: number[] = [];
   private solution: number[] = [];
   private isSolved = true;
 
@@ -19,12 +23,22 @@
     if (this.indices.has(name)) return;
     this.indices.set(name, this.priors.length);
     this.priors.push(prior);
+    this.peerPriors.push(undefined);
     for (const row of this.matrix) row.push(0);
     this.matrix.push(new Array<number>(this.priors.length).fill(0));
     this.rightHandSide.push(0);
     this.isSolved = false;
   }
 
+  /**
+   * Sets what is known about a known feature from elsewhere; it replaces what
+   * was set before.
+   */
+  setPeerPrior(name: string, prior: Prior): void {
+    this.peerPriors[this.indices.get(name)!] = prior;
+    this.isSolved = false;
+  }
+
   /**
    * Adds a sample; features that it doesn't name are 0. Earlier samples decay
    * in the named features only. Otherwise, a coefficient would return to its
@@ -44,7 +58,7 @@
 
   /**
    * Scales down the normal matrix in the named features, and adjusts the
-   * right-hand side so that the current solution doesn't change.
+   * right-hand side so that the solution from the own samples doesn't change.
    */
   private decaySamples(features: ReadonlyMap<string, number>): void {
     const scale = new Array<number>(this.priors.length).fill(1);
@@ -54,7 +68,8 @@
     this.matrix.forEach((row, a) => {
       for (let b = 0; b < row.length; b++) {
         const decayed = row[b] * scale[a] * scale[b];
-        this.rightHandSide[a] += (decayed - row[b]) * (this.solution[b] ?? 0);
+        const own = this.ownSolution[b] ?? 0;
+        this.rightHandSide[a] += (decayed - row[b]) * own;
         row[b] = decayed;
       }
     });
@@ -72,6 +87,20 @@
     return index === undefined ? 0 : this.matrix[index][index];
   }
 
+  /** Weight of what is known about a feature from elsewhere. */
+  peerWeight(name: string): number {
+    const index = this.indices.get(name);
+    return index === undefined ? 0 : (this.peerPriors[index]?.weight ?? 0);
+  }
+
+  /** Names and coefficients that follow from the own samples alone. */
+  *ownCoefficients(): Generator<[string, number]> {
+    for (const [name, index] of this.indices) {
+      const value = this.ownSolution[index];
+      if (value !== undefined) yield [name, value];
+    }
+  }
+
   /** Names and coefficients of all fitted features. */
   *coefficients(): Generator<[string, number]> {
     for (const [name, index] of this.indices) {
@@ -83,14 +112,26 @@
   /** Fits the coefficients to the samples and priors. */
   solve(): void {
     if (this.isSolved) return;
+    this.ownSolution = this.fit(this.priors);
+    const hasPeers = this.peerPriors.some(prior => prior !== undefined);
+    this.solution = hasPeers
+      ? this.fit(this.priors, this.peerPriors)
+      : this.ownSolution;
+    this.isSolved = true;
+  }
+
+  /** Coefficients that fit the samples and several lists of priors. */
+  private fit(...lists: readonly (readonly (Prior | undefined)[])[]): number[] {
     const rows = this.matrix.map((row, index) => {
-      const {weight, mean} = this.priors[index];
-      const copy = [...row, this.rightHandSide[index] + weight * mean];
-      copy[index] += weight;
+      const copy = [...row, this.rightHandSide[index]];
+      for (const priors of lists) {
+        const {weight = 0, mean = 0} = priors[index] ?? {};
+        copy[index] += weight;
+        copy[row.length] += weight * mean;
+      }
       return copy;
     });
-    this.solution = solveLinearSystem(rows);
-    this.isSolved = true;
+    return solveLinearSystem(rows);
   }
 }
 
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -60,7 +60,7 @@
  */
 export class Scheduler {
   readonly leases: WorkerLeases;
-  private readonly interference: InterferenceModel;
+  readonly interference: InterferenceModel;
   /** Local time of the last record of the interference weights. */
   private weightsRecordedAt: Millis;
   private readonly lifecycle: JobLifecycle;
--- a/src/common/batch/store.ts
+++ b/src/common/batch/store.ts
@@ -95,6 +95,11 @@
    * scheduler and read only at a takeover. Each shard has a topic of its own.
    */
   PROGRESS: 'progress',
+  /**
+   * What the scheduler of each shard has learned of the interference between
+   * images; read and written only by schedulers.
+   */
+  INTERFERENCE: 'interference',
   /** The operator's configuration. */
   OPERATOR: 'operator',
   /** Entries of workers in the instance list. */
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -38,6 +38,7 @@
   Topic,
 } from '../../common/batch/store.js';
 import {BatchConfiguration, WorkerListing} from '../../common/batch/types.js';
+import {EvidenceExchange} from './evidence_exchange.js';
 import {FencedWriter, writerName} from './fenced_writer.js';
 import {LogTail} from './log_tail.js';
 import {MeteredWorkerCalls} from './metered_worker_calls.js';
@@ -121,6 +122,7 @@
   private readonly decisions: DecisionLog;
   private workerCalls: RelayedWorkerCalls | undefined;
   private policy: HandOverPolicy | undefined;
+  private exchange: EvidenceExchange | undefined;
   private writers: TermWriters | undefined;
   private termBeganAt: Millis = 0;
 
@@ -241,6 +243,7 @@
       else if (!isFenced) await writers.role.resign();
     } finally {
       this.term = undefined;
+      this.exchange?.close();
       this.policy = undefined;
       this.writers = undefined;
       writers.role.close();
@@ -335,6 +338,8 @@
     scheduler.onWorkerListings(own);
     const {state} = scheduler;
     this.policy = this.createPolicy(state);
+    this.exchange = this.createExchange(scheduler);
+    void this.exchange?.run();
     this.termBeganAt = clock.now();
     this.decisions.decide('term-begins', {
       epoch: state.epoch,
@@ -393,6 +398,16 @@
     return policy;
   }
 
+  private createExchange({
+    interference,
+  }: Scheduler): EvidenceExchange | undefined {
+    const {log, view} = this.host;
+    if (!view.layout.isDivided) return undefined;
+    return new EvidenceExchange(log, this.shard, interference, (key, error) =>
+      this.onFault(`interference of ${key}`, error),
+    );
+  }
+
   private ownWorkers(
     listings: ReadonlyMap<string, WorkerListing>,
   ): ReadonlyMap<string, WorkerListing> {
