--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -1,10 +1,12 @@
 import {Millis, SECOND} from '../base/clock.js';
+import {ActiveJob} from './active_job.js';
 import {CostEvent, CostPart} from './cost_meter.js';
 import {Evacuation} from './evacuation.js';
 import {HeadroomForecast} from './headroom.js';
 import {InterferenceModel, InterferenceWeights} from './interference.js';
 import {JobLifecycle} from './job_lifecycle.js';
 import {
+  HandOverRecord,
   INTERFERENCE_KEY,
   packProgress,
   packRecord,
@@ -37,7 +39,10 @@
    * told must not be undone by a takeover.
    */
   readonly states: readonly KeyedRecord[];
-  /** Ids of jobs whose submissions may be removed from the intake topic. */
+  /**
+   * Ids of jobs whose records are to be removed from the intake topic. Their
+   * states stay until `onSubmissionsRemoved`.
+   */
   readonly expired: readonly string[];
   /** Commands to send after the records are durable. */
   readonly commands: readonly Command[];
@@ -55,7 +60,7 @@
  */
 export class Scheduler {
   readonly leases: WorkerLeases;
-  private readonly interference: InterferenceModel;
+  readonly interference: InterferenceModel;
   /** Local time of the last record of the interference weights. */
   private weightsRecordedAt: Millis;
   private readonly lifecycle: JobLifecycle;
@@ -63,6 +68,12 @@
   private readonly pacing: Pacing;
   private readonly evacuation: Evacuation;
   private readonly stallDetector: StallDetector;
+  /** Numbers of the hand-overs that are being stored, by job. */
+  private readonly leavingJobs = new Map<string, number>();
+  /** Jobs of other shards whose progress is to be removed from this topic. */
+  private readonly departedJobs = new Set<string>();
+  /** Expired jobs whose submissions are removed, and their states not yet. */
+  private readonly removedJobs = new Set<string>();
 
   constructor(
     readonly state: SchedulerState,
@@ -81,14 +92,21 @@
 
   /** Restores all jobs that the log holds, after a takeover. */
   restore(view: JobView): void {
-    this.lifecycle.lostWorkers = view.lostWorkers;
+    const lostWorkers = new Map(
+      [...view.lostWorkers].filter(([, {shard}]) => shard === this.state.shard),
+    );
+    this.lifecycle.lostWorkers = lostWorkers;
     // Also marks lost workers without runs, so that their records are removed
     // once they respond. A record left in the log would make a later scheduler
     // declare runs lost that started after the worker's return.
-    for (const id of view.lostWorkers.keys()) {
+    for (const id of lostWorkers.keys()) {
       this.state.getOrCreateWorker(id).isRecordedAsLost = true;
     }
     for (const job of view.jobs.values()) {
+      if (view.ownerOf(job) !== this.state.shard) {
+        if (job.progress !== undefined) this.departedJobs.add(job.id);
+        continue;
+      }
       try {
         this.lifecycle.add(job);
       } catch (error) {
@@ -99,10 +117,41 @@
 
   /** Adds a job or applies a cancellation that was read from the log. */
   onJob(known: KnownJob): void {
+    const leaving = this.leavingJobs.get(known.id);
+    if (leaving !== undefined) {
+      // A cancellation that is read now is left to the next owner. The job may
+      // also have come back before the answer to the append.
+      if ((known.handOver?.number ?? 0) <= leaving) return;
+      this.leavingJobs.delete(known.id);
+    }
     if (known.cancelled) this.lifecycle.cancel(known.id);
     this.lifecycle.add(known);
   }
 
+  /**
+   * Gives up a waiting job to another shard. Returns the record that makes the
+   * shard its owner; undefined if the job can't be handed over now. Nothing is
+   * done for the job any more, whether or not the record is stored.
+   */
+  handOver(job: ActiveJob, shard: string): HandOverRecord | undefined {
+    if (!this.lifecycle.release(job)) return undefined;
+    const number = job.handOvers + 1;
+    this.leavingJobs.set(job.id, number);
+    return {shard, number, progress: {...job.toRecord(), handOvers: number}};
+  }
+
+  /** Whether the hand-over of a job is being stored. */
+  isLeaving(job: string): boolean {
+    return this.leavingJobs.has(job);
+  }
+
+  /** Handles the answer that a hand-over of a job is stored. */
+  onHandedOver(job: string, number: number): void {
+    if (this.leavingJobs.get(job) !== number) return;
+    this.leavingJobs.delete(job);
+    this.departedJobs.add(job);
+  }
+
   /** Applies a new configuration of the operator. */
   onConfiguration(configuration: BatchConfiguration): void {
     this.state.configuration = configuration;
@@ -217,6 +266,11 @@
   private buildBatch(): CommitBatch {
     const {state} = this;
     const records: KeyedRecord[] = [];
+    // Before the others: a job may have come back meanwhile.
+    for (const id of this.departedJobs) {
+      records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
+    }
+    this.departedJobs.clear();
     const states = this.takeInheritedStates();
     for (const job of state.jobsToStore) {
       records.push({
@@ -228,17 +282,17 @@
       states.push({key: RecordKind.STATE + job.id, value: packState(change)});
     }
     state.jobsToStore.clear();
-    const expired = this.takeExpiredJobIds();
-    for (const id of expired) {
+    for (const id of this.removedJobs) {
       records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
       states.push({key: RecordKind.STATE + id, value: new Uint8Array()});
     }
+    this.removedJobs.clear();
     records.push(...this.weightRecords());
     states.push(...this.leases.lostWorkerRecords());
     return {
       records,
       states,
-      expired,
+      expired: this.takeExpiredJobIds(),
       commands: state.afterCommit.splice(0),
       ends: [...this.leases.unacknowledgedEnds()],
     };
@@ -282,6 +336,14 @@
     }
   }
 
+  /**
+   * Handles the removal of expired jobs from the intake topic. Only now are
+   * their states removed: without its state a submission is a new job.
+   */
+  onSubmissionsRemoved(ids: readonly string[]): void {
+    for (const id of ids) this.removedJobs.add(id);
+  }
+
   /** Returns the commands that need no record, and clears them. */
   takeImmediate(): Command[] {
     return this.state.immediate.splice(0);
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -1,8 +1,10 @@
 import {ManualClock} from '../base/manual_clock.js';
 import {Millis} from '../base/clock.js';
+import {CostMeter} from './cost_meter.js';
 import {JobView} from './job_view.js';
 import {packRecord, RecordKind} from './job_records.js';
 import {Scheduler} from './scheduler.js';
+import {WHOLE_FLEET} from './shard_layout.js';
 import {
   Command,
   CommandKind,
@@ -184,6 +186,8 @@
   /** Whether the scheduler fails before it stores the states of a batch. */
   dropsStates = false;
   scheduler: Scheduler;
+  /** Whether expired jobs can't be removed from the intake. */
+  failsRemovals = false;
   /** Run time of tasks on simulated workers. */
   taskMs: Millis = 1000;
   /** Names of tasks that crash each worker that starts them. */
@@ -196,7 +200,10 @@
   private readonly pendingStarts: Run[] = [];
   private epoch = 0;
 
-  constructor(private readonly queues: readonly Queue[] = [QUEUE]) {
+  constructor(
+    private readonly queues: readonly Queue[] = [QUEUE],
+    private readonly shard: string = WHOLE_FLEET,
+  ) {
     this.scheduler = this.createScheduler();
   }
 
@@ -290,6 +297,8 @@
       log,
       configuration,
       this.permissionClock,
+      new CostMeter(this.clock),
+      this.shard,
     );
     return new Scheduler(state);
   }
@@ -358,6 +367,16 @@
     scheduler.onBatchStored(batch);
     scheduler.onStatesStored(states);
     for (const command of batch.commands) this.execute(command);
+    if (!this.failsRemovals) this.removeSubmissions(batch.expired);
+  }
+
+  private removeSubmissions(ids: readonly string[]): void {
+    const now = this.clock.now();
+    for (const id of ids) {
+      const key = RecordKind.SUBMISSION + id;
+      this.view.apply({key, value: new Uint8Array()}, now);
+    }
+    this.scheduler.onSubmissionsRemoved(ids);
   }
 
   private renew(worker: SimulatedWorker): void {
