Move division and hand-overs out of the shard's role

The decision to divide the fleet, the hand-overs of a term, the interface of the host and the decision log of a shard are in files of their own now. No behaviour changes.

--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -35,7 +35,8 @@
 import {LogTail} from './log_tail.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
 import {SerialExecutor} from './serial_executor.js';
-import {ShardRole, ShardRoleHost} from './shard_role.js';
+import {ShardRole} from './shard_role.js';
+import {ShardRoleHost} from './shard_role_host.js';
 import {Term} from './term.js';
 import {WorkerList} from './worker_list.js';
 
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -1,52 +1,35 @@
 import {randomInt} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Clock, Millis, SECOND} from '../../common/base/clock.js';
-import {CostMeter} from '../../common/batch/cost_meter.js';
-import {CostReport, ProcessUsage} from '../../common/batch/cost_report.js';
+import {Millis} from '../../common/base/clock.js';
+import {CostReport} from '../../common/batch/cost_report.js';
 import {Election} from '../../common/batch/election.js';
-import {HandOver} from '../../common/batch/hand_over.js';
-import {HandOverPolicy} from '../../common/batch/hand_over_policy.js';
 import {
-  HandOverRecord,
-  InstanceRecord,
   LAYOUT_KEY,
-  packHandOver,
   packLayout,
   packRecord,
   RecordKind,
   schedulerKey,
   SchedulerRecord,
 } from '../../common/batch/job_records.js';
-import {JobView, KnownJob} from '../../common/batch/job_view.js';
+import {KnownJob} from '../../common/batch/job_view.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {
   DecisionLog,
   SchedulerState,
-  SchedulerTimings,
 } from '../../common/batch/scheduler_state.js';
-import {
-  layoutFor,
-  ShardLayout,
-  ShardLoad,
-  WHOLE_FLEET,
-} from '../../common/batch/shard_layout.js';
-import {
-  AppendResult,
-  KeyedLog,
-  KeyedRecord,
-  progressTopic,
-  Topic,
-} from '../../common/batch/store.js';
-import {BatchConfiguration, WorkerListing} from '../../common/batch/types.js';
+import {ShardLayout, WHOLE_FLEET} from '../../common/batch/shard_layout.js';
+import {AppendResult, progressTopic, Topic} from '../../common/batch/store.js';
+import {WorkerListing} from '../../common/batch/types.js';
 import {FencedWriter, writerName} from './fenced_writer.js';
-import {LogTail} from './log_tail.js';
+import {FleetDivision} from './fleet_division.js';
+import {JobHandOvers} from './job_hand_overs.js';
 import {MeteredWorkerCalls} from './metered_worker_calls.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
 import {RoleWriter} from './role_writer.js';
-import {SerialExecutor} from './serial_executor.js';
+import {ShardDecisionLog} from './shard_decision_log.js';
+import {ShardRoleHost} from './shard_role_host.js';
 import {Takeover} from './takeover.js';
 import {Term, TermEndReason} from './term.js';
-import {WorkerList} from './worker_list.js';
 
 /** Timeout of the append that claims the scheduler role. */
 const CLAIM_TIMEOUT_MS: Millis = 800;
@@ -63,42 +46,6 @@
 /** Delay before the states topic is read again for this instance's claim. */
 const CLAIM_READ_DELAY_MS: Millis = 50;
 
-/**
- * Time in a term before the fleet is divided, in which instances and workers
- * announce themselves.
- */
-const DIVISION_DELAY_MS: Millis = 2 * SECOND;
-
-/** What all roles of an instance share. */
-export interface ShardRoleHost {
-  readonly name: string;
-  /** Tells this process apart from earlier ones under the same name. */
-  readonly incarnation: string;
-  readonly announcement: InstanceRecord;
-  readonly log: KeyedLog;
-  readonly clock: Clock;
-  readonly wallClock: Clock;
-  readonly permissionClock: Clock;
-  readonly decisions: DecisionLog;
-  readonly timings: () => SchedulerTimings;
-  readonly createWorkerCalls: () => RelayedWorkerCalls;
-  readonly costs: CostMeter;
-  readonly processUsage: ProcessUsage;
-  readonly view: JobView;
-  readonly workers: WorkerList;
-  readonly statesTail: LogTail;
-  readonly intakeTail: LogTail;
-  readonly workersTail: LogTail;
-  /** Takeovers share the replica, so they load one after the other. */
-  readonly takeovers: SerialExecutor;
-  readonly configuration: () => BatchConfiguration;
-  /** Loads of the shards whose schedulers are alive. */
-  readonly loads: () => ReadonlyMap<string, ShardLoad>;
-  readonly isStopping: () => boolean;
-  /** Called when this instance becomes or is no longer a shard's scheduler. */
-  readonly onRoleChange: () => void;
-}
-
 /** The writers of one term. */
 interface TermWriters {
   readonly role: RoleWriter;
@@ -120,9 +67,8 @@
   private readonly takeover: Takeover;
   private readonly decisions: DecisionLog;
   private workerCalls: RelayedWorkerCalls | undefined;
-  private policy: HandOverPolicy | undefined;
+  private handOvers: JobHandOvers | undefined;
   private writers: TermWriters | undefined;
-  private termBeganAt: Millis = 0;
 
   constructor(
     readonly shard: string,
@@ -171,7 +117,7 @@
     const own = this.ownWorkers(listings);
     this.workerCalls?.setFleet(this.host.view.instances, own);
     this.term.scheduler.onWorkerListings(own);
-    this.policy?.setListings(listings);
+    this.handOvers?.setListings(listings);
   }
 
   private async claimOnce(): Promise<void> {
@@ -241,7 +187,7 @@
       else if (!isFenced) await writers.role.resign();
     } finally {
       this.term = undefined;
-      this.policy = undefined;
+      this.handOvers = undefined;
       this.writers = undefined;
       writers.role.close();
       writers.progress.close();
@@ -283,7 +229,7 @@
         },
       },
       shard,
-      () => this.policy?.load(this.host.clock.now()),
+      () => this.handOvers?.load(),
     );
     const createWriter = (topic: Topic): FencedWriter =>
       new FencedWriter(
@@ -334,8 +280,6 @@
     scheduler.restore(view);
     scheduler.onWorkerListings(own);
     const {state} = scheduler;
-    this.policy = this.createPolicy(state);
-    this.termBeganAt = clock.now();
     this.decisions.decide('term-begins', {
       epoch: state.epoch,
       jobs: state.jobs.size,
@@ -343,6 +287,11 @@
       workers: own.size,
       takeoverMs: Math.round(permissionClock.now() - claimedAt),
     });
+    const division = new FleetDivision({
+      ...host,
+      state,
+      divide: layout => void this.divide(layout),
+    });
     const term = new Term(scheduler, {
       workerClient: new MeteredWorkerCalls(workerCalls, host.costs),
       clock,
@@ -351,10 +300,11 @@
       intake,
       costReport: new CostReport(state, host.processUsage),
       onTick: () => {
-        this.divideIfNeeded();
-        this.handOverJobs();
+        division.run();
+        this.handOvers?.run();
       },
     });
+    this.handOvers = this.createHandOvers(term, intake);
     // The instance may have been told to stop during the takeover.
     if (host.isStopping()) term.resign();
     return term;
@@ -380,17 +330,13 @@
   }
 
   /** A fleet that is not divided has no shard to hand jobs over to. */
-  private createPolicy(state: SchedulerState): HandOverPolicy | undefined {
-    const {layout} = this.host.view;
-    if (!layout.isDivided) return undefined;
-    const policy = new HandOverPolicy(
-      state,
-      this.shard,
-      ({handOvers}) => handOvers,
-    );
-    policy.setLayout(layout);
-    policy.setListings(this.host.workers.byId);
-    return policy;
+  private createHandOvers(
+    term: Term,
+    intake: FencedWriter,
+  ): JobHandOvers | undefined {
+    const {host, shard, decisions} = this;
+    if (!host.view.layout.isDivided) return undefined;
+    return new JobHandOvers({...host, shard, decisions, term, intake});
   }
 
   private ownWorkers(
@@ -407,95 +353,22 @@
 
   /** Takes a job that was read, or hands it over before it is started. */
   onJob(known: KnownJob): void {
-    const {term, policy} = this;
+    const {term, handOvers} = this;
     if (term === undefined) return;
     const {scheduler} = term;
     const isNew = !scheduler.state.jobs.has(known.id);
     scheduler.onJob(known);
     const job = scheduler.state.jobs.get(known.id);
     if (!isNew || job === undefined || known.state !== undefined) return;
-    const handOver = policy?.chooseForNew(job, this.host.clock.now());
-    if (handOver !== undefined) this.handOver(term, [handOver]);
-  }
-
-  /** Hands over waiting jobs that other shards can serve better. */
-  private handOverJobs(): void {
-    const {term, policy} = this;
-    if (term === undefined || policy === undefined) return;
-    policy.setLoads(this.host.loads());
-    this.handOver(term, policy.choose(this.host.clock.now()));
-  }
-
-  private handOver(term: Term, handOvers: Iterable<HandOver>): void {
-    const numbers = new Map<string, number>();
-    const records: KeyedRecord[] = [];
-    for (const handOver of handOvers) {
-      const record = this.release(term, handOver);
-      if (record === undefined) continue;
-      const {id} = handOver.job;
-      numbers.set(id, record.number);
-      const value = packHandOver(record);
-      records.push({key: RecordKind.HAND_OVER + id, value});
-    }
-    if (records.length > 0) void this.storeHandOvers(term, numbers, records);
+    handOvers?.onNewJob(job);
   }
 
-  /** Gives up a job, unless its state or records are being stored. */
-  private release(
-    term: Term,
-    {job, to, reason}: HandOver,
-  ): HandOverRecord | undefined {
-    const {id} = job;
-    if (!term.isStateStored(id)) return undefined;
-    const record = term.scheduler.handOver(job, to);
-    if (record === undefined) return undefined;
-    const {number} = record;
-    this.decisions.decide('hand-over', {job: id, to, reason, number});
-    return record;
-  }
-
-  private async storeHandOvers(
-    {scheduler}: Term,
-    numbers: ReadonlyMap<string, number>,
-    records: readonly KeyedRecord[],
-  ): Promise<void> {
-    const {view, clock} = this.host;
-    if (!(await this.writers?.intake.append(records))) return;
-    for (const record of records) view.apply(record, clock.now());
-    for (const [job, number] of numbers) scheduler.onHandedOver(job, number);
-  }
-
-  /**
-   * Divides a fleet that one scheduler can't carry, before its first job. The
-   * schedulers of the shards replace this one.
-   */
-  private divideIfNeeded(): void {
-    const {term, host} = this;
-    const {view, clock, announcement, workers} = host;
-    if (term === undefined || view.layout.isDivided) return;
-    const {state} = term.scheduler;
-    if (!state.placesTasks || view.jobs.size > 0) return;
-    if (clock.now() - this.termBeganAt < DIVISION_DELAY_MS) return;
-    const processors = [announcement, ...view.instances.values()].map(
-      record => record.processors,
-    );
-    const dataCentres = [...workers.byId.values()].map(
-      ({dataCentre}) => dataCentre,
-    );
-    const layout = layoutFor(dataCentres, Math.max(...processors));
-    if (!layout.isDivided) return;
-    state.placesTasks = false;
-    this.decisions.decide('fleet-divided', {
-      workers: dataCentres.length,
-      shards: layout.shards,
-    });
-    void this.divide(term, layout);
-  }
-
-  private async divide(term: Term, layout: ShardLayout): Promise<void> {
+  /** Stores the layout of a divided fleet, whose schedulers replace this one. */
+  private async divide(layout: ShardLayout): Promise<void> {
+    const {term} = this;
     const value = packLayout(layout);
     await this.writers?.intake.append([{key: LAYOUT_KEY, value}]);
-    term.resign();
+    term?.resign();
   }
 
   private onFault(part: string, error: unknown): void {
@@ -503,15 +376,3 @@
     this.decisions.decide('fault', {part, error: text});
   }
 }
-
-/** Adds the shard to each decision. */
-class ShardDecisionLog implements DecisionLog {
-  constructor(
-    private readonly log: DecisionLog,
-    private readonly shard: string,
-  ) {}
-
-  decide(decision: string, fields: Readonly<Record<string, unknown>>): void {
-    this.log.decide(decision, {shard: this.shard, ...fields});
-  }
-}
