Divide the fleet only when its workers are listed

The division fell on the first check at which more workers were listed than one scheduler carries, so data centres that were listed later had no shard, and the recorded weights were those of a partial list. It waits now until the number of listed workers has not changed for a second, for at most four seconds, and gives a shard to data centres that have announced instances only.

The layout does not gain shards later: the owner of a job that was never handed over is a hash over the recorded list, which a replica may read before or after its change. The scheduler that has the workers of a data centre without a shard logs it once.

--- a/src/node/batch/fleet_division.test.ts
+++ b/src/node/batch/fleet_division.test.ts
@@ -3,6 +3,7 @@
 import {JobLifecycle} from '../../common/batch/job_lifecycle.js';
 import {
   JobPhase,
+  packRecord,
   packState,
   ProgressRecord,
   RecordKind,
@@ -205,4 +206,71 @@
     expect(state.placesTasks).toBe(true);
     expect(layouts).toEqual([]);
   });
+
+  it('waits until the number of listed workers does not change', () => {
+    // Guards against a layout without the data centres that are listed last,
+    // and with wrong weights for the others.
+    list('a', 6);
+    list('b', 4);
+    const division = begin();
+    run(division, 0.9 * SECOND);
+    list('b', 8);
+    run(division, 0.9 * SECOND);
+    list('c', 5);
+    run(division, 0.9 * SECOND);
+    expect(layouts).toEqual([]);
+    run(division, 0.3 * SECOND);
+    expect(layouts).toHaveLength(1);
+    const [{shards, workers: weights}] = layouts;
+    expect(shards).toEqual(['a', 'b', 'c']);
+    expect(weights).toEqual([6, 8, 5]);
+  });
+
+  it('decides after a few seconds while the number changes', () => {
+    // Guards against jobs that wait for as long as workers come and go.
+    list('a', 1);
+    const division = begin();
+    for (let count = 2; count <= 10; count++) {
+      run(division, 0.5 * SECOND);
+      list('a', count);
+    }
+    expect(state.placesTasks).toBe(true);
+  });
+
+  it('lets a fleet with a stable list place tasks after a second', () => {
+    // Guards against a division that delays the first tasks of a small site.
+    list('a', 2);
+    const division = begin();
+    run(division, 1.1 * SECOND);
+    expect(state.placesTasks).toBe(true);
+  });
+
+  it('waits for the list if workers are listed late', () => {
+    // Guards against a decision on the first worker of a large fleet, because
+    // the term began long before.
+    const division = begin();
+    run(division, 10 * SECOND);
+    list('a', 1);
+    run(division, 0.5 * SECOND);
+    expect(state.placesTasks).toBe(false);
+    list('a', 4);
+    list('b', 4);
+    run(division, 2 * SECOND);
+    expect(layouts).toHaveLength(1);
+  });
+
+  it('gives a shard to a data centre that has only instances yet', () => {
+    // Guards against workers that are listed after the division, and whose data
+    // centre has no shard.
+    list('a', 4);
+    list('c', 4);
+    const instance = {processors: PROCESSORS, dataCentre: 'b'};
+    const value = packRecord(instance);
+    view.apply({key: `${RecordKind.INSTANCE}b1`, value}, clock.now());
+    const division = begin();
+    run(division, 5 * SECOND);
+    expect(layouts).toHaveLength(1);
+    expect(layouts[0].shards).toEqual(['a', 'b', 'c']);
+    expect(layouts[0].workers).toEqual([4, 1, 4]);
+  });
 });
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -69,6 +69,8 @@
   private workerCalls: RelayedWorkerCalls | undefined;
   private handOvers: JobHandOvers | undefined;
   private writers: TermWriters | undefined;
+  /** Data centres without a shard that were logged. */
+  private readonly loggedDataCentres = new Set<string>();
 
   constructor(
     readonly shard: string,
@@ -344,6 +346,7 @@
   ): ReadonlyMap<string, WorkerListing> {
     const {layout} = this.host.view;
     if (!layout.isDivided) return listings;
+    this.logDataCentresWithoutShard(listings.values());
     return new Map(
       [...listings].filter(
         ([, {dataCentre}]) => layout.shardOf(dataCentre) === this.shard,
@@ -351,6 +354,18 @@
     );
   }
 
+  /** The layout is final, so their workers belong to other shards. */
+  private logDataCentresWithoutShard(listings: Iterable<WorkerListing>): void {
+    const {layout} = this.host.view;
+    for (const {dataCentre} of listings) {
+      if (layout.has(dataCentre)) continue;
+      if (layout.shardOf(dataCentre) !== this.shard) continue;
+      if (this.loggedDataCentres.has(dataCentre)) continue;
+      this.loggedDataCentres.add(dataCentre);
+      this.decisions.decide('data-centre-without-shard', {dataCentre});
+    }
+  }
+
   /** Takes a job that was read, or hands it over before it is started. */
   onJob(known: KnownJob): void {
     const {term, handOvers} = this;
