Make no hand-overs while the last ones are being stored

Each check released up to 20 jobs with an append of their own, and each new job one more, although the last append to a slow intake had not ended: their jobs ran nowhere. There are no new hand-overs now while the writer is busy. Those of the jobs that are read together go into one append, so that the first new job does not keep the others here. The ledger counts a job as sent until its record is stored, and for 2 s after that.

--- /dev/null
+++ b/src/common/batch/hand_over_ledger.test.ts
@@ -0,0 +1,49 @@
+import {SECOND} from '../base/clock.js';
+import {ActiveJob} from './active_job.js';
+import {HandOverLedger} from './hand_over_ledger.js';
+import {QUEUE, STEP} from './simulated_fleet.test_support.js';
+
+describe('HandOverLedger', () => {
+  let ledger: HandOverLedger;
+  let job: ActiveJob;
+
+  beforeEach(() => {
+    ledger = new HandOverLedger();
+    const shape = {
+      spec: '',
+      steps: [STEP],
+      repeats: 0,
+      startMs: 0,
+      periodMs: 0,
+    };
+    job = new ActiveJob('a', {queue: QUEUE, acceptedAt: 0, shape}, QUEUE, 0);
+    ledger.add(job, 'b', 500, 0);
+  });
+
+  it('forgets a hand-over that was not made', () => {
+    // Guards against a job that is never chosen again.
+    ledger.expire(2.1 * SECOND);
+    expect(ledger.has(job)).toBe(false);
+    expect(ledger.workTo('b')).toBe(0);
+  });
+
+  it('keeps a hand-over that is being stored', () => {
+    // Guards against a shard that is sent work without end, as its backlog does
+    // not show what waits for a slow store.
+    ledger.beginStoring(job);
+    ledger.expire(60 * SECOND);
+    expect(ledger.has(job)).toBe(true);
+    expect(ledger.workTo('b')).toBe(500);
+  });
+
+  it('forgets a hand-over some time after it was stored', () => {
+    // Guards against a gap between the record and the load that shows the job.
+    ledger.beginStoring(job);
+    ledger.endStoring(job, 60 * SECOND);
+    ledger.expire(61.9 * SECOND);
+    expect(ledger.workTo('b')).toBe(500);
+    ledger.expire(62.1 * SECOND);
+    expect(ledger.has(job)).toBe(false);
+    expect(ledger.workTo('b')).toBe(0);
+  });
+});
--- a/src/common/batch/hand_over_policy.ts
+++ b/src/common/batch/hand_over_policy.ts
@@ -69,7 +69,7 @@
 export class HandOverPolicy {
   private readonly work: WaitingWork;
   private readonly capacity: ListedCapacity;
-  private readonly ledger = new HandOverLedger();
+  readonly ledger = new HandOverLedger();
   private readonly destinations: HandOverDestinations;
   private readonly contact = new WorkerContact();
   private readonly budget = new HandOverBudget();
--- a/src/node/batch/job_hand_overs.ts
+++ b/src/node/batch/job_hand_overs.ts
@@ -11,7 +11,6 @@
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {DecisionLog} from '../../common/batch/scheduler_state.js';
 import {ShardLoad} from '../../common/batch/shard_layout.js';
-import {KeyedRecord} from '../../common/batch/store.js';
 import {WorkerListing} from '../../common/batch/types.js';
 import {FencedWriter} from './fenced_writer.js';
 import {Term} from './term.js';
@@ -28,13 +27,24 @@
   readonly loads: () => ReadonlyMap<string, ShardLoad>;
   readonly term: Pick<Term, 'scheduler' | 'isStateStored'>;
   /** Writes to the intake under the epoch of the term. */
-  readonly intake: Pick<FencedWriter, 'append'>;
+  readonly intake: Pick<FencedWriter, 'append' | 'isBusy'>;
 }
 
-/** Hands jobs of a term over to other shards. */
+/** A hand-over whose record is to be stored. */
+interface ReleasedJob {
+  readonly job: ActiveJob;
+  readonly record: HandOverRecord;
+}
+
+/**
+ * Hands jobs of a term over to other shards. A job whose hand-over waits for
+ * the store runs nowhere, so there are no new ones before the last are stored.
+ */
 export class JobHandOvers {
   private readonly policy: HandOverPolicy;
   private readonly scheduler: Scheduler;
+  /** Jobs that were released since the last append. */
+  private released: ReleasedJob[] = [];
 
   constructor(private readonly dependencies: JobHandOversDependencies) {
     const {shard, term, view, workers} = dependencies;
@@ -60,53 +70,51 @@
 
   /** Hands a job over that another shard should start. */
   onNewJob(job: ActiveJob): void {
-    const now = this.dependencies.clock.now();
-    const handOver = this.policy.chooseForNew(job, now);
-    if (handOver !== undefined) this.handOver([handOver]);
+    const {clock, intake} = this.dependencies;
+    if (intake.isBusy) return;
+    const handOver = this.policy.chooseForNew(job, clock.now());
+    if (handOver !== undefined) this.release(handOver);
   }
 
   /** Hands over waiting jobs that other shards can serve better. */
   run(): void {
-    const {loads, clock} = this.dependencies;
+    const {loads, clock, intake} = this.dependencies;
     this.policy.setLoads(loads());
-    this.handOver(this.policy.choose(clock.now()));
-  }
-
-  private handOver(handOvers: Iterable<HandOver>): void {
-    const numbers = new Map<string, number>();
-    const records: KeyedRecord[] = [];
-    for (const handOver of handOvers) {
-      const record = this.release(handOver);
-      if (record === undefined) continue;
-      const {id} = handOver.job;
-      numbers.set(id, record.number);
-      const value = packHandOver(record);
-      records.push({key: RecordKind.HAND_OVER + id, value});
+    if (intake.isBusy) return;
+    for (const handOver of this.policy.choose(clock.now())) {
+      this.release(handOver);
     }
-    if (records.length > 0) void this.store(numbers, records);
   }
 
   /** Gives up a job, unless its state or records are being stored. */
-  private release({job, to, reason}: HandOver): HandOverRecord | undefined {
+  private release({job, to, reason}: HandOver): void {
     const {term, decisions} = this.dependencies;
     const {id} = job;
-    if (!term.isStateStored(id)) return undefined;
+    if (!term.isStateStored(id)) return;
     const record = this.scheduler.handOver(job, to);
-    if (record === undefined) return undefined;
+    if (record === undefined) return;
     const {number} = record;
     decisions.decide('hand-over', {job: id, to, reason, number});
-    return record;
+    this.policy.ledger.beginStoring(job);
+    // Jobs that are read or checked together are stored in one append.
+    if (this.released.length === 0) queueMicrotask(() => void this.store());
+    this.released.push({job, record});
   }
 
-  private async store(
-    numbers: ReadonlyMap<string, number>,
-    records: readonly KeyedRecord[],
-  ): Promise<void> {
+  private async store(): Promise<void> {
     const {view, clock, intake} = this.dependencies;
+    const {released} = this;
+    this.released = [];
+    const records = released.map(({job, record}) => ({
+      key: RecordKind.HAND_OVER + job.id,
+      value: packHandOver(record),
+    }));
     if (!(await intake.append(records))) return;
-    for (const record of records) view.apply(record, clock.now());
-    for (const [job, number] of numbers) {
-      this.scheduler.onHandedOver(job, number);
+    const now = clock.now();
+    for (const record of records) view.apply(record, now);
+    for (const {job, record} of released) {
+      this.scheduler.onHandedOver(job.id, record.number);
+      this.policy.ledger.endStoring(job, now);
     }
   }
 }
