Spread jobs with lasting tasks by what they reserve

Owners by hash put up to half as many jobs more into one shard, and published loads are too old for the 120 jobs that come within a second. Other jobs that reserve processors compare the reserved share, best-effort ones the whole demand. Result: 120 jobs at once differ by at most 2 between five shards in the test (by hash alone by half); the test fails without the choice.

--- a/src/common/batch/demand_balance.test.ts
+++ b/src/common/batch/demand_balance.test.ts
@@ -1,10 +1,10 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {DemandBalance} from './demand_balance.js';
+import {DemandBalance, DemandKind} from './demand_balance.js';
 import {ShardLoad} from './shard_layout.js';
 
 function load(demand: number | undefined, usableWorkers = 100): ShardLoad {
-  return {backlogMs: 0, usableWorkers, demand};
+  return {backlogMs: 0, usableWorkers, demand, reserved: demand};
 }
 
 describe('DemandBalance', () => {
@@ -18,9 +18,14 @@
     count: number,
   ): Map<string | undefined, number> {
     const counts = new Map<string | undefined, number>();
-    const own = {demand, usableWorkers: 100};
+    const own = {demand, reserved: 0};
     for (let index = 0; index < count; index++) {
-      const shard = balance.choose(own, [...loads.keys()], loads);
+      const shard = balance.choose(
+        DemandKind.ALL,
+        own,
+        [...loads.keys()],
+        loads,
+      );
       counts.set(shard, (counts.get(shard) ?? 0) + 1);
     }
     return counts;
@@ -32,9 +37,6 @@
       ['b', load(0.5)],
       ['c', load(0.58)],
     ]);
-    expect(balance.isEven({demand: 0.54, usableWorkers: 100}, loads)).toBe(
-      true,
-    );
     expect(spread(0.54, loads, 100).get(undefined)).toBe(100);
   });
 
@@ -58,10 +60,22 @@
       ['b', load(0, 0)],
       ['c', load(undefined)],
     ]);
-    expect(balance.isEven({demand: 2, usableWorkers: 100}, loads)).toBe(true);
     expect(spread(2, loads, 100).get(undefined)).toBe(100);
   });
 
+  it('compares what new jobs compete for', () => {
+    // Guards against jobs that reserve processors and leave for a shard that has
+    // fewer best-effort tasks but no room.
+    const loads = new Map([
+      ['b', {backlogMs: 0, usableWorkers: 100, demand: 0.2, reserved: 0.9}],
+    ]);
+    const own = {demand: 0.9, reserved: 0.5};
+    const chosen = (kind: DemandKind) =>
+      balance.choose(kind, own, ['b'], loads);
+    expect(chosen(DemandKind.RESERVED)).toBeUndefined();
+    expect(chosen(DemandKind.ALL)).toBe('b');
+  });
+
   it('evens out jobs that a hash has put into one shard', () => {
     // Guards against best-effort tasks that slow the serving tasks of one data
     // centre while others are idle (small twin of tuapapa-sched-large, quiet-1:
@@ -82,9 +96,14 @@
             .filter(name => name !== `${home}`)
             .map(name => [name, load(known[Number(name)])]),
         );
-        const own = {demand: demand[home], usableWorkers: 100};
+        const own = {demand: demand[home], reserved: 0};
         for (let job = 0; job < jobs; job++) {
-          const to = balance.choose(own, [...loads.keys()], loads);
+          const to = balance.choose(
+            DemandKind.ALL,
+            own,
+            [...loads.keys()],
+            loads,
+          );
           demand[to === undefined ? home : Number(to)] += 0.03;
         }
       });
--- a/src/common/batch/demand_balance.ts
+++ b/src/common/batch/demand_balance.ts
@@ -9,11 +9,15 @@
  */
 const FULL_RESPONSE = 0.3;
 
+/** Which tasks count: those that compete with a new job for processors. */
+export const DemandKind = {
+  ALL: 'demand',
+  RESERVED: 'reserved',
+} as const;
+export type DemandKind = (typeof DemandKind)[keyof typeof DemandKind];
+
 /** Load of this shard, as far as it matters for new jobs. */
-export interface OwnDemand {
-  readonly demand: number;
-  readonly usableWorkers: number;
-}
+export type OwnDemand = Readonly<Record<DemandKind, number>>;
 
 /**
  * Sends new jobs to shards whose workers are less in demand. Best-effort tasks
@@ -24,20 +28,13 @@
   /** @param random returns a random number from 0 to 1, without 1. */
   constructor(private readonly random: () => number) {}
 
-  /** Whether no shard is clearly less in demand. */
-  isEven(own: OwnDemand, loads: ReadonlyMap<string, ShardLoad>): boolean {
-    for (const load of loads.values()) {
-      if (excessOver(load, own) > 0) return false;
-    }
-    return true;
-  }
-
   /**
    * Chooses one of the shards for a new job; undefined if the job stays. The
    * probability that it leaves grows with the largest difference, and is shared
    * by the shards in proportion to theirs and to their workers.
    */
   choose(
+    kind: DemandKind,
     own: OwnDemand,
     shards: readonly string[],
     loads: ReadonlyMap<string, ShardLoad>,
@@ -48,7 +45,7 @@
     for (const shard of shards) {
       const load = loads.get(shard);
       if (load === undefined) continue;
-      const excess = excessOver(load, own);
+      const excess = excessOver(load, own, kind);
       if (excess <= 0) continue;
       const weight = excess * load.usableWorkers;
       weights.push([shard, weight]);
@@ -66,7 +63,8 @@
 }
 
 /** By how much the demand here exceeds that of a shard and the margin. */
-function excessOver(load: ShardLoad, own: OwnDemand): number {
-  if (load.demand === undefined || load.usableWorkers === 0) return 0;
-  return own.demand - load.demand - MARGIN;
+function excessOver(load: ShardLoad, own: OwnDemand, kind: DemandKind): number {
+  const demand = load[kind];
+  if (demand === undefined || load.usableWorkers === 0) return 0;
+  return own[kind] - demand - MARGIN;
 }
--- a/src/common/batch/hand_over_destinations.ts
+++ b/src/common/batch/hand_over_destinations.ts
@@ -58,6 +58,11 @@
       }));
   }
 
+  /** Those of the shards whose workers accept starts. */
+  usable(shards: readonly string[]): readonly string[] {
+    return shards.filter(shard => this.isKnownUsable(shard));
+  }
+
   /** Whether the load of a shard is known and shows usable workers. */
   private isKnownUsable(shard: string): boolean {
     return (this.loads.get(shard)?.usableWorkers ?? 0) > 0;
--- a/src/common/batch/hand_over_policy.ts
+++ b/src/common/batch/hand_over_policy.ts
@@ -1,6 +1,6 @@
 import {Millis, SECOND} from '../base/clock.js';
 import {ActiveJob, ActiveStep, ActiveTask, isStepReady} from './active_job.js';
-import {DemandBalance} from './demand_balance.js';
+import {DemandBalance, DemandKind} from './demand_balance.js';
 import {HandOver, HandOverReason} from './hand_over.js';
 import {HandOverBudget} from './hand_over_budget.js';
 import {HandOverDestinations, spread} from './hand_over_destinations.js';
@@ -9,6 +9,7 @@
 import {ListedCapacity} from './listed_capacity.js';
 import {isUsable} from './placement.js';
 import {hasRoom} from './placement_cost.js';
+import {ReservationBalance, reservesForGood} from './reservation_balance.js';
 import {SchedulerState} from './scheduler_state.js';
 import {ShardLayout, ShardLoad} from './shard_layout.js';
 import {WorkerListing} from './types.js';
@@ -83,6 +84,7 @@
     backlogMs: 0,
     usableWorkers: 0,
     demand: 0,
+    reserved: 0,
     cpuMilli: 0,
   };
   private loadedAt: Millis = -Infinity;
@@ -152,22 +154,31 @@
     this.ledger.expire(now);
     this.ownLoad = this.work.load(job => this.ledger.has(job), now);
     this.loadedAt = now;
-    const {backlogMs, usableWorkers, demand} = this.ownLoad;
-    return {backlogMs, usableWorkers, demand};
+    const {backlogMs, usableWorkers, demand, reserved} = this.ownLoad;
+    return {backlogMs, usableWorkers, demand, reserved};
   }
 
   /**
    * Chooses another shard for a job that this scheduler has just taken, before
    * any of its tasks is placed; undefined if it stays.
    */
-  chooseForNew(job: ActiveJob, now: Millis): HandOver | undefined {
+  chooseForNew(
+    job: ActiveJob,
+    reservations: ReservationBalance,
+    now: Millis,
+  ): HandOver | undefined {
     if (job.handOvers > 0 || job.hasStarted || !this.isListed) return undefined;
-    const {demand, usableWorkers} = this.ownLoad;
-    const own = {demand, usableWorkers};
-    const loads = this.destinations.loads;
-    if (this.demandBalance.isEven(own, loads)) return undefined;
-    const shards = this.destinations.shardsForAll(unfinishedSteps(job));
-    const to = this.demandBalance.choose(own, shards, loads);
+    const shards = this.destinations.usable(
+      this.destinations.shardsForAll(unfinishedSteps(job)),
+    );
+    const to = reservesForGood(job)
+      ? reservations.choose(job, shards, shard => this.capacity.cpuMilli(shard))
+      : this.demandBalance.choose(
+          hasReservedStep(job) ? DemandKind.RESERVED : DemandKind.ALL,
+          this.ownLoad,
+          shards,
+          this.destinations.loads,
+        );
     if (to === undefined) return undefined;
     return this.handOver(job, to, HandOverReason.DEMAND, now);
   }
@@ -413,3 +424,8 @@
     return this.generationOf(job) >= MAX_GENERATION;
   }
 }
+
+/** Whether a job has tasks that reserve processors. */
+function hasReservedStep({submission}: ActiveJob): boolean {
+  return submission.shape.steps.some(({fills}) => !fills);
+}
--- /dev/null
+++ b/src/common/batch/reservation_balance.test.ts
@@ -0,0 +1,105 @@
+import {ActiveJob} from './active_job.js';
+import {
+  LAYOUT_KEY,
+  packHandOver,
+  packLayout,
+  packRecord,
+  RecordKind,
+} from './job_records.js';
+import {JobView} from './job_view.js';
+import {ReservationBalance, reservesForGood} from './reservation_balance.js';
+import {ShardLayout} from './shard_layout.js';
+import {QUEUE, STEP} from './simulated_fleet.test_support.js';
+import {StepShape} from './types.js';
+
+const LAYOUT = new ShardLayout(['a', 'b', 'c', 'd', 'e']);
+
+/** Processors of each shard, and of the tasks of a job, in millicores. */
+const SHARD_CPU = 9_000_000;
+const SERVING: Partial<StepShape> = {
+  perpetual: true,
+  count: 24,
+  cpuMilli: 13_000,
+};
+
+describe('ReservationBalance', () => {
+  let view: JobView;
+
+  beforeEach(() => {
+    view = new JobView(key => {
+      throw new Error(`record ${key} cannot be decoded`);
+    });
+    apply(LAYOUT_KEY, packLayout(LAYOUT));
+  });
+
+  function apply(key: string, value: Uint8Array): void {
+    view.apply({key, value}, 0);
+  }
+
+  function submit(id: string, step: Partial<StepShape>): ActiveJob {
+    const shape = {
+      spec: '',
+      steps: [{...STEP, ...step}],
+      repeats: 0,
+      startMs: 0,
+      periodMs: 0,
+    };
+    const submission = {queue: QUEUE, acceptedAt: 0, shape};
+    apply(RecordKind.SUBMISSION + id, packRecord(submission));
+    return new ActiveJob(id, submission, QUEUE, 0);
+  }
+
+  /** Lets the owner of a new job choose, and applies the hand-over. */
+  function balance(job: ActiveJob): void {
+    const owner = view.ownerOf(view.jobs.get(job.id)!);
+    const others = LAYOUT.shards.filter(shard => shard !== owner);
+    const reservations = new ReservationBalance(owner, view);
+    const to = reservations.choose(job, others, () => SHARD_CPU);
+    if (to === undefined) return;
+    const progress = {...job.toRecord(), handOvers: 1};
+    const value = packHandOver({shard: to, number: 1, progress});
+    apply(RecordKind.HAND_OVER + job.id, value);
+  }
+
+  function jobsByShard(): number[] {
+    const counts = new Map(LAYOUT.shards.map(shard => [shard, 0]));
+    for (const job of view.jobs.values()) {
+      const owner = view.ownerOf(job);
+      counts.set(owner, counts.get(owner)! + 1);
+    }
+    return [...counts.values()];
+  }
+
+  it('spreads many jobs that come at once', () => {
+    // Guards against a shard whose processors are all reserved for good, and
+    // tasks without a run while other shards have room (LOST in quiet-1 of
+    // tuapapa-sched-large): by a hash alone the numbers differ by half.
+    for (let index = 0; index < 120; index++) {
+      balance(submit(`job-${index}`, SERVING));
+    }
+    const counts = jobsByShard();
+    expect(Math.max(...counts) - Math.min(...counts)).toBeLessThanOrEqual(2);
+  });
+
+  it('counts neither cancelled jobs nor best-effort tasks', () => {
+    // Guards against jobs that avoid a shard for what reserves nothing there.
+    const ids = Array.from({length: 200}, (_, index) => `job-${index}`);
+    const [kept, ...others] = ids.filter(id => LAYOUT.shardOfJob(id) === 'a');
+    for (const id of others) {
+      submit(id, SERVING);
+      apply(RecordKind.CANCELLATION + id, Uint8Array.of(1));
+    }
+    for (const id of ids.filter(id => LAYOUT.shardOfJob(id) === 'b')) {
+      submit(id, {fills: true, perpetual: true, cpuMilli: 7000, count: 39});
+    }
+    balance(submit(kept, SERVING));
+    expect(view.ownerOf(view.jobs.get(kept)!)).toBe('a');
+  });
+
+  it('concerns jobs that reserve processors until they are cancelled', () => {
+    // Guards against hand-overs of jobs that will have ended soon.
+    expect(reservesForGood(submit('p', SERVING))).toBe(true);
+    expect(reservesForGood(submit('q', {cpuMilli: 21_000}))).toBe(false);
+    expect(reservesForGood(submit('r', {...SERVING, fills: true}))).toBe(false);
+  });
+});
--- a/src/common/batch/shard_layout.ts
+++ b/src/common/batch/shard_layout.ts
@@ -22,6 +22,8 @@
    * usable workers. Absent in records of earlier versions.
    */
   readonly demand?: number;
+  /** The same for tasks that reserve their processors. */
+  readonly reserved?: number;
 }
 
 /** A shard, with the number of its workers when the fleet was divided. */
--- a/src/common/batch/waiting_work.ts
+++ b/src/common/batch/waiting_work.ts
@@ -25,6 +25,7 @@
 /** Load of a shard, with the processors that its usable workers have. */
 export interface DetailedLoad extends ShardLoad {
   readonly demand: number;
+  readonly reserved: number;
   readonly cpuMilli: number;
 }
 
@@ -35,11 +36,14 @@
   /** Load of the shard without the jobs that `isLeaving` selects. */
   load(isLeaving: (job: ActiveJob) => boolean, now: Millis): DetailedLoad {
     let workMs = 0;
-    let demandMilli = 0;
+    let bestEffortMilli = 0;
+    let reservedMilli = 0;
     for (const [step, tasks] of this.countBySteps()) {
       if (isLeaving(step.occurrence.job)) continue;
       workMs += tasks * this.taskWork(step);
-      demandMilli += tasks * step.shape.cpuMilli;
+      const {fills, cpuMilli} = step.shape;
+      if (fills) bestEffortMilli += tasks * cpuMilli;
+      else reservedMilli += tasks * cpuMilli;
     }
     let usableWorkers = 0;
     let cpuMilli = 0;
@@ -47,12 +51,14 @@
       if (!isUsable(worker, now)) continue;
       usableWorkers++;
       cpuMilli += worker.capacity.cpuMilli;
-      demandMilli += worker.reserved.cpuMilli + worker.bestEffortCpuMilli;
+      reservedMilli += worker.reserved.cpuMilli;
+      bestEffortMilli += worker.bestEffortCpuMilli;
     }
     const capacity = Math.max(MIN_CPU_MILLI, cpuMilli);
     const backlogMs = (workMs * 1000) / capacity;
-    const demand = demandMilli / capacity;
-    return {backlogMs, usableWorkers, demand, cpuMilli};
+    const demand = (reservedMilli + bestEffortMilli) / capacity;
+    const reserved = reservedMilli / capacity;
+    return {backlogMs, usableWorkers, demand, reserved, cpuMilli};
   }
 
   /** Expected work of a job's waiting tasks, in ms of one core. */
--- a/src/node/batch/job_hand_overs.test.ts
+++ b/src/node/batch/job_hand_overs.test.ts
@@ -157,7 +157,7 @@
   it('keeps new jobs while hand-overs are being stored', async () => {
     // Guards against new jobs that queue up behind a slow store.
     for (let job = 0; job < 5; job++) add(`waiting-${job}`, 0);
-    loads.set('b', {...load(0, 1), demand: 0});
+    loads.set('b', {...load(0, 1), demand: 0, reserved: 0});
     await run(0.6 * SECOND);
     const take = (id: string): void => {
       add(id);
--- a/src/node/batch/job_hand_overs.ts
+++ b/src/node/batch/job_hand_overs.ts
@@ -8,6 +8,7 @@
   RecordKind,
 } from '../../common/batch/job_records.js';
 import {JobView} from '../../common/batch/job_view.js';
+import {ReservationBalance} from '../../common/batch/reservation_balance.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {DecisionLog} from '../../common/batch/scheduler_state.js';
 import {ShardLoad} from '../../common/batch/shard_layout.js';
@@ -42,6 +43,7 @@
  */
 export class JobHandOvers {
   private readonly policy: HandOverPolicy;
+  private readonly reservations: ReservationBalance;
   private readonly scheduler: Scheduler;
   /** Jobs that were released since the last append. */
   private released: ReleasedJob[] = [];
@@ -54,6 +56,7 @@
       shard,
       ({handOvers}) => handOvers,
     );
+    this.reservations = new ReservationBalance(shard, view);
     this.policy.setLayout(view.layout);
     this.policy.setListings(workers.byId);
   }
@@ -72,7 +75,11 @@
   onNewJob(job: ActiveJob): void {
     const {clock, intake} = this.dependencies;
     if (intake.isBusy) return;
-    const handOver = this.policy.chooseForNew(job, clock.now());
+    const handOver = this.policy.chooseForNew(
+      job,
+      this.reservations,
+      clock.now(),
+    );
     if (handOver !== undefined) this.release(handOver);
   }
 
