--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -64,7 +64,7 @@
  * Fencing tokens per epoch. Bounds how often the token of one worker can be
  * raised in a term, after a restart or after its runs were declared lost.
  */
-const TOKENS_PER_EPOCH = 1000;
+export const TOKENS_PER_EPOCH = 1000;
 
 /** State shared by the components of the scheduler. */
 export class SchedulerState {
