--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -1,9 +1,12 @@
 import {Millis, SECOND} from '../base/clock.js';
+import {ActiveJob} from './active_job.js';
+import {CostEvent, CostPart} from './cost_meter.js';
 import {Evacuation} from './evacuation.js';
 import {HeadroomForecast} from './headroom.js';
 import {InterferenceModel, InterferenceWeights} from './interference.js';
 import {JobLifecycle} from './job_lifecycle.js';
 import {
+  HandOverRecord,
   INTERFERENCE_KEY,
   packProgress,
   packRecord,
@@ -36,7 +39,10 @@
    * told must not be undone by a takeover.
    */
   readonly states: readonly KeyedRecord[];
-  /** Ids of jobs whose submissions may be removed from the intake topic. */
+  /**
+   * Ids of jobs whose records are to be removed from the intake topic. Their
+   * states stay until `onSubmissionsRemoved`.
+   */
   readonly expired: readonly string[];
   /** Commands to send after the records are durable. */
   readonly commands: readonly Command[];
@@ -62,6 +68,12 @@
   private readonly pacing: Pacing;
   private readonly evacuation: Evacuation;
   private readonly stallDetector: StallDetector;
+  /** Jobs whose hand-over to another shard is being stored. */
+  private readonly leavingJobs = new Set<string>();
+  /** Jobs of other shards whose progress is to be removed from this topic. */
+  private readonly departedJobs = new Set<string>();
+  /** Expired jobs whose submissions are removed, and their states not yet. */
+  private readonly removedJobs = new Set<string>();
 
   constructor(
     readonly state: SchedulerState,
@@ -80,14 +92,21 @@
 
   /** Restores all jobs that the log holds, after a takeover. */
   restore(view: JobView): void {
-    this.lifecycle.lostWorkers = view.lostWorkers;
+    const lostWorkers = new Map(
+      [...view.lostWorkers].filter(([, {shard}]) => shard === this.state.shard),
+    );
+    this.lifecycle.lostWorkers = lostWorkers;
     // Also marks lost workers without runs, so that their records are removed
     // once they respond. A record left in the log would make a later scheduler
     // declare runs lost that started after the worker's return.
-    for (const id of view.lostWorkers.keys()) {
+    for (const id of lostWorkers.keys()) {
       this.state.getOrCreateWorker(id).isRecordedAsLost = true;
     }
     for (const job of view.jobs.values()) {
+      if (view.ownerOf(job) !== this.state.shard) {
+        if (job.progress !== undefined) this.departedJobs.add(job.id);
+        continue;
+      }
       try {
         this.lifecycle.add(job);
       } catch (error) {
@@ -98,10 +117,35 @@
 
   /** Adds a job or applies a cancellation that was read from the log. */
   onJob(known: KnownJob): void {
+    // A cancellation that is read now is left to the next owner.
+    if (this.leavingJobs.has(known.id)) return;
     if (known.cancelled) this.lifecycle.cancel(known.id);
     this.lifecycle.add(known);
   }
 
+  /**
+   * Gives up a waiting job to another shard. Returns the record that makes the
+   * shard its owner; undefined if the job can't be handed over now. Nothing is
+   * done for the job any more, whether or not the record is stored.
+   */
+  handOver(job: ActiveJob, shard: string): HandOverRecord | undefined {
+    if (!this.lifecycle.release(job)) return undefined;
+    this.leavingJobs.add(job.id);
+    const number = job.handOvers + 1;
+    return {shard, number, progress: {...job.toRecord(), handOvers: number}};
+  }
+
+  /** Whether the hand-over of a job is being stored. */
+  isLeaving(job: string): boolean {
+    return this.leavingJobs.has(job);
+  }
+
+  /** Handles the stored hand-over of a job. */
+  onHandedOver(job: string): void {
+    this.leavingJobs.delete(job);
+    this.departedJobs.add(job);
+  }
+
   /** Applies a new configuration of the operator. */
   onConfiguration(configuration: BatchConfiguration): void {
     this.state.configuration = configuration;
@@ -158,16 +202,28 @@
     sentAt: Millis,
     response: RenewalResponse,
   ): void {
-    this.leases.onRenewalResponse(worker, renewal, sentAt, response);
-    if (response.report !== undefined) this.pacing.onReport(worker);
+    const {costs} = this.state;
+    costs.measure(CostPart.REPORTS, () =>
+      this.leases.onRenewalResponse(worker, renewal, sentAt, response),
+    );
+    if (response.report === undefined) return;
+    costs.measure(CostPart.PACING, () => this.pacing.onReport(worker));
   }
 
   onStartResponse(run: Run, response: WorkerResponse): FollowUp {
-    return this.leases.onStartResponse(run, response);
+    return this.state.costs.measure(
+      CostPart.STARTS,
+      () => this.leases.onStartResponse(run, response),
+      0,
+    );
   }
 
   onStopResponse(run: Run, response: WorkerResponse): FollowUp {
-    return this.leases.onStopResponse(run, response);
+    return this.state.costs.measure(
+      CostPart.STOPS,
+      () => this.leases.onStopResponse(run, response),
+      0,
+    );
   }
 
   /** Checks that depend on time alone; an error in one ends only that one. */
@@ -180,6 +236,10 @@
 
   /** Runs the checks that depend on time alone. */
   tick(): void {
+    this.state.costs.measure(CostPart.CHECKS, () => this.runChecks());
+  }
+
+  private runChecks(): void {
     for (const [part, run] of Object.entries(this.checks)) {
       try {
         run();
@@ -191,9 +251,20 @@
 
   /** Places waiting tasks and returns the records to store. */
   takeBatch(): CommitBatch {
-    this.placement.run();
+    const {costs} = this.state;
+    costs.count(CostEvent.BATCH);
+    costs.measure(CostPart.SCANS, () => this.placement.run());
+    return costs.measure(CostPart.RECORDS, () => this.buildBatch());
+  }
+
+  private buildBatch(): CommitBatch {
     const {state} = this;
     const records: KeyedRecord[] = [];
+    // Before the others: a job may have come back meanwhile.
+    for (const id of this.departedJobs) {
+      records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
+    }
+    this.departedJobs.clear();
     const states = this.takeInheritedStates();
     for (const job of state.jobsToStore) {
       records.push({
@@ -205,17 +276,17 @@
       states.push({key: RecordKind.STATE + job.id, value: packState(change)});
     }
     state.jobsToStore.clear();
-    const expired = this.takeExpiredJobIds();
-    for (const id of expired) {
+    for (const id of this.removedJobs) {
       records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
       states.push({key: RecordKind.STATE + id, value: new Uint8Array()});
     }
+    this.removedJobs.clear();
     records.push(...this.weightRecords());
     states.push(...this.leases.lostWorkerRecords());
     return {
       records,
       states,
-      expired,
+      expired: this.takeExpiredJobIds(),
       commands: state.afterCommit.splice(0),
       ends: [...this.leases.unacknowledgedEnds()],
     };
@@ -259,6 +330,14 @@
     }
   }
 
+  /**
+   * Handles the removal of expired jobs from the intake topic. Only now are
+   * their states removed: without its state a submission is a new job.
+   */
+  onSubmissionsRemoved(ids: readonly string[]): void {
+    for (const id of ids) this.removedJobs.add(id);
+  }
+
   /** Returns the commands that need no record, and clears them. */
   takeImmediate(): Command[] {
     return this.state.immediate.splice(0);
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -1,9 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Clock, Millis} from '../../common/base/clock.js';
+import {CostReport} from '../../common/batch/cost_report.js';
 import {RecordKind} from '../../common/batch/job_records.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
+import {WHOLE_FLEET} from '../../common/batch/shard_layout.js';
 import {Command, CommandKind} from '../../common/batch/scheduler_state.js';
-import {KeyedLog, KeyedRecord, Topic} from '../../common/batch/store.js';
+import {KeyedRecord} from '../../common/batch/store.js';
 import {
   WorkerResponse,
   WorkerCallResult,
@@ -26,9 +28,6 @@
 /** Longest wait for a signal before the next batch is taken. */
 const MAX_BATCH_WAIT_MS: Millis = 300;
 
-/** Timeout of the removal of expired jobs from the intake topic. */
-const REMOVAL_TIMEOUT_MS: Millis = 800;
-
 /** First delay before a worker call is retried; it doubles. */
 const INITIAL_RETRY_DELAY_MS: Millis = 60;
 
@@ -51,13 +50,17 @@
 
 /** Parts of the instance that a term uses. */
 export interface TermHost {
-  readonly log: KeyedLog;
   readonly workerClient: WorkerCalls;
   readonly clock: Clock;
   /** Writes the states topic. */
   readonly role: RoleWriter;
   /** Writes the progress topic. */
   readonly progress: FencedWriter;
+  /** Writes to the intake under the epoch of the term. */
+  readonly intake: FencedWriter;
+  readonly costReport: CostReport;
+  /** Called at each check of what depends on time alone. */
+  readonly onTick?: () => void;
 }
 
 /**
@@ -130,6 +133,13 @@
     return this.host.role.settled(key);
   }
 
+  /** Whether all states of a job that were passed on are stored. */
+  isStateStored(job: string): boolean {
+    const key = RecordKind.STATE + job;
+    const isWaiting = this.unwrittenStates.some(record => record.key === key);
+    return !isWaiting && this.host.role.isSettled(key);
+  }
+
   /** Sends immediate commands and requests a batch after the append delay. */
   signal(): void {
     this.host.role.beat();
@@ -192,6 +202,8 @@
   private tick(): void {
     const {scheduler} = this;
     scheduler.tick();
+    this.host.costReport.run();
+    this.host.onTick?.();
     if (scheduler.leases.isFenced) this.end(TermEndReason.FENCED);
     for (const worker of scheduler.state.workers.values()) {
       if (this.renewedWorkers.has(worker)) continue;
@@ -247,13 +259,20 @@
     this.isWritingStates = false;
   }
 
-  /** Not retried, as leftover records of an expired job are harmless. */
+  /** Removes expired jobs from the intake, and then their other records. */
   private async removeExpiredJobs(ids: readonly string[]): Promise<void> {
-    const kinds = [RecordKind.SUBMISSION, RecordKind.CANCELLATION];
+    const kinds: RecordKind[] = [
+      RecordKind.SUBMISSION,
+      RecordKind.CANCELLATION,
+    ];
+    if (this.scheduler.state.shard !== WHOLE_FLEET) {
+      kinds.push(RecordKind.HAND_OVER);
+    }
     const records = ids.flatMap(id =>
       kinds.map(kind => ({key: kind + id, value: new Uint8Array()})),
     );
-    await this.host.log.append(Topic.INTAKE, records, {}, REMOVAL_TIMEOUT_MS);
+    if (!(await this.host.intake.append(records))) return;
+    this.scheduler.onSubmissionsRemoved(ids);
   }
 
   private sendImmediateCommands(): void {
