--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -17,7 +17,7 @@
   schedulerKey,
   SchedulerRecord,
 } from '../../common/batch/job_records.js';
-import {JobView} from '../../common/batch/job_view.js';
+import {JobView, KnownJob} from '../../common/batch/job_view.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {
   DecisionLog,
@@ -38,6 +38,7 @@
   Topic,
 } from '../../common/batch/store.js';
 import {BatchConfiguration, WorkerListing} from '../../common/batch/types.js';
+import {EvidenceExchange} from './evidence_exchange.js';
 import {FencedWriter, writerName} from './fenced_writer.js';
 import {LogTail} from './log_tail.js';
 import {MeteredWorkerCalls} from './metered_worker_calls.js';
@@ -121,6 +122,7 @@
   private readonly decisions: DecisionLog;
   private workerCalls: RelayedWorkerCalls | undefined;
   private policy: HandOverPolicy | undefined;
+  private exchange: EvidenceExchange | undefined;
   private writers: TermWriters | undefined;
   private termBeganAt: Millis = 0;
 
@@ -241,6 +243,7 @@
       else if (!isFenced) await writers.role.resign();
     } finally {
       this.term = undefined;
+      this.exchange?.close();
       this.policy = undefined;
       this.writers = undefined;
       writers.role.close();
@@ -335,6 +338,8 @@
     scheduler.onWorkerListings(own);
     const {state} = scheduler;
     this.policy = this.createPolicy(state);
+    this.exchange = this.createExchange(scheduler);
+    void this.exchange?.run();
     this.termBeganAt = clock.now();
     this.decisions.decide('term-begins', {
       epoch: state.epoch,
@@ -393,6 +398,16 @@
     return policy;
   }
 
+  private createExchange({
+    interference,
+  }: Scheduler): EvidenceExchange | undefined {
+    const {log, view} = this.host;
+    if (!view.layout.isDivided) return undefined;
+    return new EvidenceExchange(log, this.shard, interference, (key, error) =>
+      this.onFault(`interference of ${key}`, error),
+    );
+  }
+
   private ownWorkers(
     listings: ReadonlyMap<string, WorkerListing>,
   ): ReadonlyMap<string, WorkerListing> {
@@ -405,14 +420,31 @@
     );
   }
 
-  /** Hands over jobs that other shards can serve better. */
+  /** Takes a job that was read, or hands it over before it is started. */
+  onJob(known: KnownJob): void {
+    const {term, policy} = this;
+    if (term === undefined) return;
+    const {scheduler} = term;
+    const isNew = !scheduler.state.jobs.has(known.id);
+    scheduler.onJob(known);
+    const job = scheduler.state.jobs.get(known.id);
+    if (!isNew || job === undefined || known.state !== undefined) return;
+    const handOver = policy?.chooseForNew(job, this.host.clock.now());
+    if (handOver !== undefined) this.handOver(term, [handOver]);
+  }
+
+  /** Hands over waiting jobs that other shards can serve better. */
   private handOverJobs(): void {
     const {term, policy} = this;
     if (term === undefined || policy === undefined) return;
     policy.setLoads(this.host.loads());
+    this.handOver(term, policy.choose(this.host.clock.now()));
+  }
+
+  private handOver(term: Term, handOvers: Iterable<HandOver>): void {
     const numbers = new Map<string, number>();
     const records: KeyedRecord[] = [];
-    for (const handOver of policy.choose(this.host.clock.now())) {
+    for (const handOver of handOvers) {
       const record = this.release(term, handOver);
       if (record === undefined) continue;
       const {id} = handOver.job;
