Seed the election of a shard with the known record

Cause: an instance that read the scheduler's record before the layout made its election without it. It claimed after the delay of a first claim, 400 ms, in place of the heartbeat timeout, and reset the count of quick takeovers. Change: a role that is added starts with the latest known record of its shard. Result: "waits for the heartbeat of a scheduler that it knows" failed before (a claim was made) and passes; the four tests of platform/shards.test.ts pass.

--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -236,8 +236,12 @@
   }
 
   private addRole(shard: string): void {
-    const {claimDelayMs} = this.dependencies;
-    this.roles.set(shard, new ShardRole(shard, this.roleHost, claimDelayMs));
+    const {claimDelayMs, clock} = this.dependencies;
+    const role = new ShardRole(shard, this.roleHost, claimDelayMs);
+    // The scheduler's record may have been read before the layout.
+    const known = this.view.schedulerOf(shard);
+    if (known !== undefined) role.election.onHeartbeat(known, clock.now());
+    this.roles.set(shard, role);
   }
 
   start(): void {
