Count states of a batch that is being stored as not stored

Cause: between takeBatch() and the end of the append to the progress topic, the states of the batch were in neither list of Term.isStateStored, so a hand-over could be stored before a state of the old owner. Change: Term keeps the states of that batch until they are passed on. The clean-up of the test makes all topics respond again, as a term that can't store its resignation keeps jest from ending when a test has failed.

--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -2,7 +2,10 @@
 import {ManualClock} from '../../common/base/manual_clock.js';
 import {CostReport} from '../../common/batch/cost_report.js';
 import {
+  JobPhase,
+  RecordKind,
   SCHEDULER_KEY,
+  TaskPhase,
   unpackScheduler,
 } from '../../common/batch/job_records.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
@@ -178,6 +181,7 @@
   // test has failed.
   afterEach(() => {
     log.result = AppendResult.STORED;
+    log.unresponsive.clear();
     term.resign();
   });
 
@@ -274,4 +278,55 @@
     expect(await settled).toBe(false);
     expect(await ended).toBe(TermEndReason.FENCED);
   });
+
+  it('does not show a state as stored while its batch is being stored', async () => {
+    // Guards against the state of a job that is stored after the job was handed
+    // over and has ended in its next shard: the newest state is the old one.
+    const shape = {
+      spec: '',
+      steps: [STEP],
+      repeats: 0,
+      startMs: 0,
+      periodMs: 0,
+    };
+    const submission = {queue: QUEUE, acceptedAt: 0, shape};
+    const task = {
+      phase: TaskPhase.WAITING,
+      attempt: 1,
+      failures: [],
+      crashes: [],
+      worker: '',
+      born: 0,
+      checkpoint: '',
+    };
+    // The predecessor has stored the progress and not the state.
+    const progress = {
+      phase: JobPhase.RUNNING,
+      hasStarted: true,
+      nextOccurrence: 1,
+      occurrences: [{number: 0, steps: [[task]]}],
+      endedAt: 0,
+      handOvers: 0,
+    };
+    scheduler.onJob({
+      id: 'b',
+      submission,
+      progress,
+      cancelled: false,
+      seenAt: 0,
+    });
+    log.result = AppendResult.STORED;
+    log.unresponsive.add(Topic.PROGRESS);
+    const takeBatch = scheduler.takeBatch.bind(scheduler);
+    const states = await new Promise<readonly KeyedRecord[]>(resolve => {
+      scheduler.takeBatch = () => {
+        const batch = takeBatch();
+        resolve(batch.states);
+        return batch;
+      };
+      void term.run();
+    });
+    expect(states.map(({key}) => key)).toContain(`${RecordKind.STATE}b`);
+    expect(term.isStateStored('b')).toBe(false);
+  });
 });
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -79,6 +79,8 @@
   /** Whether a batch was requested since the last one was taken. */
   private isSignalled = false;
   private isResigning = false;
+  /** States of the batch whose progress is being stored. */
+  private batchStates: readonly KeyedRecord[] = [];
   /** Records for the states topic, in order, that no append has taken yet. */
   private readonly unwrittenStates: KeyedRecord[] = [];
   private isWritingStates = false;
@@ -133,10 +135,12 @@
     return this.host.role.settled(key);
   }
 
-  /** Whether all states of a job that were passed on are stored. */
+  /** Whether all states of a job in the batches so far are stored. */
   isStateStored(job: string): boolean {
     const key = RecordKind.STATE + job;
-    const isWaiting = this.unwrittenStates.some(record => record.key === key);
+    const isWaiting = [this.batchStates, this.unwrittenStates].some(states =>
+      states.some(record => record.key === key),
+    );
     return !isWaiting && this.host.role.isSettled(key);
   }
 
@@ -229,6 +233,7 @@
     const {progress, role} = this.host;
     this.isSignalled = false;
     const batch = this.scheduler.takeBatch();
+    this.batchStates = batch.states;
     if (!(await progress.append(batch.records))) return;
     this.scheduler.onBatchStored(batch);
     for (const command of batch.commands) this.send(command);
@@ -237,6 +242,7 @@
     this.commitPromise = this.newCommitPromise();
     resolveCommit();
     this.unwrittenStates.push(...batch.states);
+    this.batchStates = [];
     if (!this.isWritingStates) this.statesWritten = this.writeStates();
     if (!this.isResigning) return;
     await this.statesWritten;
