Count at most one core when the fleet is divided

Cause: the number of workers that a scheduler carries was counted with all processors of its instance, but a scheduler has one thread: 4,000 workers and 16 processors stayed undivided. Change: at most one core counts. The case of 540 workers and 1.35 processors in the tests followed from the old formula; it is replaced by the bounds on both sides: 400 workers stay undivided and 401 are divided, at 1 and at 1.35 processors, likewise 270 and 271 at 0.675. No shard of the 4,000 workers may have more than 400 workers; the limit of that test was 540.

--- a/src/common/batch/shard_layout.test.ts
+++ b/src/common/batch/shard_layout.test.ts
@@ -15,8 +15,10 @@
     // Guards against jobs that have to fit into a part of a small fleet.
     for (const [count, processors] of [
       [45, 0.675],
+      [270, 0.675],
       [343, 1.35],
-      [540, 1.35],
+      [400, 1],
+      [400, 1.35],
     ]) {
       const layout = layoutFor(workersIn(five, count), processors);
       expect(layout.shards).toEqual(['']);
@@ -37,7 +39,22 @@
     const layout = layoutFor(workers, 1.35);
     for (const shard of layout.shards) {
       const own = workers.filter(name => layout.shardOf(name) === shard);
-      expect(own.length).toBeLessThanOrEqual(1.35 * 400);
+      expect(own.length).toBeLessThanOrEqual(400);
+    }
+  });
+
+  it('counts the processors that one thread can use', () => {
+    // Guards against one scheduler that fills its core on an instance with many
+    // cores: a scheduler has one thread.
+    for (const [count, processors] of [
+      [271, 0.675],
+      [401, 1],
+      [401, 1.35],
+      [625, 2],
+      [4000, 16],
+    ]) {
+      const layout = layoutFor(workersIn(five, count), processors);
+      expect(layout.shards).toEqual(five);
     }
   });
 
--- a/src/common/batch/shard_layout.ts
+++ b/src/common/batch/shard_layout.ts
@@ -11,6 +11,9 @@
  */
 const WORKERS_PER_CORE = 400;
 
+/** Processors that a scheduler can use, in cores: it has one thread. */
+const MAX_SCHEDULER_CORES = 1;
+
 /** What the scheduler of a shard tells the other instances about its load. */
 export interface ShardLoad {
   /** Work of the waiting tasks, divided by the processors of the shard. */
@@ -101,7 +104,8 @@
     total++;
     if (name !== '') counts.set(name, (counts.get(name) ?? 0) + 1);
   }
-  const isCarriedByOne = total <= processors * WORKERS_PER_CORE;
+  const cores = Math.min(processors, MAX_SCHEDULER_CORES);
+  const isCarriedByOne = total <= cores * WORKERS_PER_CORE;
   if (isCarriedByOne || counts.size < 2) return ShardLayout.UNDIVIDED;
   const names = [...counts.keys()].sort();
   return new ShardLayout(
