Keep the first owner of a job in the replica

Cause: JobView.ownerOf computed a weighted hash over all shards at each call, and every instance called it for each record of the intake and each job at a takeover. Change: the replica keeps the first owner of each job until the job is removed or the layout changes. An instance that has no term looks up no owners.

--- a/src/common/batch/job_view.test.ts
+++ b/src/common/batch/job_view.test.ts
@@ -223,6 +223,20 @@
     expect(other.ownerOf(other.jobs.get(ID)!)).toBe(owner);
   });
 
+  it('computes the first owner of a job once in each layout', () => {
+    // Guards against a hash for each record of a job and against an owner that
+    // stays the one of an earlier layout.
+    const shardOfJob = jest.spyOn(ShardLayout.prototype, 'shardOfJob');
+    apply(RecordKind.SUBMISSION + ID, SUBMISSION);
+    const owner = () => view.ownerOf(view.jobs.get(ID)!);
+    expect([owner(), owner()]).toEqual([WHOLE_FLEET, WHOLE_FLEET]);
+    expect(shardOfJob).toHaveBeenCalledTimes(1);
+    apply(LAYOUT_KEY, packLayout(new ShardLayout(['a'])));
+    expect([owner(), owner()]).toEqual(['a', 'a']);
+    expect(shardOfJob).toHaveBeenCalledTimes(2);
+    shardOfJob.mockRestore();
+  });
+
   it('follows the latest hand-over of a job, whatever is read again', () => {
     // Guards against two owners of a job that came back to its first shard.
     apply(LAYOUT_KEY, packLayout(new ShardLayout(['a', 'b', 'c'])));
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -69,6 +69,8 @@
   readonly jobs = new Map<string, KnownJob>();
   /** The shards of the fleet. */
   layout = ShardLayout.UNDIVIDED;
+  /** Shards of jobs before their first hand-over in this layout, by job id. */
+  private readonly firstOwners = new Map<string, string>();
   /** Latest schedulers by shard. */
   private readonly schedulers = new Map<string, KnownScheduler>();
   /** Interference weights that the latest scheduler has stored. */
@@ -128,7 +130,16 @@
 
   /** Shard that owns a job. */
   ownerOf({id, handOver}: KnownJob): string {
-    return handOver?.shard ?? this.layout.shardOfJob(id);
+    return handOver?.shard ?? this.firstOwnerOf(id);
+  }
+
+  private firstOwnerOf(id: string): string {
+    let shard = this.firstOwners.get(id);
+    if (shard === undefined) {
+      shard = this.layout.shardOfJob(id);
+      this.firstOwners.set(id, shard);
+    }
+    return shard;
   }
 
   /** Number of jobs of a queue without a started task, less cancelled ones. */
@@ -153,6 +164,7 @@
     }
     if (key === LAYOUT_KEY) {
       this.layout = unpackLayout(value);
+      this.firstOwners.clear();
       return;
     }
     if (key === INTERFERENCE_KEY) {
@@ -226,7 +238,10 @@
     if (job === undefined) return;
     // The progress is removed from the topic of the shard that the job left.
     if (kind === RecordKind.PROGRESS) job.progress = undefined;
-    else this.jobs.delete(id);
+    else {
+      this.jobs.delete(id);
+      this.firstOwners.delete(id);
+    }
   }
 
   private applyLostWorker(id: string, value: Uint8Array, now: Millis): void {
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -216,7 +216,7 @@
   /** Term of the scheduler that owns a job; undefined if it is elsewhere. */
   private writerOf(id: string): Term | undefined {
     const job = this.view.jobs.get(id);
-    if (job === undefined) return undefined;
+    if (job === undefined || !this.isScheduler) return undefined;
     const term = this.roles.get(this.view.ownerOf(job))?.term;
     return term?.scheduler.isLeaving(id) ? undefined : term;
   }
@@ -381,6 +381,7 @@
   private onIntakeRecord(key: string): void {
     if (key[0] === RecordKind.INSTANCE) this.onInstance(key);
     if (key === LAYOUT_KEY) this.onLayout();
+    if (!this.isScheduler) return;
     const job = this.view.jobs.get(key.slice(1));
     if (job === undefined) return;
     this.roles.get(this.view.ownerOf(job))?.onJob(job);
