Let takeovers of several shards load at the same time

Takeovers of one instance ran one after the other, network reads included, as they share the replica: one that could not load held those of all other shards for as long. A takeover reads its progress records into a list of its own now; dropping the progress in the replica, applying the list and restoring the scheduler are one synchronous step, and SerialExecutor is gone. The warning about data centres without a shard moves to the hand-overs of the term, which have the list of all workers.

--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -34,7 +34,6 @@
 import {JobLookup, LogUnavailableError} from './job_lookup.js';
 import {LogTail} from './log_tail.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
-import {SerialExecutor} from './serial_executor.js';
 import {ShardRole} from './shard_role.js';
 import {ShardRoleHost} from './shard_role_host.js';
 import {Term} from './term.js';
@@ -172,7 +171,6 @@
       statesTail: this.statesTail,
       intakeTail: this.intakeTail,
       workersTail: this.workersTail,
-      takeovers: new SerialExecutor(),
       configuration: () => this.configuration!,
       loads: () => this.shardLoads(),
       isStopping: () => this.stopping,
--- a/src/node/batch/job_hand_overs.ts
+++ b/src/node/batch/job_hand_overs.ts
@@ -45,6 +45,8 @@
   private readonly scheduler: Scheduler;
   /** Jobs that were released since the last append. */
   private released: ReleasedJob[] = [];
+  /** Data centres without a shard that were logged. */
+  private readonly loggedDataCentres = new Set<string>();
 
   constructor(private readonly dependencies: JobHandOversDependencies) {
     const {shard, term, view, workers} = dependencies;
@@ -55,12 +57,26 @@
       ({handOvers}) => handOvers,
     );
     this.policy.setLayout(view.layout);
-    this.policy.setListings(workers.byId);
+    this.setListings(workers.byId);
   }
 
   /** Applies the current list of all workers. */
   setListings(listings: ReadonlyMap<string, WorkerListing>): void {
     this.policy.setListings(listings);
+    this.logDataCentresWithoutShard(listings.values());
+  }
+
+  /** The layout is final, so their workers belong to other shards. */
+  private logDataCentresWithoutShard(listings: Iterable<WorkerListing>): void {
+    const {view, shard, decisions} = this.dependencies;
+    const {layout} = view;
+    for (const {dataCentre} of listings) {
+      if (layout.has(dataCentre)) continue;
+      if (layout.shardOf(dataCentre) !== shard) continue;
+      if (this.loggedDataCentres.has(dataCentre)) continue;
+      this.loggedDataCentres.add(dataCentre);
+      decisions.decide('data-centre-without-shard', {dataCentre});
+    }
   }
 
   /** Load of the shard without the jobs that are leaving. */
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -18,7 +18,12 @@
   SchedulerState,
 } from '../../common/batch/scheduler_state.js';
 import {ShardLayout, WHOLE_FLEET} from '../../common/batch/shard_layout.js';
-import {AppendResult, progressTopic, Topic} from '../../common/batch/store.js';
+import {
+  AppendResult,
+  KeyedRecord,
+  progressTopic,
+  Topic,
+} from '../../common/batch/store.js';
 import {WorkerListing} from '../../common/batch/types.js';
 import {FencedWriter, writerName} from './fenced_writer.js';
 import {FleetDivision} from './fleet_division.js';
@@ -69,8 +74,6 @@
   private workerCalls: RelayedWorkerCalls | undefined;
   private handOvers: JobHandOvers | undefined;
   private writers: TermWriters | undefined;
-  /** Data centres without a shard that were logged. */
-  private readonly loggedDataCentres = new Set<string>();
 
   constructor(
     readonly shard: string,
@@ -127,7 +130,7 @@
     // A version that kept the role in the progress topic may have run before.
     const isUnclaimed = view.schedulerOf(this.shard) === undefined;
     if (isUnclaimed && this.shard === WHOLE_FLEET) {
-      if (!(await this.takeover.loadProgress())) return;
+      if (!(await this.takeover.loadSchedulers())) return;
     }
     // A heartbeat that was not read yet may show that the scheduler is alive.
     if (!(await statesTail.refresh())) return;
@@ -165,7 +168,6 @@
     claimedAt: Millis,
     sequence: number,
   ): Promise<void> {
-    const {takeovers} = this.host;
     let isFenced = false;
     const writers = this.createWriters(record, sequence, () => {
       isFenced = true;
@@ -174,17 +176,15 @@
     this.writers = writers;
     let reason: TermEndReason = TermEndReason.FENCED;
     try {
-      await takeovers.run(async () => {
-        await this.takeover.load(
-          writers.progress,
-          writers.intake,
-          () => isFenced,
-        );
-        await this.readClaim(record.epoch, () => isFenced);
-        if (!isFenced && this.isInLayout) {
-          this.term = this.beginTerm(record, writers, claimedAt);
-        }
-      });
+      const records = await this.takeover.load(
+        writers.progress,
+        writers.intake,
+        () => isFenced,
+      );
+      await this.readClaim(record.epoch, () => isFenced);
+      if (!isFenced && this.isInLayout) {
+        this.term = this.beginTerm(record, writers, claimedAt, records);
+      }
       if (this.term !== undefined) reason = await this.term.run();
       else if (!isFenced) await writers.role.resign();
     } finally {
@@ -264,15 +264,20 @@
     }
   }
 
-  /** Restores the scheduler's state and creates its term. */
+  /**
+   * Restores the scheduler's state and creates its term. Has no asynchronous
+   * step: takeovers of other shards apply their progress to the same replica.
+   */
   private beginTerm(
     record: SchedulerRecord,
     writers: TermWriters,
     claimedAt: Millis,
+    progressRecords: readonly KeyedRecord[],
   ): Term {
     const {host} = this;
     const {clock, permissionClock, view, workers} = host;
     const {role, progress, intake} = writers;
+    this.takeover.applyProgress(progressRecords);
     const scheduler = this.createScheduler(record.epoch);
     scheduler.leases.confirmAuthority(claimedAt);
     this.workerCalls ??= host.createWorkerCalls();
@@ -280,6 +285,7 @@
     const own = this.ownWorkers(workers.byId);
     workerCalls.setFleet(view.instances, own);
     scheduler.restore(view);
+    view.dropProgress();
     scheduler.onWorkerListings(own);
     const {state} = scheduler;
     this.decisions.decide('term-begins', {
@@ -346,7 +352,6 @@
   ): ReadonlyMap<string, WorkerListing> {
     const {layout} = this.host.view;
     if (!layout.isDivided) return listings;
-    this.logDataCentresWithoutShard(listings.values());
     return new Map(
       [...listings].filter(
         ([, {dataCentre}]) => layout.shardOf(dataCentre) === this.shard,
@@ -354,18 +359,6 @@
     );
   }
 
-  /** The layout is final, so their workers belong to other shards. */
-  private logDataCentresWithoutShard(listings: Iterable<WorkerListing>): void {
-    const {layout} = this.host.view;
-    for (const {dataCentre} of listings) {
-      if (layout.has(dataCentre)) continue;
-      if (layout.shardOf(dataCentre) !== this.shard) continue;
-      if (this.loggedDataCentres.has(dataCentre)) continue;
-      this.loggedDataCentres.add(dataCentre);
-      this.decisions.decide('data-centre-without-shard', {dataCentre});
-    }
-  }
-
   /** Takes a job that was read, or hands it over before it is started. */
   onJob(known: KnownJob): void {
     const {term, handOvers} = this;
--- a/src/node/batch/shard_role_host.ts
+++ b/src/node/batch/shard_role_host.ts
@@ -12,7 +12,6 @@
 import {BatchConfiguration} from '../../common/batch/types.js';
 import {LogTail} from './log_tail.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
-import {SerialExecutor} from './serial_executor.js';
 import {WorkerList} from './worker_list.js';
 
 /** What all roles of an instance share. */
@@ -35,8 +34,6 @@
   readonly statesTail: LogTail;
   readonly intakeTail: LogTail;
   readonly workersTail: LogTail;
-  /** Takeovers share the replica, so they load one after the other. */
-  readonly takeovers: SerialExecutor;
   readonly configuration: () => BatchConfiguration;
   /** Loads of the shards whose schedulers are alive. */
   readonly loads: () => ReadonlyMap<string, ShardLoad>;
--- a/src/node/batch/takeover.ts
+++ b/src/node/batch/takeover.ts
@@ -1,7 +1,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Clock, Millis} from '../../common/base/clock.js';
+import {RecordKind} from '../../common/batch/job_records.js';
 import {JobView} from '../../common/batch/job_view.js';
-import {KeyedLog, progressTopic, ReadResult} from '../../common/batch/store.js';
+import {
+  KeyedLog,
+  KeyedRecord,
+  progressTopic,
+  ReadResult,
+} from '../../common/batch/store.js';
 import {FencedWriter} from './fenced_writer.js';
 import {LogTail} from './log_tail.js';
 
@@ -27,35 +33,61 @@
 
   /**
    * Fences the progress topic and the predecessor's records in the intake, and
-   * loads both topics and the workers. Ends early when `isFenced`.
+   * loads both topics and the workers. Ends early when `isFenced`. Returns the
+   * records of the progress topic; the replica is shared with the takeovers of
+   * other shards, so they are applied only in `applyProgress`.
    */
   async load(
     progress: FencedWriter,
     intakeWriter: FencedWriter,
     isFenced: () => boolean,
-  ): Promise<void> {
-    const {view, intakeTail, workersTail} = this.dependencies;
+  ): Promise<readonly KeyedRecord[]> {
+    const {intakeTail, workersTail} = this.dependencies;
     workersTail.resume(-1);
     const intake = intakeWriter
       .fence()
       .then(() => this.repeat(() => intakeTail.refresh(), isFenced));
+    let records: readonly KeyedRecord[] = [];
     if (await progress.fence()) {
-      view.dropProgress();
-      await this.repeat(() => this.loadProgress(), isFenced);
+      await this.repeat(async () => {
+        const read = await this.readProgress();
+        if (read !== undefined) records = read;
+        return read !== undefined;
+      }, isFenced);
     }
     await intake;
     while (!workersTail.isLoaded && !isFenced()) {
       await sleep(LOAD_CHECK_INTERVAL_MS);
     }
+    return records;
+  }
+
+  /** Replaces the progress in the replica by that of this shard. */
+  applyProgress(records: readonly KeyedRecord[]): void {
+    const {view, clock} = this.dependencies;
+    view.dropProgress();
+    for (const record of records) view.apply(record, clock.now());
+  }
+
+  /**
+   * Applies the scheduler's records that earlier versions kept in the progress
+   * topic; returns whether the topic was read.
+   */
+  async loadSchedulers(): Promise<boolean> {
+    const {view, clock} = this.dependencies;
+    const records = await this.readProgress();
+    for (const record of records ?? []) {
+      if (record.key[0] !== RecordKind.SCHEDULER) continue;
+      view.apply(record, clock.now());
+    }
+    return records !== undefined;
   }
 
-  /** Reads the newest records of the progress topic; returns whether it did. */
-  async loadProgress(): Promise<boolean> {
-    const {log, clock, view, shard} = this.dependencies;
+  /** Newest records of the progress topic; undefined if it can't be read. */
+  private async readProgress(): Promise<readonly KeyedRecord[] | undefined> {
+    const {log, shard} = this.dependencies;
     const {result, records} = await log.newest(progressTopic(shard));
-    if (result !== ReadResult.READ) return false;
-    for (const entry of records) view.apply(entry, clock.now());
-    return true;
+    return result === ReadResult.READ ? records : undefined;
   }
 
   /** Repeats a step until it succeeds or `isFenced`. */
