--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -34,7 +34,6 @@
 import {JobLookup, LogUnavailableError} from './job_lookup.js';
 import {LogTail} from './log_tail.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
-import {SerialExecutor} from './serial_executor.js';
 import {ShardRole} from './shard_role.js';
 import {ShardRoleHost} from './shard_role_host.js';
 import {Term} from './term.js';
@@ -172,7 +171,6 @@
       statesTail: this.statesTail,
       intakeTail: this.intakeTail,
       workersTail: this.workersTail,
-      takeovers: new SerialExecutor(),
       configuration: () => this.configuration!,
       loads: () => this.shardLoads(),
       isStopping: () => this.stopping,
@@ -217,7 +215,7 @@
   /** Term of the scheduler that owns a job; undefined if it is elsewhere. */
   private writerOf(id: string): Term | undefined {
     const job = this.view.jobs.get(id);
-    if (job === undefined) return undefined;
+    if (job === undefined || !this.isScheduler) return undefined;
     const term = this.roles.get(this.view.ownerOf(job))?.term;
     return term?.scheduler.isLeaving(id) ? undefined : term;
   }
@@ -237,8 +235,12 @@
   }
 
   private addRole(shard: string): void {
-    const {claimDelayMs} = this.dependencies;
-    this.roles.set(shard, new ShardRole(shard, this.roleHost, claimDelayMs));
+    const {claimDelayMs, clock} = this.dependencies;
+    const role = new ShardRole(shard, this.roleHost, claimDelayMs);
+    // The scheduler's record may have been read before the layout.
+    const known = this.view.schedulerOf(shard);
+    if (known !== undefined) role.election.onHeartbeat(known, clock.now());
+    this.roles.set(shard, role);
   }
 
   start(): void {
@@ -378,6 +380,7 @@
   private onIntakeRecord(key: string): void {
     if (key[0] === RecordKind.INSTANCE) this.onInstance(key);
     if (key === LAYOUT_KEY) this.onLayout();
+    if (!this.isScheduler) return;
     const job = this.view.jobs.get(key.slice(1));
     if (job === undefined) return;
     this.roles.get(this.view.ownerOf(job))?.onJob(job);
