Move the profile of the scheduler to the stand-ins of the platform

It writes records in the platform's format, whose names belong in platform/. The command stays the same.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,7 +2,7 @@
 import {runCapacityBenchmark} from './capacity.js';
 import {EntryBenchmarkOptions, runEntryBenchmark} from './entry.js';
 import {PolicyBenchmarkOptions, runPolicyBenchmark} from './policy.js';
-import {ProfileOptions, runProfile} from './profile.js';
+import {ProfileOptions, runProfile} from '../platform/testing/profile.js';
 import {WORKLOADS} from './policy_workloads.js';
 import {runRelayBenchmark} from './relay.js';
 
