Leave out records that the store never accepts

Callers saw LOST: after one record had outgrown the store's limit, nothing was started for any job of the shard, and no end was acknowledged, while heartbeats kept other instances from taking over.

Cause: FencedWriter took every answer but STORED and FENCED for one that is worth repeating, and repeated the append with all records in it for ever. Its parts counted no key against the first check. The intake rejected all jobs of a batch because of one; a 409 for a sequence number was repeated as well.

Change: the results of an append tell a final refusal (400, 403, 413) from one that a retry can mend. Records beyond the limits of the settings (platform.record-bytes, platform.call-bytes) are not sent; for other refusals the append is halved until the record is found. It is logged (record-refused) and left out. A job whose progress is refused is held: nothing of it is started, its ends are not acknowledged, other jobs go on. A hand-over that is refused leaves the job where it is. A submission that can't be stored gets 413 at once. A job that is over and has no runs is stored without its tasks. The stand-in of the store checks sizes now.

--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -1,5 +1,6 @@
 import {Millis} from '../base/clock.js';
 import {
+  isFinal,
   JobPhase,
   JobStateRecord,
   OccurrenceRecord,
@@ -9,7 +10,8 @@
   TaskRecord,
 } from './job_records.js';
 import {Queue, StepShape, taskName} from './types.js';
-import {Run} from './worker_state.js';
+import {UnstoredEnd, UnstoredEnds} from './held_jobs.js';
+import {Run, WorkerState} from './worker_state.js';
 
 /** A task of an active job. */
 export interface ActiveTask {
@@ -101,6 +103,12 @@
   publishedPhase: JobPhase = JobPhase.QUEUED;
   /** Occurrences that are not over, by number. */
   readonly occurrences = new Map<number, ActiveOccurrence>();
+  /** Whether it may be handed over; not once the log refused its hand-over. */
+  canLeave = true;
+  /** Local time until which its tasks are not started; 0 unless it is held. */
+  heldUntil: Millis = 0;
+  /** First ends since the last record of its progress, by worker. */
+  private unstoredEnds = new Map<WorkerState, UnstoredEnd>();
 
   constructor(
     readonly id: string,
@@ -182,13 +190,43 @@
     return {phase, hasStarted, endedAt};
   }
 
-  /** Returns the progress to write to the log. */
+  /** Notes an end that no record shows yet. */
+  addUnstoredEnd(worker: WorkerState, end: UnstoredEnd): void {
+    const known = this.unstoredEnds.get(worker);
+    const isFirst = known === undefined || end.sequence < known.sequence;
+    if (isFirst || known.born !== end.born) this.unstoredEnds.set(worker, end);
+  }
+
+  /** First end on a worker that no record shows. */
+  unstoredEnd(worker: WorkerState): UnstoredEnd | undefined {
+    return this.unstoredEnds.get(worker);
+  }
+
+  /** Returns the ends that the next record shows, and forgets them. */
+  takeUnstoredEnds(): UnstoredEnds {
+    const ends = this.unstoredEnds;
+    this.unstoredEnds = new Map();
+    return ends;
+  }
+
+  /** Whether the job is over and has no runs left. */
+  get isSettled(): boolean {
+    if (!isFinal(this.phase)) return false;
+    for (const task of this.tasks()) if (task.run) return false;
+    return true;
+  }
+
+  /**
+   * Returns the progress to write to the log. The tasks of a job that is over
+   * tell a successor which runs to stop; without runs they are left out.
+   */
   toRecord(): ProgressRecord {
+    const occurrences = this.isSettled ? [] : [...this.occurrences.values()];
     return {
       phase: this.phase,
       hasStarted: this.hasStarted,
       nextOccurrence: this.nextOccurrence,
-      occurrences: [...this.occurrences.values()].map(toOccurrenceRecord),
+      occurrences: occurrences.map(toOccurrenceRecord),
       endedAt: this.endedAt,
       handOvers: this.handOvers,
     };
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -138,13 +138,20 @@
   release(job: ActiveJob): boolean {
     const {state} = this;
     if (state.jobs.get(job.id) !== job || isFinal(job.phase)) return false;
-    if (state.jobsToStore.has(job)) return false;
+    if (!job.canLeave || state.jobsToStore.has(job)) return false;
     for (const task of job.tasks()) if (task.run) return false;
     for (const task of job.tasks()) state.waitingTasks.delete(task);
     state.jobs.delete(job.id);
     return true;
   }
 
+  /** Takes a job up again whose hand-over the log never accepts. */
+  takeBack(job: ActiveJob): void {
+    job.canLeave = false;
+    this.state.jobs.set(job.id, job);
+    for (const occurrence of job.occurrences.values()) this.enqueue(occurrence);
+  }
+
   /** Applies a changed configuration of queues to all jobs. */
   refreshQueues(): void {
     for (const job of this.state.jobs.values()) {
@@ -274,9 +281,7 @@
 
   /** Removes a job that is over and has no runs left. */
   private removeIfSettled(job: ActiveJob): void {
-    if (!isFinal(job.phase)) return;
-    for (const task of job.tasks()) if (task.run) return;
-    this.state.jobs.delete(job.id);
+    if (job.isSettled) this.state.jobs.delete(job.id);
   }
 
   /** Processes the end of a run that a worker reported. */
@@ -289,7 +294,7 @@
         worker: worker.id,
         end: end.end,
       });
-      if (end.end === RunOutcome.FAILED) this.countStaleFailure(end);
+      if (end.end === RunOutcome.FAILED) this.countStaleFailure(worker, end);
       return;
     }
     this.state.log.decide('run-ended', {
@@ -300,9 +305,12 @@
       ms: Math.round(this.state.now() - run.placedAt),
     });
     if (end.checkpoint !== '') run.task.checkpoint = end.checkpoint;
+    const {sequence} = end;
+    const {job} = run.task.step.occurrence;
+    job.addUnstoredEnd(worker, {born: worker.born, sequence});
     this.detach(run);
     this.endHandlers[end.end](run);
-    this.removeIfSettled(run.task.step.occurrence.job);
+    this.removeIfSettled(job);
   }
 
   /**
@@ -310,7 +318,7 @@
    * number of attempts. Each attempt counts once, as a worker reports an end
    * repeatedly until it is acknowledged.
    */
-  private countStaleFailure(end: ReportedEnd): void {
+  private countStaleFailure(worker: WorkerState, end: ReportedEnd): void {
     const key = parseTaskName(end.task);
     if (key === undefined) return;
     const job = this.state.jobs.get(key.job);
@@ -318,6 +326,8 @@
     const task = occurrence?.steps[key.step]?.tasks[key.index];
     if (job === undefined || task === undefined) return;
     countFailure(task, end.attempt);
+    const {sequence} = end;
+    job.addUnstoredEnd(worker, {born: worker.born, sequence});
     this.state.jobsToStore.add(job);
     // A later attempt may have succeeded.
     if (task.phase !== TaskPhase.DONE) this.failIfExhausted(task);
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -155,6 +155,7 @@
     const now = this.state.now();
     for (const task of this.state.waitingTasks) {
       if (task.notBefore > now || this.triedSteps.has(task.step)) continue;
+      if (task.step.occurrence.job.heldUntil > 0) continue;
       const tasks = groups.get(task.step);
       if (tasks === undefined) groups.set(task.step, [task]);
       else tasks.push(task);
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -3,6 +3,7 @@
 import {CostEvent, CostPart} from './cost_meter.js';
 import {Evacuation} from './evacuation.js';
 import {HeadroomForecast} from './headroom.js';
+import {HeldJobs, UnstoredEnds} from './held_jobs.js';
 import {InterferenceModel, InterferenceWeights} from './interference.js';
 import {JobLifecycle} from './job_lifecycle.js';
 import {
@@ -22,7 +23,7 @@
 import {BatchConfiguration, WorkerListing, WorkerPhase} from './types.js';
 import {WorkerResponse, LeaseRenewal, RenewalResponse} from './worker_calls.js';
 import {FollowUp, WorkerLeases} from './worker_leases.js';
-import {Run, WorkerState} from './worker_state.js';
+import {Run, RunPhase, WorkerState} from './worker_state.js';
 
 /** Time for which a responsive worker may be missing from the list. */
 const UNLISTED_GRACE_MS: Millis = 3 * SECOND;
@@ -51,6 +52,8 @@
    * acknowledged after the records are durable.
    */
   readonly ends: readonly (readonly [WorkerState, number, number])[];
+  /** Jobs whose progress is among the records, with the ends that it shows. */
+  readonly jobs: ReadonlyMap<ActiveJob, UnstoredEnds>;
 }
 
 /**
@@ -68,6 +71,7 @@
   private readonly pacing: Pacing;
   private readonly evacuation: Evacuation;
   private readonly stallDetector: StallDetector;
+  private readonly heldJobs: HeldJobs;
   /** Numbers of the hand-overs that are being stored, by job. */
   private readonly leavingJobs = new Map<string, number>();
   /** Jobs of other shards whose progress is to be removed from this topic. */
@@ -88,6 +92,7 @@
     this.pacing = new Pacing(state, forecast);
     this.evacuation = new Evacuation(state);
     this.stallDetector = new StallDetector(state, this.lifecycle);
+    this.heldJobs = new HeldJobs(state);
   }
 
   /** Restores all jobs that the log holds, after a takeover. */
@@ -152,6 +157,13 @@
     this.departedJobs.add(job);
   }
 
+  /** Handles the answer that the log never accepts the hand-over of a job. */
+  onHandOverRefused(job: ActiveJob, number: number): void {
+    if (this.leavingJobs.get(job.id) !== number) return;
+    this.leavingJobs.delete(job.id);
+    this.lifecycle.takeBack(job);
+  }
+
   /** Applies a new configuration of the operator. */
   onConfiguration(configuration: BatchConfiguration): void {
     this.state.configuration = configuration;
@@ -272,7 +284,11 @@
     }
     this.departedJobs.clear();
     const states = this.takeInheritedStates();
+    const jobs = new Map<ActiveJob, UnstoredEnds>();
     for (const job of state.jobsToStore) {
+      if (this.heldJobs.isDelayed(job)) continue;
+      state.jobsToStore.delete(job);
+      jobs.set(job, job.takeUnstoredEnds());
       records.push({
         key: RecordKind.PROGRESS + job.id,
         value: packProgress(job.toRecord()),
@@ -281,7 +297,6 @@
       if (change === undefined) continue;
       states.push({key: RecordKind.STATE + job.id, value: packState(change)});
     }
-    state.jobsToStore.clear();
     for (const id of this.removedJobs) {
       records.push({key: RecordKind.PROGRESS + id, value: new Uint8Array()});
       states.push({key: RecordKind.STATE + id, value: new Uint8Array()});
@@ -295,6 +310,7 @@
       expired: this.takeExpiredJobIds(),
       commands: state.afterCommit.splice(0),
       ends: [...this.leases.unacknowledgedEnds()],
+      jobs,
     };
   }
 
@@ -328,11 +344,28 @@
   /**
    * Handles a batch whose progress records became durable: its ends are
    * acknowledged.
+   * @param refused records that the log never accepts.
    */
-  onBatchStored(batch: CommitBatch): void {
+  onBatchStored(
+    batch: CommitBatch,
+    refused: readonly KeyedRecord[] = [],
+  ): void {
+    const refusedKeys = new Set(refused.map(({key}) => key));
+    for (const [job, ends] of batch.jobs) {
+      if (refusedKeys.has(RecordKind.PROGRESS + job.id)) this.hold(job, ends);
+      else this.heldJobs.onStored(job);
+    }
     for (const [worker, born, sequence] of batch.ends) {
       if (worker.born !== born) continue;
-      worker.durableEnd = Math.max(worker.durableEnd, sequence);
+      const last = this.heldJobs.lastStoredEnd(worker, sequence);
+      worker.durableEnd = Math.max(worker.durableEnd, last);
+    }
+  }
+
+  private hold(job: ActiveJob, ends: UnstoredEnds): void {
+    this.heldJobs.hold(job, ends);
+    for (const {run} of job.tasks()) {
+      if (run?.phase === RunPhase.STAGED) this.leases.withdrawUnstored(run);
     }
   }
 
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -5,6 +5,7 @@
 import {packRecord, RecordKind} from './job_records.js';
 import {Scheduler} from './scheduler.js';
 import {WHOLE_FLEET} from './shard_layout.js';
+import {KeyedRecord} from './store.js';
 import {
   Command,
   CommandKind,
@@ -183,6 +184,8 @@
   readonly entries: LogEntry[] = [];
   /** Whether batches can be stored. */
   isStoreAvailable = true;
+  /** Keys of records that the log never accepts. */
+  readonly refusedKeys = new Set<string>();
   /** Whether the scheduler fails before it stores the states of a batch. */
   dropsStates = false;
   scheduler: Scheduler;
@@ -360,11 +363,13 @@
     if (!this.isStoreAvailable) return;
     const batch = scheduler.takeBatch();
     const states = this.dropsStates ? [] : batch.states;
+    const refused: KeyedRecord[] = [];
     for (const record of [...batch.records, ...states]) {
-      this.view.apply(record, this.clock.now());
+      if (this.refusedKeys.has(record.key)) refused.push(record);
+      else this.view.apply(record, this.clock.now());
     }
     scheduler.leases.confirmAuthority(this.permissionClock.now());
-    scheduler.onBatchStored(batch);
+    scheduler.onBatchStored(batch, refused);
     scheduler.onStatesStored(states);
     for (const command of batch.commands) this.execute(command);
     if (!this.failsRemovals) this.removeSubmissions(batch.expired);
@@ -441,12 +446,11 @@
   }
 
   private resendStarts(): void {
-    for (const run of this.pendingStarts.splice(0)) {
-      if (this.scheduler.leases.isStartPending(run)) this.sendStart(run);
-    }
+    for (const run of this.pendingStarts.splice(0)) this.sendStart(run);
   }
 
   private sendStart(run: Run): void {
+    if (!this.scheduler.leases.isStartPending(run)) return;
     if (this.scheduler.leases.grantStart(run) === undefined) {
       this.pendingStarts.push(run);
       return;
--- a/src/common/batch/store.ts
+++ b/src/common/batch/store.ts
@@ -1,4 +1,5 @@
 import {Millis} from '../base/clock.js';
+import {LogLimits} from './log_limits.js';
 import {WHOLE_FLEET} from './shard_layout.js';
 
 /** A keyed record of the log. An empty value deletes the key. */
@@ -18,9 +19,14 @@
   STORED: 'stored',
   /** Nothing was stored; a retry may succeed. */
   REJECTED: 'rejected',
+  /** Nothing was stored, and no retry of these records can succeed. */
+  REFUSED: 'refused',
   /** The topic does not end at the expected offset; nothing was stored. */
   OFFSET_MISMATCH: 'moved',
-  /** The log has seen a higher epoch of the writer; nothing was stored. */
+  /**
+   * The log has seen a higher epoch of the writer, or other sequence numbers of
+   * this one; nothing was stored, and the writer can't append any more.
+   */
   FENCED: 'fenced',
   /** No response; the records may be stored now, later or never. */
   UNKNOWN: 'unknown',
@@ -68,6 +74,7 @@
 
 /** The platform's log: topics of keyed records, ordered by offset. */
 export interface KeyedLog {
+  readonly limits: LogLimits;
   /** Appends records to a topic; times out after `timeoutMs`. */
   append(
     topic: Topic,
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -307,6 +307,11 @@
     return leaseUntil;
   }
 
+  /** Withdraws a run whose placement could not be stored. */
+  withdrawUnstored(run: Run): void {
+    this.withdraw(run, 'its placement could not be stored');
+  }
+
   /** Whether a start request is still to be sent, as the run is not lost. */
   isStartPending(run: Run): boolean {
     const isCurrent = run.worker.runs.get(run.task.name) === run;
--- a/src/node/batch/evidence_exchange.test.ts
+++ b/src/node/batch/evidence_exchange.test.ts
@@ -1,4 +1,5 @@
 import {InterferenceModel} from '../../common/batch/interference.js';
+import {LOG_LIMITS} from '../../common/batch/log_limits.test_support.js';
 import {
   AppendResponse,
   AppendResult,
@@ -12,6 +13,7 @@
 
 /** A log that keeps the newest record of each key of one topic. */
 class NewestLog implements KeyedLog {
+  readonly limits = LOG_LIMITS;
   readonly records = new Map<string, Uint8Array>();
   isDown = false;
 
--- a/src/node/batch/fenced_writer.ts
+++ b/src/node/batch/fenced_writer.ts
@@ -1,6 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {AdaptiveTimeout} from '../../common/base/adaptive_timeout.js';
 import {Clock, Millis} from '../../common/base/clock.js';
+import {
+  isWithinLimits,
+  LogLimits,
+  splitIntoAppends,
+} from '../../common/batch/log_limits.js';
 import {WHOLE_FLEET} from '../../common/batch/shard_layout.js';
 import {
   AppendResponse,
@@ -26,7 +31,7 @@
 const INITIAL_RETRY_DELAY_MS: Millis = 60;
 const MAX_RETRY_DELAY_MS: Millis = 500;
 
-/** Approximate limit of one append in bytes; the store accepts 2 MiB. */
+/** Largest size of one append, so that its timeout can be short. */
 const MAX_APPEND_BYTES = 1_000_000;
 
 /** Receives the outcomes of a writer's appends. */
@@ -43,11 +48,14 @@
   ): void;
   /** Called when the store has seen a higher epoch. */
   onFenced(): void;
+  /** Called for a record that the store never accepts; it is left out. */
+  onRefused(record: KeyedRecord, topic: Topic): void;
 }
 
 /**
  * Appends to one topic under the epoch of a term, one append at a time. An
- * append is repeated until it is stored, fenced or the writer is closed.
+ * append is repeated until it is stored, fenced or the writer is closed. Records
+ * that the store never accepts are left out, so that they don't hold up others.
  */
 export class FencedWriter {
   private nextSequence: number;
@@ -59,9 +67,10 @@
   /** Resolves when the last append that was requested has ended. */
   private last: Promise<boolean> = Promise.resolve(true);
   private openAppends = 0;
+  private readonly limits: LogLimits;
   /**
-   * Appends in flight or of unknown outcome, by record key; each resolves to
-   * whether it was stored.
+   * Appends in flight, of unknown outcome or refused, by record key; each
+   * resolves to whether it was stored.
    */
   private readonly unsettled = new Map<string, Promise<boolean>>();
 
@@ -76,6 +85,9 @@
     private readonly shard: string = WHOLE_FLEET,
   ) {
     this.nextSequence = firstSequence;
+    const {limits} = log;
+    const appendBytes = Math.min(limits.appendBytes, MAX_APPEND_BYTES);
+    this.limits = {...limits, appendBytes};
   }
 
   /** Whether an append is in flight or waits for another one. */
@@ -90,18 +102,27 @@
 
   /**
    * Appends records, split into calls of bounded size. Resolves to false if the
-   * writer was fenced or closed before all of them were stored.
+   * writer was fenced or closed before all of them were stored or refused.
+   * @param onRefused called for each record that the store never accepts.
    */
-  async append(records: readonly KeyedRecord[]): Promise<boolean> {
-    for (const chunk of chunks(records)) {
-      if (!(await this.appendChunk(chunk))) return false;
+  async append(
+    records: readonly KeyedRecord[],
+    onRefused: (record: KeyedRecord) => void = () => {},
+  ): Promise<boolean> {
+    const accepted: KeyedRecord[] = [];
+    for (const record of records) {
+      if (isWithinLimits(record, this.limits)) accepted.push(record);
+      else this.refuse(record, onRefused);
+    }
+    for (const part of splitIntoAppends(accepted, this.limits)) {
+      if (!(await this.appendPart(part, onRefused))) return false;
     }
     return true;
   }
 
   /** Stores the epoch, so that writers with a lower one are refused. */
   fence(): Promise<boolean> {
-    return this.appendChunk([]);
+    return this.appendPart([], () => {});
   }
 
   /**
@@ -117,10 +138,23 @@
     return !this.unsettled.has(key);
   }
 
-  private async appendChunk(records: readonly KeyedRecord[]): Promise<boolean> {
+  private refuse(
+    record: KeyedRecord,
+    onRefused: (record: KeyedRecord) => void,
+  ): void {
+    this.unsettled.set(record.key, Promise.resolve(false));
+    this.listener.onRefused(record, this.topic);
+    onRefused(record);
+  }
+
+  private async appendPart(
+    records: readonly KeyedRecord[],
+    onRefused: (record: KeyedRecord) => void,
+  ): Promise<boolean> {
     const {last} = this;
     this.openAppends++;
-    const outcome = last.then(() => this.appendWithRetries(records));
+    const refused: KeyedRecord[] = [];
+    const outcome = last.then(() => this.appendWithRetries(records, refused));
     this.last = outcome;
     for (const {key} of records) this.unsettled.set(key, outcome);
     const isStored = await outcome;
@@ -129,11 +163,14 @@
     for (const {key} of records) {
       if (this.unsettled.get(key) === outcome) this.unsettled.delete(key);
     }
+    for (const record of refused) this.refuse(record, onRefused);
     return true;
   }
 
+  /** @param refused collects the records that the store never accepts. */
   private async appendWithRetries(
     records: readonly KeyedRecord[],
+    refused: KeyedRecord[],
   ): Promise<boolean> {
     if (this.isClosed) return false;
     const sequence = this.nextSequence++;
@@ -151,11 +188,32 @@
         return false;
       }
       if (this.isClosed) return false;
+      if (response.result === AppendResult.REFUSED && records.length > 0) {
+        // Nothing was stored, so the number is still to be used.
+        this.nextSequence = sequence;
+        return this.appendHalves(records, refused);
+      }
       await sleep(delay);
       delay = Math.min(delay * 2, MAX_RETRY_DELAY_MS);
     }
   }
 
+  /** Finds the record that the store refuses, and stores the others. */
+  private async appendHalves(
+    records: readonly KeyedRecord[],
+    refused: KeyedRecord[],
+  ): Promise<boolean> {
+    if (records.length === 1) {
+      refused.push(records[0]);
+      return true;
+    }
+    const middle = Math.ceil(records.length / 2);
+    return (
+      (await this.appendWithRetries(records.slice(0, middle), refused)) &&
+      (await this.appendWithRetries(records.slice(middle), refused))
+    );
+  }
+
   /**
    * The store keeps only one copy of a retried append, so the timeout can be
    * short.
@@ -176,21 +234,3 @@
     return response;
   }
 }
-
-/** Splits records into appends of bounded size; one record is never split. */
-function* chunks(
-  records: readonly KeyedRecord[],
-): Generator<readonly KeyedRecord[]> {
-  let chunk: KeyedRecord[] = [];
-  let bytes = 0;
-  for (const record of records) {
-    if (bytes + record.value.length > MAX_APPEND_BYTES && chunk.length > 0) {
-      yield chunk;
-      chunk = [];
-      bytes = 0;
-    }
-    chunk.push(record);
-    bytes += record.value.length + record.key.length;
-  }
-  if (chunk.length > 0) yield chunk;
-}
--- a/src/node/batch/intake_writer.ts
+++ b/src/node/batch/intake_writer.ts
@@ -7,6 +7,10 @@
   RecordKind,
   SubmissionRecord,
 } from '../../common/batch/job_records.js';
+import {
+  isWithinLimits,
+  splitIntoAppends,
+} from '../../common/batch/log_limits.js';
 import {
   AppendResult,
   KeyedLog,
@@ -98,6 +102,9 @@
     // During an outage an append would end as UNKNOWN, after which a caller may
     // be unable to retry elsewhere; a rejection is definite.
     if (this.isStoreUnreachable) return Promise.resolve(IntakeResult.REJECTED);
+    if (!isWithinLimits(record, this.log.limits)) {
+      return Promise.resolve(IntakeResult.REFUSED);
+    }
     return new Promise(resolve => {
       const {clock} = this;
       this.pending.push(new PendingWrite(record, deadline, clock, resolve));
@@ -109,8 +116,11 @@
   private async writeBatches(): Promise<void> {
     this.isWriting = true;
     while (this.pending.length > 0) {
-      const batch = this.pending.filter(({isPending}) => isPending);
-      this.pending = [];
+      const waiting = this.pending.filter(({isPending}) => isPending);
+      const records = waiting.map(({record}) => record);
+      const [first] = splitIntoAppends(records, this.log.limits);
+      const batch = waiting.slice(0, first?.length ?? 0);
+      this.pending = waiting.slice(batch.length);
       if (batch.length === 0) continue;
       // Batches overlap only once a response seems lost: the store processes
       // one append at a time, so further appends would queue there.
@@ -123,7 +133,8 @@
   /**
    * Retries an append until it is stored, definitely rejected for
    * `MAX_REJECTION_TIME_MS` or past the deadlines of all its records. After an
-   * append of unknown outcome the records are never reported as rejected.
+   * append of unknown outcome the records are never reported as rejected. A
+   * record that the store never accepts does not affect the others.
    */
   private async append(batch: readonly PendingWrite[]): Promise<void> {
     let unsettled = batch;
@@ -142,6 +153,9 @@
       }
       if (result === AppendResult.UNKNOWN) isUncertain = true;
       for (const write of unsettled) write.mayBeStored = isUncertain;
+      if (!isUncertain && result === AppendResult.REFUSED) {
+        return this.appendHalves(unsettled);
+      }
       if (
         !isUncertain &&
         this.clock.now() - startedAt > MAX_REJECTION_TIME_MS
@@ -155,6 +169,17 @@
     }
   }
 
+  /** Finds the record that the store refuses, and stores the others. */
+  private async appendHalves(writes: readonly PendingWrite[]): Promise<void> {
+    if (writes.length === 1) {
+      writes[0].settle(IntakeResult.REFUSED);
+      return;
+    }
+    const middle = Math.ceil(writes.length / 2);
+    await this.append(writes.slice(0, middle));
+    await this.append(writes.slice(middle));
+  }
+
   private async appendOnce(
     records: readonly KeyedRecord[],
   ): Promise<AppendResult> {
--- a/src/node/batch/job_hand_overs.test.ts
+++ b/src/node/batch/job_hand_overs.test.ts
@@ -38,8 +38,15 @@
     return this.finish !== undefined;
   }
 
-  append(records: readonly KeyedRecord[]): Promise<boolean> {
+  /** Whether records are refused for good. */
+  isRefusing = false;
+
+  append(
+    records: readonly KeyedRecord[],
+    onRefused: (record: KeyedRecord) => void = () => {},
+  ): Promise<boolean> {
     this.appends.push(records);
+    if (this.isRefusing) records.forEach(onRefused);
     return new Promise(resolve => {
       this.finish = resolve;
     });
@@ -136,6 +143,20 @@
     return intake.appends.map(records => records.map(({key}) => key));
   }
 
+  it('keeps a job whose hand-over the log refuses for good', async () => {
+    // Guards against a job that no scheduler has any more, as the record with
+    // its tasks is too large, and against endless attempts to store it.
+    intake.isRefusing = true;
+    add('1');
+    await run(SECOND);
+    await intake.store();
+    expect([...scheduler.state.jobs.keys()]).toEqual(['1']);
+    expect(scheduler.state.waitingTasks.size).toBe(1);
+    expect(view.jobs.get('1')!.handOver).toBeUndefined();
+    await run(10 * SECOND);
+    expect(intake.appends).toHaveLength(1);
+  });
+
   it('hands over no more jobs while the last ones are being stored', async () => {
     // Guards against hand-overs that pile up behind a slow store: their jobs
     // have left this shard and have not arrived in another one.
--- a/src/node/batch/job_hand_overs.ts
+++ b/src/node/batch/job_hand_overs.ts
@@ -132,12 +132,28 @@
       key: RecordKind.HAND_OVER + job.id,
       value: packHandOver(record),
     }));
-    if (!(await intake.append(records))) return;
+    const refusedKeys = new Set<string>();
+    const isStored = await intake.append(records, ({key}) =>
+      refusedKeys.add(key),
+    );
+    if (!isStored) return;
     const now = clock.now();
-    for (const record of records) view.apply(record, now);
+    for (const record of records) {
+      if (!refusedKeys.has(record.key)) view.apply(record, now);
+    }
     for (const {job, record} of released) {
-      this.scheduler.onHandedOver(job.id, record.number);
+      if (refusedKeys.has(RecordKind.HAND_OVER + job.id)) {
+        this.keep(job, record);
+      } else this.scheduler.onHandedOver(job.id, record.number);
       this.policy.ledger.endStoring(job, now);
     }
   }
+
+  /** Keeps a job whose hand-over is too large to be stored. */
+  private keep(job: ActiveJob, {number}: HandOverRecord): void {
+    this.scheduler.onHandOverRefused(job, number);
+    // It may have been cancelled meanwhile.
+    const known = this.dependencies.view.jobs.get(job.id);
+    if (known !== undefined) this.scheduler.onJob(known);
+  }
 }
--- a/src/node/batch/job_lookup.test.ts
+++ b/src/node/batch/job_lookup.test.ts
@@ -7,6 +7,7 @@
 } from '../../common/batch/job_records.js';
 import {JobView} from '../../common/batch/job_view.js';
 import {QUEUE, STEP} from '../../common/batch/simulated_fleet.test_support.js';
+import {LOG_LIMITS} from '../../common/batch/log_limits.test_support.js';
 import {
   AppendResponse,
   AppendResult,
@@ -23,6 +24,7 @@
 
 /** In-memory log with the records of one topic; reads fail while `isDown`. */
 class InMemoryLog implements KeyedLog {
+  readonly limits = LOG_LIMITS;
   isDown = false;
   reads = 0;
   readonly records: StoredRecord[] = [];
--- a/src/node/batch/pending_write.ts
+++ b/src/node/batch/pending_write.ts
@@ -7,6 +7,8 @@
   STORED: 'stored',
   /** Definitely not stored. */
   REJECTED: 'rejected',
+  /** Definitely not stored, and never accepted, as it is too large. */
+  REFUSED: 'refused',
   /** May be stored now, later or never; the same record can be sent again. */
   UNKNOWN: 'unknown',
 } as const;
--- a/src/node/batch/role_writer.test.ts
+++ b/src/node/batch/role_writer.test.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {HEARTBEAT_INTERVAL_MS} from '../../common/batch/election.js';
+import {LOG_LIMITS} from '../../common/batch/log_limits.test_support.js';
 import {
   AppendResponse,
   AppendResult,
@@ -14,6 +15,7 @@
 
 /** A log in which appends to some topics get no response. */
 class PartlyUnresponsiveLog implements KeyedLog {
+  readonly limits = LOG_LIMITS;
   readonly appended: [Topic, readonly KeyedRecord[]][] = [];
   result: AppendResult = AppendResult.STORED;
   readonly unresponsive = new Set<Topic>();
@@ -51,6 +53,7 @@
     role = new RoleWriter(log, clock, record, 0, {
       onFenced,
       onStored: () => {},
+      onRefused: () => {},
     });
   });
 
@@ -60,7 +63,11 @@
     // Guards against a takeover from a scheduler that is alive: its heartbeat
     // waited behind a long batch (takeovers in a row on a site of 100 workers).
     log.unresponsive.add(Topic.PROGRESS);
-    const listener = {onFenced: () => {}, onStored: () => {}};
+    const listener = {
+      onFenced: () => {},
+      onStored: () => {},
+      onRefused: () => {},
+    };
     const progress = new FencedWriter(
       log,
       Topic.PROGRESS,
@@ -100,7 +107,11 @@
     // Guards against a sequence number that the store refuses because a later
     // append overtook an earlier one.
     const log = new PartlyUnresponsiveLog();
-    const listener = {onFenced: () => {}, onStored: () => {}};
+    const listener = {
+      onFenced: () => {},
+      onStored: () => {},
+      onRefused: () => {},
+    };
     const clock = new SystemClock();
     const writer = new FencedWriter(log, Topic.STATES, 1, 0, clock, listener);
     const keys = ['a', 'b', 'c'];
--- a/src/node/batch/role_writer.ts
+++ b/src/node/batch/role_writer.ts
@@ -53,6 +53,7 @@
           this.lastStoredAt = sentAt;
           listener.onStored(records, end, sentAt);
         },
+        onRefused: (refused, topic) => listener.onRefused(refused, topic),
       },
       shard,
     );
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -17,6 +17,7 @@
   DecisionLog,
   SchedulerState,
 } from '../../common/batch/scheduler_state.js';
+import {recordSize} from '../../common/batch/log_limits.js';
 import {ShardLayout, WHOLE_FLEET} from '../../common/batch/shard_layout.js';
 import {
   AppendResult,
@@ -217,6 +218,13 @@
     const {epoch} = record;
     const confirm = (sentAt: Millis): void =>
       this.term?.scheduler.leases.confirmAuthority(sentAt);
+    const onRefused = (refused: KeyedRecord, topic: Topic): void =>
+      this.decisions.decide('record-refused', {
+        topic,
+        key: refused.key,
+        bytes: recordSize(refused),
+        limit: log.limits.recordBytes,
+      });
     const role = new RoleWriter(
       log,
       clock,
@@ -224,6 +232,7 @@
       sequence,
       {
         onFenced,
+        onRefused,
         onStored: (records, _end, sentAt) => {
           const now = this.host.clock.now();
           for (const entry of records) {
@@ -243,7 +252,11 @@
         epoch,
         randomInt(FIRST_SEQUENCE_LIMIT),
         clock,
-        {onFenced, onStored: (_records, _end, sentAt) => confirm(sentAt)},
+        {
+          onFenced,
+          onRefused,
+          onStored: (_records, _end, sentAt) => confirm(sentAt),
+        },
         shard,
       );
     return {
--- a/src/node/batch/store_faults.test.ts
+++ b/src/node/batch/store_faults.test.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ManualClock} from '../../common/base/manual_clock.js';
+import {LOG_LIMITS} from '../../common/batch/log_limits.test_support.js';
 import {
   AppendResponse,
   AppendResult,
@@ -24,6 +25,7 @@
 
 /** A log that returns the results that a test sets, in order. */
 class ScriptedLog implements KeyedLog {
+  readonly limits = LOG_LIMITS;
   appendResults: AppendResult[] = [];
   readResponses: ReadResponse[] = [];
   appendedBatches: (readonly KeyedRecord[])[] = [];
@@ -148,6 +150,43 @@
     expect(await unsent).toBe(IntakeResult.REJECTED);
   });
 
+  it('stores the other jobs when the store refuses one for good', async () => {
+    // Guards against callers that are rejected because of another one's record.
+    const {STORED, REFUSED} = AppendResult;
+    log.appendResults = [STORED, REFUSED, STORED, REFUSED];
+    const deadline = clock.now() + 2000;
+    const results = await Promise.all(
+      ['a', 'b', 'c'].map(id => intake.submit(id, SUBMISSION, deadline)),
+    );
+    expect(results).toEqual([
+      IntakeResult.STORED,
+      IntakeResult.STORED,
+      IntakeResult.REFUSED,
+    ]);
+  });
+
+  it('refuses a job at once that the store can never accept', async () => {
+    // Guards against callers who are told to try again with such a job.
+    const shape = {...SUBMISSION.shape, spec: 'x'.repeat(300_000)};
+    const large = {...SUBMISSION, shape};
+    const result = await intake.submit('a', large, clock.now() + 2000);
+    expect(result).toBe(IntakeResult.REFUSED);
+    expect(log.appendedBatches).toHaveLength(0);
+  });
+
+  it('keeps a batch of jobs within the limit of an append', async () => {
+    // Guards against a call that is refused because many jobs came together.
+    const shape = {...SUBMISSION.shape, spec: 'x'.repeat(200_000)};
+    const deadline = clock.now() + 2000;
+    const ids = Array.from({length: 30}, (_, index) => `j${index}`);
+    const results = await Promise.all(
+      ids.map(id => intake.submit(id, {...SUBMISSION, shape}, deadline)),
+    );
+    expect(new Set(results)).toEqual(new Set([IntakeResult.STORED]));
+    const sizes = log.appendedBatches.map(records => records.length);
+    expect(Math.max(...sizes)).toBeLessThanOrEqual(10);
+  });
+
   it('waits for a slow append and then stores the rest in one batch', async () => {
     // Guards against overlapping appends, which made a slow store slower until
     // it rejected them.
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -11,6 +11,7 @@
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {SchedulerState} from '../../common/batch/scheduler_state.js';
 import {QUEUE, STEP} from '../../common/batch/simulated_fleet.test_support.js';
+import {LOG_LIMITS} from '../../common/batch/log_limits.test_support.js';
 import {
   AppendResponse,
   AppendResult,
@@ -61,6 +62,7 @@
 
 /** A log whose appends have an unknown outcome until a test sets another. */
 class UnresponsiveLog implements KeyedLog {
+  readonly limits = LOG_LIMITS;
   result: AppendResult = AppendResult.UNKNOWN;
   readonly appended: KeyedRecord[] = [];
   readonly unresponsive = new Set<Topic>();
@@ -165,7 +167,11 @@
       incarnation: 'x',
       resigned: false,
     };
-    const listener = {onStored: () => {}, onFenced: () => term.onFenced()};
+    const listener = {
+      onStored: () => {},
+      onFenced: () => term.onFenced(),
+      onRefused: () => {},
+    };
     const role = new RoleWriter(log, clock, record, 0, listener);
     const createWriter = (topic: Topic) =>
       new FencedWriter(log, topic, record.epoch, 0, clock, listener);
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -234,8 +234,12 @@
     this.isSignalled = false;
     const batch = this.scheduler.takeBatch();
     this.batchStates = batch.states;
-    if (!(await progress.append(batch.records))) return;
-    this.scheduler.onBatchStored(batch);
+    const refused: KeyedRecord[] = [];
+    const isStored = await progress.append(batch.records, record =>
+      refused.push(record),
+    );
+    if (!isStored) return;
+    this.scheduler.onBatchStored(batch, refused);
     for (const command of batch.commands) this.send(command);
     if (batch.expired.length > 0) void this.removeExpiredJobs(batch.expired);
     const resolveCommit = this.resolveCommit;
