Bound what is learned of pairs of images, and its records

Cause: the model of the interference forgot no image, and exported the weights of all pairs in one record every 2 s, as did the exchange between shards, whose refused appends went unnoticed.

Change: a model knows the 64 best-effort images that it saw last, and there are 128 models; a pair that was forgotten has the prior again. Records of weights and of evidence are limited to 64 KiB, or half of the log's limit; pairs with the most samples come first. Reading a weight creates no model any more.

The new tests of interference.test.ts need the new limits and can't be run on the old code.

--- a/src/common/batch/interference.test.ts
+++ b/src/common/batch/interference.test.ts
@@ -1,4 +1,5 @@
 import {InterferenceModel} from './interference.js';
+import {packEvidence, packRecord} from './job_records.js';
 
 /** Identifies the serving run. */
 const RUN = {};
@@ -42,6 +43,52 @@
     expect(model.weight('shop', 'light')).toBeLessThan(0.5);
   });
 
+  it('keeps the records of many images within a size', () => {
+    // Guards against a record of the weights that outgrows the log's limit when
+    // each build has an image of its own. Strongly sampled pairs are kept.
+    trainer.train('heavy', 10);
+    for (let build = 0; build < 60; build++) {
+      trainer.sample(3, {[`nest-batch:build-${build}`]: 0.02});
+    }
+    const maxBytes = 800;
+    expect(packRecord(model.exportWeights()).length).toBeGreaterThan(maxBytes);
+    const weights = model.exportWeights(maxBytes);
+    expect(packRecord(weights).length).toBeLessThanOrEqual(maxBytes);
+    expect(weights['shop']['heavy']).toBeGreaterThan(8);
+    expect(model.exportEvidence(200)).toHaveProperty('shop.heavy');
+    const evidence = packEvidence(model.exportEvidence(200));
+    expect(evidence.length).toBeLessThanOrEqual(200);
+  });
+
+  it('forgets the images that were not seen for longest', () => {
+    // Guards against models that grow with each image that was ever released:
+    // the time to fit one grows with the cube of its images.
+    trainer.train('heavy', 10);
+    for (let build = 0; build < 500; build++) {
+      trainer.sample(3, {[`build-${build}`]: 0.02});
+      if (build % 20 === 0) trainer.sample(3 - 10 * 0.03, {heavy: 0.03});
+    }
+    const {shop} = model.exportWeights();
+    expect(Object.keys(shop).length).toBeLessThanOrEqual(64);
+    expect(shop['heavy']).toBeGreaterThan(8);
+    expect(shop).toHaveProperty(['build-499']);
+    expect(shop).not.toHaveProperty(['build-100']);
+  });
+
+  it('forgets serving images that were not seen for longest', () => {
+    // Guards against a model for each build of a service for ever.
+    for (let build = 0; build < 300; build++) {
+      for (const share of [0, 0.1]) {
+        const usage = new Map([['heavy', share]]);
+        const sample = {headroom: 3 - share, usage, at: 400 * build + share};
+        model.observe(RUN, `shop:${build}`, sample, 0);
+      }
+    }
+    const weights = model.exportWeights();
+    expect(Object.keys(weights).length).toBeLessThanOrEqual(128);
+    expect(weights).toHaveProperty(['shop:299']);
+  });
+
   it('attributes the loss to the right one of two colocated images', () => {
     // Guards against a weight for an image that merely runs on the same worker.
     for (let sample = 0; sample < 80; sample++) {
--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -1,5 +1,5 @@
 import {Millis, SECOND} from '../base/clock.js';
-import {RidgeRegression} from './ridge_regression.js';
+import {Prior, RidgeRegression} from './ridge_regression.js';
 
 /**
  * Learns from reported tail latencies how much headroom each serving image
@@ -66,8 +66,22 @@
 /** Minimum time between two fits of one image's model. */
 const FIT_INTERVAL_MS: Millis = 300;
 
+/**
+ * Most best-effort images that the model of a serving image knows, and most
+ * serving images. Each released build may have an image of its own, so images
+ * that were not seen for the longest time are forgotten: the time to fit a model
+ * grows with the cube of its images.
+ */
+const MAX_IMAGES_PER_MODEL = 64;
+const MAX_MODELS = 128;
+
+/** Bytes of a pair of images in a record beside the names: number and lengths. */
+const PAIR_BYTES = 24;
+
 interface ImageModel {
   readonly regression: RidgeRegression;
+  /** Names of the best-effort images, those that were seen last at the end. */
+  readonly images: Set<string>;
   /** Local time of the last fit. */
   fittedAt: Millis;
   /** Cached mean of the fitted weights; undefined until requested. */
@@ -106,41 +120,60 @@
   /** @param initialWeights weights that an earlier scheduler learned. */
   constructor(initialWeights: InterferenceWeights = {}) {
     for (const [image, weights] of Object.entries(initialWeights)) {
-      const {regression} = this.model(image);
+      const model = this.createModel(image);
       for (const [bestEffortImage, mean] of Object.entries(weights)) {
         const weight = PRIOR_STRENGTH * INHERITED_STRENGTH_FACTOR;
-        regression.addFeature(bestEffortImage, {mean, weight});
+        addImage(model, bestEffortImage, {mean, weight});
       }
-      regression.solve();
+      model.regression.solve();
     }
   }
 
-  /** Learned weights, rounded to two decimals, for the next scheduler. */
-  exportWeights(): InterferenceWeights {
-    const all: Record<string, Record<string, number>> = {};
+  /**
+   * Learned weights, rounded to two decimals, for the next scheduler. Of more
+   * than `maxBytes` the pairs with the most samples are returned.
+   */
+  exportWeights(maxBytes = Infinity): InterferenceWeights {
+    const pairs: ImagePair<number>[] = [];
     for (const [image, {regression}] of this.models) {
-      const weights = [...regression.coefficients()].map(([name, value]) => [
-        name,
-        roundTo(value, 2),
-      ]);
-      all[image] = Object.fromEntries(weights);
+      for (const [name, value] of regression.coefficients()) {
+        const strength =
+          regression.sumOfSquares(name) + regression.peerWeight(name);
+        pairs.push({image, name, value: roundTo(value, 2), strength});
+      }
     }
-    return all;
+    return this.tableOf(pairs, maxBytes);
   }
 
-  /** What this scheduler has learned from its own samples. */
-  exportEvidence(): InterferenceEvidence {
-    const all: Record<string, Record<string, readonly [number, number]>> = {};
+  /**
+   * What this scheduler has learned from its own samples. Of more than
+   * `maxBytes` the pairs with the most samples are returned.
+   */
+  exportEvidence(maxBytes = Infinity): InterferenceEvidence {
+    const pairs: ImagePair<readonly [number, number]>[] = [];
     for (const [image, {regression}] of this.models) {
-      const evidence: Record<string, readonly [number, number]> = {};
       for (const [name, weight] of regression.ownCoefficients()) {
-        const sumOfSquares = regression.sumOfSquares(name);
-        if (sumOfSquares < PRIOR_STRENGTH) continue;
-        evidence[name] = [roundTo(weight, 2), roundTo(sumOfSquares, 3)];
+        const strength = regression.sumOfSquares(name);
+        if (strength < PRIOR_STRENGTH) continue;
+        const value = [roundTo(weight, 2), roundTo(strength, 3)] as const;
+        pairs.push({image, name, value, strength});
       }
-      all[image] = evidence;
     }
-    return all;
+    return this.tableOf(pairs, maxBytes);
+  }
+
+  private tableOf<T>(
+    pairs: readonly ImagePair<T>[],
+    maxBytes: number,
+  ): Record<string, Record<string, T>> {
+    const table: Record<string, Record<string, T>> = {};
+    const chosen = strongest(pairs, maxBytes);
+    const isWhole = chosen.length === pairs.length;
+    if (isWhole) for (const image of this.models.keys()) table[image] = {};
+    for (const {image, name, value} of chosen) {
+      (table[image] ??= {})[name] = value;
+    }
+    return table;
   }
 
   /** Takes over what the schedulers of other shards have learned by now. */
@@ -148,7 +181,7 @@
     const sums = new Map<ImageModel, Map<string, [number, number]>>();
     for (const evidence of peers) {
       for (const [image, weights] of Object.entries(evidence)) {
-        const model = this.model(image);
+        const model = this.models.get(image) ?? this.createModel(image);
         const pairs = sums.get(model) ?? new Map<string, [number, number]>();
         sums.set(model, pairs);
         for (const [name, [weight, sumOfSquares]] of Object.entries(weights)) {
@@ -160,7 +193,11 @@
     }
     for (const [model, pairs] of sums) {
       for (const [name, [weight, product]] of pairs) {
-        model.regression.addFeature(name, DEFAULT_PRIOR);
+        // What was learned here is not forgotten for the sake of others.
+        const {regression} = model;
+        const isFull = regression.size >= MAX_IMAGES_PER_MODEL;
+        if (isFull && !regression.has(name)) continue;
+        addImage(model, name, DEFAULT_PRIOR);
         const mean = product / weight;
         model.regression.setPeerPrior(name, {mean, weight});
       }
@@ -203,17 +240,17 @@
    * processors of the worker.
    */
   weight(image: string, bestEffortImage: string): number {
-    const {regression} = this.model(image);
-    return Math.max(0, regression.coefficient(bestEffortImage) ?? PRIOR_MEAN);
+    const regression = this.models.get(image)?.regression;
+    return Math.max(0, regression?.coefficient(bestEffortImage) ?? PRIOR_MEAN);
   }
 
   /** The weight plus a margin that shrinks as samples of the pair arrive. */
   weightUpperBound(image: string, bestEffortImage: string): number {
-    const {regression} = this.model(image);
+    const regression = this.models.get(image)?.regression;
     const sumOfSquares =
       PRIOR_STRENGTH +
-      regression.sumOfSquares(bestEffortImage) +
-      regression.peerWeight(bestEffortImage);
+      (regression?.sumOfSquares(bestEffortImage) ?? 0) +
+      (regression?.peerWeight(bestEffortImage) ?? 0);
     return (
       this.weight(image, bestEffortImage) +
       SAMPLE_NOISE / Math.sqrt(sumOfSquares)
@@ -222,7 +259,8 @@
 
   /** Mean weight of all known best-effort images for a serving image. */
   meanWeight(image: string): number {
-    const model = this.model(image);
+    const model = this.models.get(image);
+    if (model === undefined) return PRIOR_MEAN;
     model.meanWeight ??= meanOf(model.regression.coefficients());
     return model.meanWeight;
   }
@@ -233,9 +271,12 @@
     loss: number,
     now: Millis,
   ): void {
-    const model = this.model(image);
+    const model = this.models.get(image) ?? this.createModel(image);
+    // The models that were used last are at the end.
+    this.models.delete(image);
+    this.models.set(image, model);
     for (const bestEffortImage of changes.keys()) {
-      model.regression.addFeature(bestEffortImage, DEFAULT_PRIOR);
+      addImage(model, bestEffortImage, DEFAULT_PRIOR);
     }
     const expected = this.headroomLoss(image, changes);
     model.regression.addSample(changes, clamp(loss, expected, MAX_RESIDUAL));
@@ -245,20 +286,63 @@
     model.meanWeight = undefined;
   }
 
-  private model(image: string): ImageModel {
-    let model = this.models.get(image);
-    if (model === undefined) {
-      model = {
-        regression: new RidgeRegression(DECAY_FACTOR),
-        fittedAt: -Infinity,
-        meanWeight: undefined,
-      };
-      this.models.set(image, model);
+  /** Creates the model of an image; forgets the one not used for longest. */
+  private createModel(image: string): ImageModel {
+    const model = {
+      regression: new RidgeRegression(DECAY_FACTOR),
+      images: new Set<string>(),
+      fittedAt: -Infinity,
+      meanWeight: undefined,
+    };
+    this.models.set(image, model);
+    if (this.models.size > MAX_MODELS) {
+      for (const oldest of this.models.keys()) {
+        this.models.delete(oldest);
+        break;
+      }
     }
     return model;
   }
 }
 
+/** Adds or renews a best-effort image; forgets the one not seen for longest. */
+function addImage(model: ImageModel, name: string, prior: Prior): void {
+  const {regression, images} = model;
+  images.delete(name);
+  images.add(name);
+  regression.addFeature(name, prior);
+  if (images.size <= MAX_IMAGES_PER_MODEL) return;
+  for (const oldest of images) {
+    images.delete(oldest);
+    regression.removeFeature(oldest);
+    break;
+  }
+}
+
+/** What is known about a pair of a serving and a best-effort image. */
+interface ImagePair<T> {
+  readonly image: string;
+  readonly name: string;
+  readonly value: T;
+  /** Sum of squares of the samples that it rests on. */
+  readonly strength: number;
+}
+
+/** Returns the pairs with the most samples that fit into a record. */
+function strongest<T>(
+  pairs: readonly ImagePair<T>[],
+  maxBytes: number,
+): readonly ImagePair<T>[] {
+  let bytes = 0;
+  const sizeOf = ({image, name}: ImagePair<T>): number =>
+    Buffer.byteLength(image) + Buffer.byteLength(name) + PAIR_BYTES;
+  for (const pair of pairs) bytes += sizeOf(pair);
+  if (bytes <= maxBytes) return pairs;
+  let left = maxBytes;
+  const ranked = [...pairs].sort((a, b) => b.strength - a.strength);
+  return ranked.filter(pair => (left -= sizeOf(pair)) >= 0);
+}
+
 /** Changes of shares, without those below MIN_SHARE_CHANGE. */
 function usageChanges(
   before: BestEffortUsage,
--- a/src/common/batch/ridge_regression.ts
+++ b/src/common/batch/ridge_regression.ts
@@ -30,6 +30,32 @@
     this.isSolved = false;
   }
 
+  /** Number of the features. */
+  get size(): number {
+    return this.indices.size;
+  }
+
+  has(name: string): boolean {
+    return this.indices.has(name);
+  }
+
+  /** Forgets a known feature with all that was learned about it. */
+  removeFeature(name: string): void {
+    const removed = this.indices.get(name);
+    if (removed === undefined) return;
+    this.indices.delete(name);
+    for (const [other, index] of this.indices) {
+      if (index > removed) this.indices.set(other, index - 1);
+    }
+    this.matrix.splice(removed, 1);
+    for (const row of this.matrix) row.splice(removed, 1);
+    this.rightHandSide.splice(removed, 1);
+    this.priors.splice(removed, 1);
+    this.peerPriors.splice(removed, 1);
+    this.isSolved = false;
+    this.solve();
+  }
+
   /**
    * Sets what is known about a known feature from elsewhere; it replaces what
    * was set before.
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -31,6 +31,12 @@
 /** Time between two records of the interference weights. */
 const WEIGHTS_INTERVAL_MS: Millis = 2 * SECOND;
 
+/**
+ * Largest record of the interference weights, in bytes. It is stored at each
+ * interval and logged; the sites that are known need a quarter of it.
+ */
+const MAX_WEIGHTS_BYTES = 65_536;
+
 /** Records to store, and the actions to take once they are durable. */
 export interface CommitBatch {
   /** Records of the progress topic. */
@@ -330,7 +336,9 @@
     const now = this.state.now();
     if (now - this.weightsRecordedAt < WEIGHTS_INTERVAL_MS) return [];
     this.weightsRecordedAt = now;
-    const weights = this.interference.exportWeights();
+    const {recordBytes} = this.state;
+    const maxBytes = Math.min(MAX_WEIGHTS_BYTES, recordBytes / 2);
+    const weights = this.interference.exportWeights(maxBytes);
     this.state.log.decide('interference', weights);
     const value = packRecord(weights);
     return [{key: INTERFERENCE_KEY, value}];
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -109,6 +109,8 @@
     readonly costs: CostMeter = new CostMeter(clock),
     /** Shard whose workers and jobs the scheduler has. */
     readonly shard: string = WHOLE_FLEET,
+    /** Largest record that the log accepts, in bytes. */
+    readonly recordBytes: number = Infinity,
   ) {
     this.timePredictor = new JobTimePredictor(clock);
   }
--- a/src/node/batch/evidence_exchange.ts
+++ b/src/node/batch/evidence_exchange.ts
@@ -10,6 +10,9 @@
 /** Time between two exchanges. */
 const EXCHANGE_INTERVAL_MS: Millis = 1 * SECOND;
 
+/** Largest record of one shard, in bytes; all schedulers read those of all. */
+const MAX_EVIDENCE_BYTES = 65_536;
+
 /** Timeout of an append; one that fails is made up for by the next. */
 const APPEND_TIMEOUT_MS: Millis = 800;
 
@@ -49,7 +52,9 @@
 
   /** Stores what this scheduler has learned, and reads what others have. */
   async exchange(): Promise<void> {
-    const value = packEvidence(this.model.exportEvidence());
+    const {recordBytes} = this.log.limits;
+    const maxBytes = Math.min(MAX_EVIDENCE_BYTES, recordBytes / 2);
+    const value = packEvidence(this.model.exportEvidence(maxBytes));
     await this.log.append(
       Topic.INTERFERENCE,
       [{key: this.shard, value}],
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -351,6 +351,7 @@
       host.permissionClock,
       host.costs,
       this.shard,
+      host.log.limits.recordBytes,
     );
     return new Scheduler(state, host.view.interference);
   }
