Keep the progress of a job within a record

Callers would see an accepted job that is held: its progress is one record, which grew with its tasks, its overlapping occurrences, the failures of perpetual tasks and its checkpoints.

Cause: the limit of 5,000 tasks a job was a constant, counted one occurrence, and had nothing to do with the store's limit for a record.

A due occurrence waits while the record is full. Failures of perpetual tasks, which have no limit, are not recorded. Checkpoints are left out of a record that is too large with them.

--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -103,6 +103,8 @@
   publishedPhase: JobPhase = JobPhase.QUEUED;
   /** Occurrences that are not over, by number. */
   readonly occurrences = new Map<number, ActiveOccurrence>();
+  /** Occurrence that is due and waits for earlier ones; -1 for none. */
+  delayedOccurrence = -1;
   /** Whether it may be handed over; not once the log refused its hand-over. */
   canLeave = true;
   /** Local time until which its tasks are not started; 0 unless it is held. */
@@ -235,7 +237,7 @@
 
 function restoreTask(task: ActiveTask, record: TaskRecord): void {
   task.attempt = record.attempt;
-  task.failures = record.failures;
+  task.failures = task.step.shape.perpetual ? [] : record.failures;
   task.crashes = record.crashes;
   task.checkpoint = record.checkpoint;
   task.phase = record.phase;
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -13,6 +13,7 @@
   SubmissionRecord,
   TaskPhase,
 } from './job_records.js';
+import {hasRoomForOccurrence} from './job_size.js';
 import {KnownJob, LostWorker} from './job_view.js';
 import {LEASE_EXPIRY_MARGIN_MS, SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunOutcome} from './types.js';
@@ -210,12 +211,28 @@
       const {startMs, periodMs} = job.submission.shape;
       while (!isFinal(job.phase) && job.hasFutureOccurrences) {
         if (startMs + job.nextOccurrence * periodMs > wallNow) break;
+        if (!hasRoomForOccurrence(job, state.recordBytes)) {
+          this.logDelayed(job);
+          break;
+        }
         this.enqueue(job.addOccurrence(job.nextOccurrence, state.now()));
         state.jobsToStore.add(job);
       }
     }
   }
 
+  /** Logs an occurrence that waits for the end of earlier ones, once. */
+  private logDelayed(job: ActiveJob): void {
+    const {id, nextOccurrence, occurrences} = job;
+    if (job.delayedOccurrence === nextOccurrence) return;
+    job.delayedOccurrence = nextOccurrence;
+    this.state.log.decide('occurrence-delayed', {
+      job: id,
+      occurrence: nextOccurrence,
+      unfinished: occurrences.size,
+    });
+  }
+
   /** Queues the tasks of all steps that are ready to run for placement. */
   private enqueue(occurrence: ActiveOccurrence): void {
     if (isFinal(occurrence.job.phase)) return;
@@ -541,8 +558,12 @@
   return progress?.handOvers === handOver.number ? progress : handOver.progress;
 }
 
-/** Adds an attempt to the failures of a task, once. */
+/**
+ * Adds an attempt to the failures of a task, once. Those of a perpetual task
+ * have no limit and would fill the job's record.
+ */
 function countFailure(task: ActiveTask, attempt: number): void {
+  if (task.step.shape.perpetual) return;
   if (task.failures.includes(attempt)) return;
   task.failures = [...task.failures, attempt];
 }
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -254,6 +254,15 @@
   return packr.pack(progressFields(record));
 }
 
+/** Returns the progress of a job without the checkpoints of its tasks. */
+export function withoutCheckpoints(record: ProgressRecord): ProgressRecord {
+  const occurrences = record.occurrences.map(({number, steps}) => ({
+    number,
+    steps: steps.map(tasks => tasks.map(task => ({...task, checkpoint: ''}))),
+  }));
+  return {...record, occurrences};
+}
+
 /** Decodes a job's progress. */
 export function unpackProgress(bytes: Uint8Array): ProgressRecord {
   return progressOf(packr.unpack(bytes) as PackedProgress);
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -13,8 +13,10 @@
   packRecord,
   packState,
   RecordKind,
+  withoutCheckpoints,
 } from './job_records.js';
 import {JobView, KnownJob} from './job_view.js';
+import {recordSize} from './log_limits.js';
 import {Pacing} from './pacing.js';
 import {Placement} from './placement.js';
 import {Command, SchedulerState} from './scheduler_state.js';
@@ -295,10 +297,7 @@
       if (this.heldJobs.isDelayed(job)) continue;
       state.jobsToStore.delete(job);
       jobs.set(job, job.takeUnstoredEnds());
-      records.push({
-        key: RecordKind.PROGRESS + job.id,
-        value: packProgress(job.toRecord()),
-      });
+      records.push(this.progressRecord(job));
       const change = job.takeStateChange();
       if (change === undefined) continue;
       states.push({key: RecordKind.STATE + job.id, value: packState(change)});
@@ -320,6 +319,21 @@
     };
   }
 
+  /**
+   * Progress of a job as stored. Checkpoints are left out if it is too large
+   * with them: without one, a task begins anew after a takeover.
+   */
+  private progressRecord(job: ActiveJob): KeyedRecord {
+    const key = RecordKind.PROGRESS + job.id;
+    const progress = job.toRecord();
+    const record = {key, value: packProgress(progress)};
+    const bytes = recordSize(record);
+    const limit = this.state.recordBytes;
+    if (bytes <= limit) return record;
+    this.state.log.decide('checkpoints-left-out', {job: job.id, bytes, limit});
+    return {key, value: packProgress(withoutCheckpoints(progress))};
+  }
+
   /** States of jobs that ended under a predecessor that did not store them. */
   private takeInheritedStates(): KeyedRecord[] {
     const {statesToStore} = this.state;
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -5,6 +5,8 @@
 import {packRecord, RecordKind} from './job_records.js';
 import {Scheduler} from './scheduler.js';
 import {WHOLE_FLEET} from './shard_layout.js';
+import {recordSize} from './log_limits.js';
+import {LOG_LIMITS} from './log_limits.test_support.js';
 import {KeyedRecord} from './store.js';
 import {
   Command,
@@ -65,6 +67,7 @@
   readonly endsAt: Millis;
   percent: number;
   gauge: number;
+  checkpoint?: string;
 }
 
 /** A simulated worker, which executes start and stop requests. */
@@ -206,6 +209,7 @@
   constructor(
     private readonly queues: readonly Queue[] = [QUEUE],
     private readonly shard: string = WHOLE_FLEET,
+    private readonly recordBytes: number = LOG_LIMITS.recordBytes,
   ) {
     this.scheduler = this.createScheduler();
   }
@@ -302,6 +306,7 @@
       this.permissionClock,
       new CostMeter(this.clock),
       this.shard,
+      this.recordBytes,
     );
     return new Scheduler(state);
   }
@@ -365,7 +370,8 @@
     const states = this.dropsStates ? [] : batch.states;
     const refused: KeyedRecord[] = [];
     for (const record of [...batch.records, ...states]) {
-      if (this.refusedKeys.has(record.key)) refused.push(record);
+      const isTooLarge = recordSize(record) > this.recordBytes;
+      if (isTooLarge || this.refusedKeys.has(record.key)) refused.push(record);
       else this.view.apply(record, this.clock.now());
     }
     scheduler.leases.confirmAuthority(this.permissionClock.now());
@@ -417,7 +423,7 @@
     const running = [...worker.runs].map(([task, run]) => ({
       task,
       attempt: run.attempt,
-      checkpoint: '',
+      checkpoint: run.checkpoint ?? '',
       percent: run.percent,
       gauge: run.gauge,
     }));
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -11,6 +11,7 @@
   LAYOUT_KEY,
   RecordKind,
 } from '../../common/batch/job_records.js';
+import {maxTasks, taskCount} from '../../common/batch/job_size.js';
 import {JobView} from '../../common/batch/job_view.js';
 import {
   DecisionLog,
@@ -277,7 +278,8 @@
   }
 
   /**
-   * Stores a job unless it is known already.
+   * Stores a job unless it is known already. One whose progress could never be
+   * stored is refused.
    * @param deadline local time by which the result is returned.
    */
   async submit(
@@ -287,6 +289,8 @@
     deadline: Millis,
   ): Promise<IntakeResult> {
     if (this.view.phase(id) !== undefined) return IntakeResult.STORED;
+    const {recordBytes} = this.dependencies.log.limits;
+    if (taskCount(shape) > maxTasks(recordBytes)) return IntakeResult.REFUSED;
     const acceptedAt = this.dependencies.wallClock.now();
     const submission = {queue, acceptedAt, shape};
     return this.intake.submit(id, submission, deadline);
