Conclude nothing from a report whose list of ends is cut

Callers saw TWICE: when over 500 ends waited on a worker after a cut, tasks beyond the first 500 that were done were started again, and their first ends acknowledged.

Cause: a worker lists 500 ends at a time. A run that was in neither list of a report counted as lost, also if the list of ends was full; the same held after a takeover and for runs that were told to stop.

Change: a report says whether its list of ends may be cut, also through relays, and no run is given up by such a report.

--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -107,7 +107,13 @@
     checkpoint: '',
   };
   const clockMs = 1_765_000_000_000 + 1000 * round + worker;
-  const report = {born: 1_764_999_000_000, clockMs, running, ends: [end]};
+  const report = {
+    born: 1_764_999_000_000,
+    clockMs,
+    running,
+    ends: [end],
+    hasMoreEnds: false,
+  };
   return {result: WorkerCallResult.ACCEPTED, clockMs, report};
 }
 
--- a/bench/relay_host.ts
+++ b/bench/relay_host.ts
@@ -24,7 +24,13 @@
       const holdMs = MIN_HOLD_MS + (renewals++ % HOLD_STEPS);
       setTimeout(() => {
         const clockMs = Date.now();
-        const report = {born: START, clockMs, running: [], ends: []};
+        const report = {
+          born: START,
+          clockMs,
+          running: [],
+          ends: [],
+          hasMoreEnds: false,
+        };
         resolve({result: WorkerCallResult.ACCEPTED, clockMs, report});
       }, holdMs);
     }),
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -81,6 +81,8 @@
   readonly paces: number[] = [];
   /** Ends that are not acknowledged yet. */
   ends: ReportedEnd[] = [];
+  /** Most ends in one report. */
+  maxListedEnds = 500;
   /** Phase that the worker publishes in its listing. */
   phase: WorkerPhase = WorkerPhase.READY;
   isListed = true;
@@ -428,7 +430,9 @@
       gauge: run.gauge,
     }));
     const clockMs = this.clock.now();
-    const report = {born: worker.born, clockMs, running, ends: worker.ends};
+    const ends = worker.ends.slice(0, worker.maxListedEnds);
+    const hasMoreEnds = ends.length >= worker.maxListedEnds;
+    const report = {born: worker.born, clockMs, running, ends, hasMoreEnds};
     return {result: WorkerCallResult.ACCEPTED, clockMs, report};
   }
 
--- a/src/common/batch/slow_worker.test.ts
+++ b/src/common/batch/slow_worker.test.ts
@@ -54,7 +54,7 @@
       percent: 100,
       gauge: 0,
     }));
-    const report = {born: 1, clockMs, running, ends: []};
+    const report = {born: 1, clockMs, running, ends: [], hasMoreEnds: false};
     const result = WorkerCallResult.ACCEPTED;
     scheduler.onRenewalResponse(state, renewal, sentAt, {result, report});
     return renewal;
--- a/src/common/batch/types.ts
+++ b/src/common/batch/types.ts
@@ -160,6 +160,11 @@
   readonly clockMs: Millis;
   readonly running: readonly ReportedRun[];
   readonly ends: readonly ReportedEnd[];
+  /**
+   * Whether the list of ends may be cut. A run that is in neither list may have
+   * ended then; its end is listed once earlier ones are acknowledged.
+   */
+  readonly hasMoreEnds: boolean;
 }
 
 /** A request to start one run. */
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -221,6 +221,8 @@
     const reported = new Map(report.running.map(entry => [entry.task, entry]));
     worker.hasStrayRuns = false;
     for (const entry of report.running) this.processReportedRun(worker, entry);
+    // Runs in neither list may be among the ends that are still to be listed.
+    if (report.hasMoreEnds) return;
     for (const run of [...worker.runs.values()]) {
       if (reported.get(run.task.name)?.attempt === run.attempt) continue;
       this.onRunNotReported(run, report.born, sentAt);
--- a/src/node/batch/relay_frames.test.ts
+++ b/src/node/batch/relay_frames.test.ts
@@ -80,6 +80,7 @@
       checkpoint: fc.string(),
     }),
   ),
+  hasMoreEnds: fc.boolean(),
 });
 
 const RESPONSES = fc.array(
--- a/src/node/batch/relayed_reports.test.ts
+++ b/src/node/batch/relayed_reports.test.ts
@@ -55,6 +55,7 @@
   clockMs: fc.nat(),
   running: fc.array(RUN, {maxLength: 5}),
   ends: fc.array(END, {maxLength: 3}),
+  hasMoreEnds: fc.boolean(),
 });
 
 /** A change of a report, which leaves most rows as they are. */
@@ -80,7 +81,8 @@
       const ends = last.ends.slice(step.acknowledged);
       if (step.ended !== null) ends.push(step.ended);
       const clockMs = last.clockMs + 1000;
-      reports.push({born: step.born, clockMs, running, ends});
+      const hasMoreEnds = ends.length > 2;
+      reports.push({born: step.born, clockMs, running, ends, hasMoreEnds});
     }
     return reports;
   });
@@ -160,7 +162,7 @@
     // the decoding of each row.
     const tasks = ['job-a', 'job-b', 'job-c'];
     const running = tasks.map(task => run(task, 0));
-    const base = {born: 1, clockMs: 0, running, ends: []};
+    const base = {born: 1, clockMs: 0, running, ends: [], hasMoreEnds: false};
     transfer(0, base);
     const same = transfer(0, {...base, running: tasks.map(t => run(t, 0))});
     expect(Buffer.from(same.frame).includes('job')).toBe(false);
@@ -179,7 +181,13 @@
     const {DONE} = RunOutcome;
     const end = {sequence: 1, task: 'a', attempt: 1, end: DONE, checkpoint};
     const later = {...end, sequence: 2, task: 'b', checkpoint: ''};
-    const report = {born: 1, clockMs: 0, running: [], ends: [end]};
+    const report = {
+      born: 1,
+      clockMs: 0,
+      running: [],
+      ends: [end],
+      hasMoreEnds: false,
+    };
     const first = transfer(0, report);
     expect(Buffer.from(first.frame).includes(checkpoint)).toBe(true);
     for (const ends of [[{...end}], [{...end}, later], [later], []]) {
@@ -191,7 +199,13 @@
 
   it('begin in full for a new incarnation', () => {
     // Guards against rows of an incarnation that is gone.
-    const report = {born: 1, clockMs: 0, running: [run('job-a', 0)], ends: []};
+    const report = {
+      born: 1,
+      clockMs: 0,
+      running: [run('job-a', 0)],
+      ends: [],
+      hasMoreEnds: false,
+    };
     transfer(0, report);
     const restarted = transfer(0, {...report, born: 2});
     expect(Buffer.from(restarted.frame).includes('job-a')).toBe(true);
@@ -261,6 +275,7 @@
       clockMs: percent,
       running: [run('a', 0), run('b', percent)].slice(percent % 2),
       ends: [],
+      hasMoreEnds: false,
     }));
     for (const [index, report] of reports.entries()) {
       nextReport = report;
--- a/src/node/batch/report_packer.ts
+++ b/src/node/batch/report_packer.ts
@@ -84,7 +84,7 @@
 
   /** Encodes a report, which has to be sent before the next one is encoded. */
   pack(worker: number, report: WorkerReport): readonly unknown[] {
-    const {born, clockMs, running, ends} = report;
+    const {born, clockMs, running, ends, hasMoreEnds} = report;
     const known = this.lastReports.get(worker);
     const last = known?.born === born ? known : undefined;
     this.lastReports.set(worker, report);
@@ -93,6 +93,7 @@
       clockMs,
       packRows(running, last?.running ?? [], RUN_FORMAT),
       packRows(ends, last?.ends ?? [], END_FORMAT),
+      hasMoreEnds,
     ];
   }
 }
--- a/src/node/batch/report_unpacker.ts
+++ b/src/node/batch/report_unpacker.ts
@@ -30,7 +30,8 @@
    * @throws TypeError if the fields are malformed.
    */
   unpack(worker: number, fields: unknown): WorkerReport {
-    const [bornField, clock, runs, ended] = asArray(fields, 'a report');
+    const values = asArray(fields, 'a report');
+    const [bornField, clock, runs, ended, hasMoreEnds] = values;
     const born = asNumber(bornField, 'incarnation');
     const known = this.lastReports.get(worker);
     const last = known?.born === born ? known : undefined;
@@ -39,6 +40,8 @@
       clockMs: asNumber(clock, 'clock'),
       running: unpackRows(runs, last?.running ?? [], unpackRun, 'running runs'),
       ends: unpackRows(ended, last?.ends ?? [], unpackEnd, 'ends'),
+      // A relay of an earlier version doesn't tell.
+      hasMoreEnds: hasMoreEnds !== false,
     };
     this.lastReports.set(worker, report);
     return report;
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -107,7 +107,7 @@
     if (this.renewals.length === this.faultyRenewal) throw new Error('fault');
     const end = {sequence: 1, task: 'a.0.0.0', attempt: 1, checkpoint: ''};
     const ends = [{...end, end: RunOutcome.DONE}];
-    const report = {born: 1, clockMs: 0, running: [], ends};
+    const report = {born: 1, clockMs: 0, running: [], ends, hasMoreEnds: false};
     return {result: WorkerCallResult.ACCEPTED, report};
   }
 
