Keep the authority of earlier schedulers across a resignation

Cause: createScheduler asked only whether the last scheduler had resigned.

Change: a resignation says for how long schedulers before it may still grant leases, and the successor assumes that time.

--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -108,6 +108,11 @@
   readonly incarnation: string;
   /** Whether the instance has resigned from the scheduler role. */
   readonly resigned: boolean;
+  /**
+   * Time from the writing of a resignation for which schedulers before this one
+   * may still grant leases, in ms. Absent in records of earlier versions.
+   */
+  readonly earlierAuthorityMs?: number;
   /**
    * Number of takeovers in a row, up to this one, from a scheduler that had
    * begun only shortly before and did not resign.
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -89,12 +89,14 @@
   readonly timePredictor: JobTimePredictor;
   /** Tasks that are ready to run and not placed. */
   readonly waitingTasks = new Set<ActiveTask>();
+  /** Local time at which the scheduler took over. */
+  private readonly startedAt: Millis;
   /** Whether waiting tasks are placed; not while the fleet is being divided. */
   placesTasks = true;
 
   /**
    * @param previousAuthorityMs how much longer earlier schedulers may grant
-   *     leases, in ms; 0 after one that resigned.
+   *     leases, in ms.
    */
   constructor(
     readonly epoch: number,
@@ -113,6 +115,13 @@
     readonly recordBytes: number = Infinity,
   ) {
     this.timePredictor = new JobTimePredictor(clock);
+    this.startedAt = clock.now();
+  }
+
+  /** Time for which earlier schedulers may still grant leases. */
+  get earlierAuthorityLeftMs(): Millis {
+    const elapsed = this.now() - this.startedAt;
+    return Math.max(0, this.previousAuthorityMs - elapsed);
   }
 
   now(): Millis {
--- a/src/node/batch/role_writer.ts
+++ b/src/node/batch/role_writer.ts
@@ -105,10 +105,14 @@
     return this.writer.isSettled(key);
   }
 
-  /** Stores that the role is given up, and writes nothing after it. */
-  async resign(): Promise<void> {
+  /**
+   * Stores that the role is given up, and writes nothing after it.
+   * @param earlierAuthorityMs time for which schedulers before this one may
+   *     still grant leases.
+   */
+  async resign(earlierAuthorityMs: Millis): Promise<void> {
     clearInterval(this.timer);
-    const record = {...this.record, resigned: true};
+    const record = {...this.record, resigned: true, earlierAuthorityMs};
     const key = schedulerKey(this.shard);
     await this.writer.append([{key, value: packRecord(record)}]);
   }
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Millis} from '../../common/base/clock.js';
 import {CostReport} from '../../common/batch/cost_report.js';
+import {earlierAuthority} from '../../common/batch/earlier_authority.js';
 import {Election} from '../../common/batch/election.js';
 import {
   LAYOUT_KEY,
@@ -189,7 +190,7 @@
         this.term = this.beginTerm(record, writers, claimedAt, records);
       }
       if (this.term !== undefined) reason = await this.term.run();
-      else if (!isFenced) await writers.role.resign();
+      else if (!isFenced) await writers.role.resign(this.earlierAuthorityMs);
     } finally {
       this.term = undefined;
       this.exchange?.close();
@@ -336,13 +337,19 @@
     return term;
   }
 
+  /** Time for which schedulers before this term may still grant leases. */
+  private get earlierAuthorityMs(): Millis {
+    const {view, timings} = this.host;
+    const predecessor = view.predecessorOf(this.shard);
+    return earlierAuthority(predecessor, timings().authorityMs);
+  }
+
   private createScheduler(epoch: number): Scheduler {
     const {host} = this;
     const timings = host.timings();
-    const predecessor = host.view.predecessorOf(this.shard);
     const state = new SchedulerState(
       epoch,
-      predecessor?.resigned === true ? 0 : timings.authorityMs,
+      this.earlierAuthorityMs,
       timings,
       host.clock,
       host.wallClock,
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {Millis} from '../../common/base/clock.js';
 import {ManualClock} from '../../common/base/manual_clock.js';
 import {CostReport} from '../../common/batch/cost_report.js';
 import {
@@ -125,7 +126,10 @@
 }
 
 /** Returns a scheduler with one worker that may grant leases. */
-function newScheduler(clock: SystemClock): Scheduler {
+function newScheduler(
+  clock: SystemClock,
+  previousAuthorityMs: Millis = 0,
+): Scheduler {
   const configuration = {
     version: 1,
     queues: [QUEUE],
@@ -134,7 +138,7 @@
   };
   const state = new SchedulerState(
     1,
-    0,
+    previousAuthorityMs,
     TIMINGS,
     clock,
     new ManualClock(0),
@@ -157,6 +161,7 @@
   let workerClient: FakeWorkerClient;
   let scheduler: Scheduler;
   let term: Term;
+  let createTerm: (previousAuthorityMs: Millis) => Term;
 
   beforeEach(() => {
     log = new UnresponsiveLog();
@@ -177,10 +182,14 @@
       new FencedWriter(log, topic, record.epoch, 0, clock, listener);
     const progress = createWriter(Topic.PROGRESS);
     const intake = createWriter(Topic.INTAKE);
-    scheduler = newScheduler(clock);
-    const costReport = new CostReport(scheduler.state, new NodeProcessUsage());
-    const host = {workerClient, clock, role, progress, intake, costReport};
-    term = new Term(scheduler, host);
+    createTerm = previousAuthorityMs => {
+      scheduler = newScheduler(clock, previousAuthorityMs);
+      const {state} = scheduler;
+      const costReport = new CostReport(state, new NodeProcessUsage());
+      const host = {workerClient, clock, role, progress, intake, costReport};
+      return new Term(scheduler, host);
+    };
+    term = createTerm(0);
   });
 
   // A term runs until its resignation is stored, so it is ended here even if a
@@ -245,6 +254,20 @@
     expect(unpackScheduler(value).resigned).toBe(true);
   });
 
+  it('records for how long schedulers before it may grant leases', async () => {
+    // Guards against a second run of a task: a scheduler that was cut off still
+    // renewed the lease of its worker, as its successor resigned at once.
+    log.result = AppendResult.STORED;
+    term = createTerm(TIMINGS.authorityMs);
+    term.resign();
+    expect(await term.run()).toBe(TermEndReason.RESIGNED);
+    const {value} = log.appended[log.appended.length - 1];
+    const {resigned, earlierAuthorityMs = 0} = unpackScheduler(value);
+    expect(resigned).toBe(true);
+    expect(earlierAuthorityMs).toBeGreaterThan(TIMINGS.authorityMs - 2000);
+    expect(earlierAuthorityMs).toBeLessThanOrEqual(TIMINGS.authorityMs);
+  });
+
   it('starts the next batch while states of the last one are not stored', async () => {
     // Guards against batches that take two appends in turn: with a slow store
     // half as many tasks were started (scale-2 and trouble-2 of acofino-sul).
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -113,7 +113,8 @@
     this.resolveCommit();
     this.host.progress.close();
     if (this.endReason !== TermEndReason.FENCED) {
-      await this.host.role.resign();
+      const {earlierAuthorityLeftMs} = this.scheduler.state;
+      await this.host.role.resign(earlierAuthorityLeftMs);
     }
     this.host.role.close();
     return this.endReason ?? TermEndReason.FAULT;
