Test that no shard gives away jobs of a cut-off, drained worker

A successor elsewhere, which can't reach the workers of the data centre that is cut off, sees drained workers leave the list; it took their runs for lost at once, as they had never responded to it, and handed the jobs over.

This test plays the path to another shard.

--- a/src/common/batch/job_hand_over.test.ts
+++ b/src/common/batch/job_hand_over.test.ts
@@ -115,6 +115,29 @@
     expect(starts()).toBe(1);
   });
 
+  it('keeps a job whose drained worker is cut off from a successor', () => {
+    // Guards against a second run in another shard: a successor elsewhere that
+    // can't reach the worker took its runs for lost and gave the job away
+    // (tuapapa-sched-large, a release with a cut of a data centre).
+    a.taskMs = 2000;
+    submit({estimateMs: 2000});
+    run(300);
+    workerOfA.phase = WorkerPhase.DRAINING;
+    run(100);
+    workerOfA.isUnreachable = true;
+    a.takeOver();
+    run(100);
+    workerOfA.isListed = false;
+    run(3000);
+    const job = a.scheduler.state.jobs.get(ID)!;
+    expect(a.scheduler.handOver(job, 'b')).toBeUndefined();
+    workerOfA.isUnreachable = false;
+    workerOfA.isListed = true;
+    run(2000);
+    expect(starts()).toBe(1);
+    expect(known(a).state?.phase).toBe(JobPhase.COMPLETE);
+  });
+
   it('starts nothing once a hand-over was decided', () => {
     // Guards against a start between the decision and the answer to the append
     // of its record, or after an answer that was lost.
