Count no refused record of a state as stored

A removal of a lost worker's record that the store refuses would have counted as stored: the scheduler would grant leases while the record says that the worker's lease ends. Found by reading the change of the writer again; the sizes of these records can't cause it, only another refusal.

--- a/src/node/batch/role_writer.ts
+++ b/src/node/batch/role_writer.ts
@@ -68,10 +68,16 @@
     return this.clock.now() - this.lastStoredAt < SCHEDULER_TIMEOUT_MS;
   }
 
-  /** Stores states of jobs; resolves to whether they are stored. */
-  append(records: readonly KeyedRecord[]): Promise<boolean> {
-    if (!this.isBeatDue) return this.writer.append(records);
-    return this.writer.append([...records, this.heartbeat()]);
+  /**
+   * Stores states of jobs; resolves to whether they are stored or refused.
+   * @param onRefused called for each record that the store never accepts.
+   */
+  append(
+    records: readonly KeyedRecord[],
+    onRefused?: (record: KeyedRecord) => void,
+  ): Promise<boolean> {
+    if (!this.isBeatDue) return this.writer.append(records, onRefused);
+    return this.writer.append([...records, this.heartbeat()], onRefused);
   }
 
   /** Stores a heartbeat; resolves to whether it is stored. */
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -264,8 +264,13 @@
     this.isWritingStates = true;
     while (this.unwrittenStates.length > 0) {
       const states = this.unwrittenStates.splice(0);
-      if (!(await this.host.role.append(states))) break;
-      this.scheduler.onStatesStored(states);
+      const refused = new Set<KeyedRecord>();
+      const isStored = await this.host.role.append(states, record =>
+        refused.add(record),
+      );
+      if (!isStored) break;
+      const stored = states.filter(record => !refused.has(record));
+      this.scheduler.onStatesStored(stored);
     }
     this.isWritingStates = false;
   }
