Forget lost workers that the newest records do not name

A replica that reads the newest records anew kept the record of a lost worker whose removal it had not read.

Change: lost workers are forgotten before the newest records are applied. Without a record, the longest lease that earlier schedulers may grant is assumed, so forgetting one is safe.

The new test of job_view.test.ts needs the new call.

--- a/src/common/batch/job_view.test.ts
+++ b/src/common/batch/job_view.test.ts
@@ -199,6 +199,19 @@
     expect(view.predecessorOf('a')).toBeUndefined();
   });
 
+  it('forgets lost workers that the newest records do not name', () => {
+    // Guards against a successor that takes the lease of a returned worker for
+    // over: the store forgot its history, and with it the removal of the record.
+    const key = (id: string): string => RecordKind.LOST_WORKER + id;
+    const lost = packRecord({born: 1, leaseLeftMs: 3000, shard: 'a'});
+    apply(key('w1'), lost);
+    apply(key('w2'), lost);
+    view.beginStates();
+    view.apply({key: key('w2'), value: lost}, 500, true);
+    expect([...view.lostWorkers.keys()]).toEqual(['w2']);
+    expect(view.lostWorkers.get('w2')!.leaseEnd).toBe(3500);
+  });
+
   it('does not revive a scheduler that has resigned', () => {
     // Guards against a role that stays vacant because a heartbeat from before
     // the resignation was read again.
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -94,6 +94,15 @@
     }
   }
 
+  /**
+   * Called before the newest records of the states topic are applied. They lack
+   * records that were removed meanwhile; a lost worker that has returned may
+   * have a new lease.
+   */
+  beginStates(): void {
+    this.lostWorkers.clear();
+  }
+
   /**
    * Phase of a job as the scheduler stored it; undefined for an unknown job. A
    * cancellation that was read doesn't decide it: the scheduler may have stored
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -348,6 +348,7 @@
   private onStates(records: readonly KeyedRecord[], isReset: boolean): void {
     const now = this.dependencies.clock.now();
     const beats = new Set<string>();
+    if (isReset) this.view.beginStates();
     for (const record of records) {
       this.view.apply(record, now, isReset);
       if (record.key[0] === RecordKind.SCHEDULER) {
