Let evidence of other shards evict no model

Found by reading the change again: evidence of other shards on more than 128 serving images would have evicted models learned here, against the comment. interference.test.ts passes; no site has more than 16 images.

--- a/src/common/batch/interference.ts
+++ b/src/common/batch/interference.ts
@@ -181,6 +181,9 @@
     const sums = new Map<ImageModel, Map<string, [number, number]>>();
     for (const evidence of peers) {
       for (const [image, weights] of Object.entries(evidence)) {
+        // What was learned here is not forgotten for the sake of others.
+        const isFull = this.models.size >= MAX_MODELS;
+        if (isFull && !this.models.has(image)) continue;
         const model = this.models.get(image) ?? this.createModel(image);
         const pairs = sums.get(model) ?? new Map<string, [number, number]>();
         sums.set(model, pairs);
@@ -193,7 +196,6 @@
     }
     for (const [model, pairs] of sums) {
       for (const [name, [weight, product]] of pairs) {
-        // What was learned here is not forgotten for the sake of others.
         const {regression} = model;
         const isFull = regression.size >= MAX_IMAGES_PER_MODEL;
         if (isFull && !regression.has(name)) continue;
