Drop the case that an earlier one shows, and put the cases in order

The case of three crashes of workers is that of review/4. The others are numbered by their weight: 7 is the failure of a gang (was 10), 8 the lost worker (was 9), 9 the quarantine (was 7), 10 the draining worker (was 8).

--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -1,6 +1,6 @@
-// A worker fails what it starts, and three members of a gang run there once.
+// A machine of the system freezes while the scheduler calls workers through it;
+// some of these workers begin to drain meanwhile.
 import process from 'node:process';
-import {setTimeout} from 'node:timers';
 import {dirname, join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
@@ -9,18 +9,20 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const ZONES = ['waikato-a', 'waikato-b', 'waikato-c'];
+const MACHINES = {'waikato-a': 3, 'waikato-b': 3, 'waikato-c': 2};
 
-/** One worker of twelve is 0.083 of them; 0.085 fail what they start at most. */
-const WORKERS = 12;
-/** Members of the gang, and how many of them run on one worker. */
-const MEMBERS = 6;
-const PER_WORKER = 3;
-const MAX_ATTEMPTS = 2;
-const GANG_MS = 2000;
-/** Time after which a gang on a worker that fails what it starts has failed. */
-const FAILS_AFTER_MS = 300;
-const GREY_MS = 6500;
-const END_MS = 40_000;
+const WORKERS = 66;
+/** Share of the workers that drain in a round: 4 of 66 is 0.061. */
+const DRAINING = 4;
+/** What a draining worker still serves, at the least and here. */
+const DRAIN_MS = 2000;
+const SERVES_MS = 8000;
+/** A machine freezes for 4 s. */
+const FREEZE_MS = 4000;
+const TASK_MS = 1500;
+/** The same once more each time, after a calm pause. */
+const ROUNDS = 3;
+const PAUSE_MS = 8000;
 
 const record = new Record(
   join(dirname(fileURLToPath(import.meta.url)), 'record.txt'),
@@ -28,98 +30,96 @@
 
 await runCase(record, async deployment => {
   await deployment.startStore();
-  deployment.configure(2, {'max-attempts': MAX_ATTEMPTS});
-  let gang;
-  let grey;
-  const attempts = new Map();
-  const failedAttempts = new Set();
-
-  /** Where a member of the gang runs: [worker, task, run]. */
-  const members = () =>
-    deployment.workers.flatMap(worker =>
-      [...worker.runs]
-        .filter(([task]) => task.startsWith(gang))
-        .map(([task, run]) => [worker, task, run]),
+  const late = [];
+  let onFirstStart = () => {};
+  const onStart = (worker, task, run) => {
+    onFirstStart();
+    if (worker.drainedAt === undefined) return;
+    const after = record.now() - worker.drainedAt;
+    if (after <= DRAIN_MS) return;
+    late.push(after);
+    record.add(
+      `late: ${worker.id} starts ${task} run ${run.attempt} ` +
+        `${after.toFixed(0)} ms after the store accepted that it drains`,
     );
-
-  /** The gang works once all are there; what ends it ends it for all. */
-  const onAllThere = async () => {
-    const present = members();
-    const isHit = present.some(([worker]) => worker === grey && grey.failsAll);
-    await sleep(isHit ? FAILS_AFTER_MS : GANG_MS);
-    if (members().length < MEMBERS) return;
-    for (const [worker, task, run] of members()) {
-      // A worker that fails what it starts fails each of its members.
-      const how = !isHit ? 'done' : worker === grey ? 'failed' : 'broken';
-      if (how === 'failed') failedAttempts.add(run.attempt);
-      worker.end(task, run, how);
-    }
   };
-
-  const onStart = (worker, task, run) => {
-    if (gang === undefined || !task.startsWith(gang)) return;
-    if (HAS_TROUBLE && grey === undefined) {
-      grey = worker;
-      grey.failsAll = true;
-      record.add(`worker ${grey.id} fails all that it starts`);
-      setTimeout(() => {
-        grey.failsAll = false;
-        record.add(`worker ${grey.id} is sound again`);
-      }, GREY_MS);
+  // The machines first, so that all of them are known when the scheduler
+  // chooses through which it calls a worker.
+  for (const zone of ZONES) {
+    for (let number = 1; number <= MACHINES[zone]; number++) {
+      await deployment.addMachine(`front-${zone}-${number}`, zone, ZONES);
     }
-    // `onAllThere` ends it, not the worker by itself.
-    run.endsAt = Infinity;
-    run.fails = false;
-    attempts.set(run.attempt, (attempts.get(run.attempt) ?? 0) + 1);
-    if (attempts.get(run.attempt) === MEMBERS) void onAllThere();
-  };
-
+  }
+  if (!(await deployment.waitUntilReady())) throw new Error('not ready');
   for (let index = 0; index < WORKERS; index++) {
     await deployment.addWorker({
       zone: ZONES[index % ZONES.length],
-      rack: `r${index % 2}`,
+      rack: `r${Math.floor(index / 11)}`,
       cpu: 64_000,
-      durationOf: () => Infinity,
+      durationOf: () => TASK_MS,
       onStart,
     });
   }
-  for (const zone of ZONES) {
-    await deployment.addMachine(`front-${zone}-1`, zone, ZONES);
-  }
-  if (!(await deployment.waitUntilReady())) throw new Error('not ready');
-  await sleep(2000);
+  await sleep(6000);
 
-  const {machines} = deployment;
-  const step = {
-    count: MEMBERS,
-    cpu: 8000,
-    'mem-mb': 8000,
-    'estimate-ms': GANG_MS,
-    gang: true,
-    'max-per-server': PER_WORKER,
-  };
-  const id = await deployment.submit(machines, [step], known => {
-    gang = known;
-  });
-  if (id === undefined) throw new Error('the job is not accepted');
-
-  let state;
-  while (record.now() < END_MS) {
-    await sleep(500);
-    state = await deployment.state(machines[1], id);
-    if (state === 'failed' || state === 'complete') break;
+  const {scheduler} = deployment;
+  if (scheduler === undefined) throw new Error('there is no scheduler');
+  record.add(`the scheduler is ${scheduler.name}`);
+  const zone = ZONES.find(name => name !== scheduler.zone);
+  for (let round = 0; round < ROUNDS; round++) {
+    if (round > 0) await sleep(PAUSE_MS);
+    await playRound(round);
+    if (deployment.scheduler !== scheduler) {
+      throw new Error('the scheduler has changed');
+    }
   }
-  const failures = failedAttempts.size;
-  record.add(`the gang has failed ${failures} times; job shown: ${state}`);
-  if (HAS_TROUBLE && failures === 0) throw new Error('the gang did not fail');
-  if (state === 'failed' && failures < MAX_ATTEMPTS) {
-    return (
-      `LOST: accepted job ${id} is shown as failed, and its gang has failed ` +
-      `${failures} times of ${MAX_ATTEMPTS}`
+  if (late.length === 0) return undefined;
+  return (
+    `DRAIN: ${late.length} starts on draining workers later than ` +
+    `${DRAIN_MS} ms after the store accepted that they drain, the last ` +
+    `${Math.max(...late).toFixed(0)} ms after`
+  );
+
+  async function playRound(round) {
+    // The scheduler calls the workers of a zone through the first other machine
+    // there, and through the next one after that has failed.
+    const machines = deployment.machines.filter(
+      machine => machine.zone === zone,
     );
+    const frozen = machines[round % 2];
+    const calm = deployment.machines.filter(machine => machine !== frozen);
+    const draining = deployment.workers
+      .filter(worker => worker.zone === zone && worker.state === 'ready')
+      .slice(0, DRAINING);
+    if (HAS_TROUBLE) {
+      frozen.signal('SIGSTOP');
+      record.add(`${frozen.name} freezes`);
+    }
+    const frozenAt = record.now();
+    // The workers begin to drain as the job's first task starts.
+    onFirstStart = () => {
+      onFirstStart = () => {};
+      for (const worker of draining) worker.drain(SERVES_MS);
+    };
+    const step = {
+      count: 2 * deployment.workers.filter(({isDown}) => !isDown).length,
+      cpu: 24_000,
+      'mem-mb': 13_000,
+      'estimate-ms': TASK_MS,
+    };
+    const id = await deployment.submit(calm, [step]);
+    if (id === undefined) throw new Error('the job is not accepted');
+    await sleep(frozenAt + FREEZE_MS - record.now());
+    if (HAS_TROUBLE) {
+      frozen.signal('SIGCONT');
+      record.add(`${frozen.name} goes on`);
+    }
+    await sleep(SERVES_MS - FREEZE_MS);
+    for (const worker of draining) {
+      if (worker.drainedAt === undefined) throw new Error('nothing started');
+      record.add(`worker ${worker.id} leaves`);
+      deployment.store.write('keyed.servers', worker.id, undefined);
+      await worker.crash();
+    }
   }
-  if (state !== 'complete') {
-    return `LOST: accepted job ${id} is ${state} at the end`;
-  }
-  return undefined;
 });
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,5 +1,5 @@
-// A machine of the system freezes while the scheduler calls workers through it;
-// some of these workers begin to drain meanwhile.
+// A worker is lost for good, and the process of the scheduler is killed at
+// nearly the same time; a task that lasts ran on that worker.
 import process from 'node:process';
 import {dirname, join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -9,20 +9,26 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const ZONES = ['waikato-a', 'waikato-b', 'waikato-c'];
-const MACHINES = {'waikato-a': 3, 'waikato-b': 3, 'waikato-c': 2};
 
-const WORKERS = 66;
-/** Share of the workers that drain in a round: 4 of 66 is 0.061. */
-const DRAINING = 4;
-/** What a draining worker still serves, at the least and here. */
-const DRAIN_MS = 2000;
-const SERVES_MS = 8000;
-/** A machine freezes for 4 s. */
-const FREEZE_MS = 4000;
-const TASK_MS = 1500;
-/** The same once more each time, after a calm pause. */
-const ROUNDS = 3;
-const PAUSE_MS = 8000;
+/** One worker of eight is 0.125 of them; 0.14 are lost at most. */
+const WORKERS = 8;
+const CPU = 64_000;
+const LASTING_CPU = 13_000;
+/** Time from the loss of the worker to the kill, and until the restart. */
+const KILL_AFTER_MS = 400;
+const DOWN_MS = 500;
+/** A worker's entry goes after three heartbeat intervals of silence. */
+const ENTRY_MS = 3300;
+
+/**
+ * Times of the rule: after the last run, calm before, and without a run. The
+ * disruption counts as near for `contact-ms` after its end.
+ */
+const AFTER_RUN_MS = 6000;
+const CONTACT_MS = 3000;
+const CALM_BEFORE_MS = 4000;
+const WITHOUT_RUN_MS = 3000;
+const END_MS = 25_000;
 
 const record = new Record(
   join(dirname(fileURLToPath(import.meta.url)), 'record.txt'),
@@ -30,96 +36,90 @@
 
 await runCase(record, async deployment => {
   await deployment.startStore();
-  const late = [];
-  let onFirstStart = () => {};
-  const onStart = (worker, task, run) => {
-    onFirstStart();
-    if (worker.drainedAt === undefined) return;
-    const after = record.now() - worker.drainedAt;
-    if (after <= DRAIN_MS) return;
-    late.push(after);
-    record.add(
-      `late: ${worker.id} starts ${task} run ${run.attempt} ` +
-        `${after.toFixed(0)} ms after the store accepted that it drains`,
-    );
-  };
-  // The machines first, so that all of them are known when the scheduler
-  // chooses through which it calls a worker.
   for (const zone of ZONES) {
-    for (let number = 1; number <= MACHINES[zone]; number++) {
-      await deployment.addMachine(`front-${zone}-${number}`, zone, ZONES);
-    }
+    await deployment.addMachine(`front-${zone}-1`, zone, ZONES);
   }
   if (!(await deployment.waitUntilReady())) throw new Error('not ready');
   for (let index = 0; index < WORKERS; index++) {
     await deployment.addWorker({
       zone: ZONES[index % ZONES.length],
-      rack: `r${Math.floor(index / 11)}`,
-      cpu: 64_000,
-      durationOf: () => TASK_MS,
-      onStart,
+      rack: `r${index % 4}`,
+      cpu: CPU,
+      durationOf: () => Infinity,
     });
   }
-  await sleep(6000);
+  await sleep(3000);
+
+  const {machines, workers} = deployment;
+  const id = await deployment.submit(machines, [
+    {
+      count: 1,
+      cpu: LASTING_CPU,
+      'mem-mb': 13_000,
+      'estimate-ms': 500,
+      perpetual: true,
+    },
+  ]);
+  if (id === undefined) throw new Error('the job is not accepted');
+  const task = `${id}.0.0.0`;
+  const runningOn = () => workers.find(({runs}) => runs.has(task));
+  for (let wait = 0; wait < 100 && !runningOn(); wait++) await sleep(50);
+  const worker = runningOn();
+  if (worker === undefined) throw new Error('the task does not start');
+  await sleep(3000);
 
-  const {scheduler} = deployment;
-  if (scheduler === undefined) throw new Error('there is no scheduler');
-  record.add(`the scheduler is ${scheduler.name}`);
-  const zone = ZONES.find(name => name !== scheduler.zone);
-  for (let round = 0; round < ROUNDS; round++) {
-    if (round > 0) await sleep(PAUSE_MS);
-    await playRound(round);
-    if (deployment.scheduler !== scheduler) {
-      throw new Error('the scheduler has changed');
+  let lastRunAt = record.now();
+  let calmFrom = record.now();
+  const startedAt = record.now();
+  if (HAS_TROUBLE) {
+    await worker.crash();
+    lastRunAt = record.now();
+    await sleep(KILL_AFTER_MS);
+    const {scheduler} = deployment;
+    if (scheduler === undefined) throw new Error('there is no scheduler');
+    scheduler.signal('SIGKILL');
+    record.add(`${scheduler.name}, the scheduler, is killed`);
+    await sleep(DOWN_MS);
+    scheduler.start();
+    record.add(`${scheduler.name} is started again`);
+    calmFrom = record.now();
+    removeEntryInTime(deployment, worker, lastRunAt);
+  }
+  let idleSince;
+  let longestMs = 0;
+  let wasRunning = !HAS_TROUBLE;
+  while (record.now() < startedAt + END_MS) {
+    await sleep(20);
+    const now = record.now();
+    if (runningOn()) {
+      if (!wasRunning) record.add(`${task} runs again`);
+      wasRunning = true;
+      lastRunAt = now;
+      idleSince = undefined;
+      continue;
     }
+    wasRunning = false;
+    const isDue =
+      now >= lastRunAt + AFTER_RUN_MS &&
+      now >= calmFrom + CONTACT_MS + CALM_BEFORE_MS;
+    if (!isDue) continue;
+    idleSince ??= now;
+    longestMs = Math.max(longestMs, now - idleSince);
   }
-  if (late.length === 0) return undefined;
+  record.add(
+    `${task}: ${longestMs.toFixed(0)} ms without a run that the rule counts`,
+  );
+  if (longestMs <= WITHOUT_RUN_MS) return undefined;
   return (
-    `DRAIN: ${late.length} starts on draining workers later than ` +
-    `${DRAIN_MS} ms after the store accepted that they drain, the last ` +
-    `${Math.max(...late).toFixed(0)} ms after`
+    `LOST: a task that lasts has nothing running for ${longestMs.toFixed(0)} ` +
+    `ms from 6 s after its last run, all calm for 7 s before, with seven ` +
+    `empty workers`
   );
-
-  async function playRound(round) {
-    // The scheduler calls the workers of a zone through the first other machine
-    // there, and through the next one after that has failed.
-    const machines = deployment.machines.filter(
-      machine => machine.zone === zone,
-    );
-    const frozen = machines[round % 2];
-    const calm = deployment.machines.filter(machine => machine !== frozen);
-    const draining = deployment.workers
-      .filter(worker => worker.zone === zone && worker.state === 'ready')
-      .slice(0, DRAINING);
-    if (HAS_TROUBLE) {
-      frozen.signal('SIGSTOP');
-      record.add(`${frozen.name} freezes`);
-    }
-    const frozenAt = record.now();
-    // The workers begin to drain as the job's first task starts.
-    onFirstStart = () => {
-      onFirstStart = () => {};
-      for (const worker of draining) worker.drain(SERVES_MS);
-    };
-    const step = {
-      count: 2 * deployment.workers.filter(({isDown}) => !isDown).length,
-      cpu: 24_000,
-      'mem-mb': 13_000,
-      'estimate-ms': TASK_MS,
-    };
-    const id = await deployment.submit(calm, [step]);
-    if (id === undefined) throw new Error('the job is not accepted');
-    await sleep(frozenAt + FREEZE_MS - record.now());
-    if (HAS_TROUBLE) {
-      frozen.signal('SIGCONT');
-      record.add(`${frozen.name} goes on`);
-    }
-    await sleep(SERVES_MS - FREEZE_MS);
-    for (const worker of draining) {
-      if (worker.drainedAt === undefined) throw new Error('nothing started');
-      record.add(`worker ${worker.id} leaves`);
-      deployment.store.write('keyed.servers', worker.id, undefined);
-      await worker.crash();
-    }
-  }
 });
+
+/** Removes the entry of a lost worker from the store in time. */
+function removeEntryInTime(deployment, worker, lostAt) {
+  void sleep(lostAt + ENTRY_MS - record.now()).then(() =>
+    deployment.store.write('keyed.servers', worker.id, undefined),
+  );
+}
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,5 +1,5 @@
-// A worker is lost for good, and the process of the scheduler is killed at
-// nearly the same time; a task that lasts ran on that worker.
+// The only worker with room fails all that it starts, for a few seconds; then
+// it is sound again, and a task that lasts has no other worker.
 import process from 'node:process';
 import {dirname, join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -10,25 +10,24 @@
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const ZONES = ['waikato-a', 'waikato-b', 'waikato-c'];
 
-/** One worker of eight is 0.125 of them; 0.14 are lost at most. */
-const WORKERS = 8;
+/** One worker of twelve is 0.083 of them; 0.085 fail what they start at most. */
+const WORKERS = 12;
 const CPU = 64_000;
-const LASTING_CPU = 13_000;
-/** Time from the loss of the worker to the kill, and until the restart. */
-const KILL_AFTER_MS = 400;
-const DOWN_MS = 500;
-/** A worker's entry goes after three heartbeat intervals of silence. */
-const ENTRY_MS = 3300;
+/** Lasting tasks that fill the other workers, and the one that is watched. */
+const FILLING_TASKS = 33;
+const LASTING_CPU = 21_000;
+/** Short jobs of one task each, which need more than the others leave. */
+const SHORT_JOBS = 16;
+const SHORT_CPU = 2000;
+const SHORT_MS = 1000;
+/** A worker fails what it starts for 6.5 s at most. */
+const GREY_MS = 6500;
 
-/**
- * Times of the rule: after the last run, calm before, and without a run. The
- * disruption counts as near for `contact-ms` after its end.
- */
+/** Times of the rule: after the last run, calm before, and without a run. */
 const AFTER_RUN_MS = 6000;
-const CONTACT_MS = 3000;
 const CALM_BEFORE_MS = 4000;
 const WITHOUT_RUN_MS = 3000;
-const END_MS = 25_000;
+const END_MS = 40_000;
 
 const record = new Record(
   join(dirname(fileURLToPath(import.meta.url)), 'record.txt'),
@@ -36,73 +35,84 @@
 
 await runCase(record, async deployment => {
   await deployment.startStore();
-  for (const zone of ZONES) {
-    await deployment.addMachine(`front-${zone}-1`, zone, ZONES);
-  }
-  if (!(await deployment.waitUntilReady())) throw new Error('not ready');
+  const lasting = new Set();
+  const durationOf = task =>
+    lasting.has(task.split('.')[0]) ? Infinity : SHORT_MS;
   for (let index = 0; index < WORKERS; index++) {
     await deployment.addWorker({
       zone: ZONES[index % ZONES.length],
-      rack: `r${index % 4}`,
+      rack: `r${index % 2}`,
       cpu: CPU,
-      durationOf: () => Infinity,
+      durationOf,
     });
   }
-  await sleep(3000);
+  for (const zone of ZONES) {
+    await deployment.addMachine(`front-${zone}-1`, zone, ZONES);
+  }
+  if (!(await deployment.waitUntilReady())) throw new Error('not ready');
+  await sleep(2000);
 
   const {machines, workers} = deployment;
-  const id = await deployment.submit(machines, [
-    {
-      count: 1,
-      cpu: LASTING_CPU,
-      'mem-mb': 13_000,
-      'estimate-ms': 500,
-      perpetual: true,
-    },
-  ]);
-  if (id === undefined) throw new Error('the job is not accepted');
-  const task = `${id}.0.0.0`;
-  const runningOn = () => workers.find(({runs}) => runs.has(task));
-  for (let wait = 0; wait < 100 && !runningOn(); wait++) await sleep(50);
-  const worker = runningOn();
-  if (worker === undefined) throw new Error('the task does not start');
-  await sleep(3000);
+  const step = {'mem-mb': 1000, 'estimate-ms': SHORT_MS};
+  const lastingStep = {...step, cpu: LASTING_CPU, perpetual: true};
+  await submit(deployment, {...lastingStep, count: FILLING_TASKS}, lasting);
+  const isFull = () =>
+    workers.filter(({runs}) => runs.size === 3).length === WORKERS - 1;
+  for (let wait = 0; wait < 150 && !isFull(); wait++) await sleep(100);
+  if (!isFull()) throw new Error('the other workers are not full');
+  await sleep(2000);
+  const worker = workers.find(({runs}) => runs.size === 0);
+  if (worker === undefined) throw new Error('no worker is empty');
 
-  let lastRunAt = record.now();
-  let calmFrom = record.now();
-  const startedAt = record.now();
+  const greyFrom = record.now();
   if (HAS_TROUBLE) {
-    await worker.crash();
-    lastRunAt = record.now();
-    await sleep(KILL_AFTER_MS);
-    const {scheduler} = deployment;
-    if (scheduler === undefined) throw new Error('there is no scheduler');
-    scheduler.signal('SIGKILL');
-    record.add(`${scheduler.name}, the scheduler, is killed`);
-    await sleep(DOWN_MS);
-    scheduler.start();
-    record.add(`${scheduler.name} is started again`);
-    calmFrom = record.now();
-    removeEntryInTime(deployment, worker, lastRunAt);
+    worker.failsAll = true;
+    record.add(`worker ${worker.id} fails all that it starts from now on`);
   }
+  const watched = await submit(deployment, {...lastingStep, count: 1}, lasting);
+  const task = `${watched}.0.0.0`;
+  const runningOn = () => workers.find(({runs}) => runs.has(task));
+  for (let wait = 0; wait < 50 && !runningOn(); wait++) await sleep(100);
+  if (!runningOn()) throw new Error('the watched task does not start');
+  await sleep(600);
+  await Promise.all(
+    Array.from({length: SHORT_JOBS}, (_, index) =>
+      submit(
+        deployment,
+        {...step, cpu: SHORT_CPU, count: 1},
+        undefined,
+        machines[index % machines.length],
+      ),
+    ),
+  );
+
+  let greyUntil = greyFrom;
   let idleSince;
+  let lastRunAt = record.now();
   let longestMs = 0;
-  let wasRunning = !HAS_TROUBLE;
-  while (record.now() < startedAt + END_MS) {
+  while (record.now() < greyFrom + END_MS) {
     await sleep(20);
     const now = record.now();
+    if (worker.failsAll && now - greyFrom >= GREY_MS) {
+      worker.failsAll = false;
+      greyUntil = now;
+      record.add(`worker ${worker.id} is sound again`);
+    }
     if (runningOn()) {
-      if (!wasRunning) record.add(`${task} runs again`);
-      wasRunning = true;
+      if (idleSince !== undefined) record.add(`${task} runs again`);
       lastRunAt = now;
       idleSince = undefined;
       continue;
     }
-    wasRunning = false;
+    if (worker.failsAll) continue;
+    // What the rule counts: from 6 s after the last run, with the 4 s before
+    // calm, and while there is capacity for the task twice over.
     const isDue =
-      now >= lastRunAt + AFTER_RUN_MS &&
-      now >= calmFrom + CONTACT_MS + CALM_BEFORE_MS;
-    if (!isDue) continue;
+      now >= lastRunAt + AFTER_RUN_MS && now >= greyUntil + CALM_BEFORE_MS;
+    if (!isDue || freeCpu(workers) < 2 * LASTING_CPU) {
+      idleSince = undefined;
+      continue;
+    }
     idleSince ??= now;
     longestMs = Math.max(longestMs, now - idleSince);
   }
@@ -112,14 +122,29 @@
   if (longestMs <= WITHOUT_RUN_MS) return undefined;
   return (
     `LOST: a task that lasts has nothing running for ${longestMs.toFixed(0)} ` +
-    `ms from 6 s after its last run, all calm for 7 s before, with seven ` +
-    `empty workers`
+    `ms from 6 s after its last run, all calm, with room for it twice over ` +
+    `on worker ${worker.id}`
   );
+
+  /** Most unreserved processors of one worker. */
+  function freeCpu(all) {
+    const cpuOf = name =>
+      lasting.has(name.split('.')[0]) ? LASTING_CPU : SHORT_CPU;
+    const free = all.map(
+      ({runs, cpu}) =>
+        cpu - [...runs.keys()].reduce((sum, name) => sum + cpuOf(name), 0),
+    );
+    return Math.max(...free);
+  }
 });
 
-/** Removes the entry of a lost worker from the store in time. */
-function removeEntryInTime(deployment, worker, lostAt) {
-  void sleep(lostAt + ENTRY_MS - record.now()).then(() =>
-    deployment.store.write('keyed.servers', worker.id, undefined),
-  );
+/** Hands a job of one step in; its id is noted before it can start. */
+async function submit(deployment, step, ids, first) {
+  const {machines} = deployment;
+  const order = first
+    ? [first, ...machines.filter(machine => machine !== first)]
+    : machines;
+  const id = await deployment.submit(order, [step], known => ids?.add(known));
+  if (id === undefined) throw new Error('a job is not accepted');
+  return id;
 }
