--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -333,6 +333,11 @@
   return tasks.reduce((count, task) => count + (task.isElsewhere ? 0 : 1), 0);
 }
 
+/** Number of a step's tasks that are not done. */
+export function unfinishedTasks({tasks, doneCount}: ActiveStep): number {
+  return tasks.length - doneCount;
+}
+
 /** Whether all tasks of a step are done. */
 export function isStepDone(step: ActiveStep): boolean {
   return step.doneCount >= step.tasks.length;
--- a/src/common/batch/placement.ts
+++ b/src/common/batch/placement.ts
@@ -5,7 +5,7 @@
 import {isFinal, JobPhase, TaskPhase} from './job_records.js';
 import {PerpetualBacklog} from './perpetual_backlog.js';
 import {PlacementCost} from './placement_cost.js';
-import {reservedShares} from './reserved_shares.js';
+import {MAX_FORCED_START_LOAD, reservedShares} from './reserved_shares.js';
 import {CommandKind, SchedulerState} from './scheduler_state.js';
 import {RoomReport} from './room_report.js';
 import {
@@ -31,11 +31,10 @@
 
 /**
  * Time after which a best-effort job without runs starts one task regardless
- * of interference, and the maximum share of reserved processors for that.
- * Callers expect a start within 3 s when less than half is in use.
+ * of interference. Callers expect a start within 3 s when less than half is in
+ * use.
  */
 const FORCED_START_DELAY_MS: Millis = 1500;
-const MAX_FORCED_START_LOAD = 0.6;
 
 /**
  * Time after which a scan is interrupted, so that heartbeats, reports and
--- a/src/common/batch/reserved_shares.ts
+++ b/src/common/batch/reserved_shares.ts
@@ -1,5 +1,11 @@
 import {WorkerState} from './worker_state.js';
 
+/**
+ * Maximum reserved share of the processors at which a best-effort job without
+ * runs starts a task regardless of interference.
+ */
+export const MAX_FORCED_START_LOAD = 0.6;
+
 /** Shares of workers' processors, from 0 to 1; 1 without any capacity. */
 export interface ReservedShares {
   /** Reserved by runs of any kind. */
