Let jobs without runs leave a shard without room for their tasks

Cause: only perpetual tasks had a rule for want of room. Other jobs left by the difference of the backlogs, and only before their first start, as if running tasks made room soon; perpetual ones don't.

Change: a task that has waited 2 s, has no room here and has published room elsewhere takes its job there if the job has no run, whatever the kind of work (room_search.ts). A job that came for room uses it before a step that fits another shard makes it leave, so it doesn't move to and fro.

Why it works: the decision looks at what the task needs, not at a sum of work that lasting tasks hardly enter, and is made again while the task waits.

--- a/src/common/batch/hand_over.ts
+++ b/src/common/batch/hand_over.ts
@@ -8,7 +8,7 @@
   DATA: 'data',
   /** No worker of this shard is usable. */
   UNREACHABLE: 'unreachable',
-  /** No usable worker of this shard has room for a perpetual task. */
+  /** A task has waited in vain for room, which the other shard has. */
   NO_ROOM: 'no room',
   /** New jobs ask for more processors here than in the other shard. */
   DEMAND: 'demand',
--- a/src/common/batch/hand_over_ledger.ts
+++ b/src/common/batch/hand_over_ledger.ts
@@ -10,7 +10,10 @@
 export interface SentWork {
   /** Expected work, in ms of one core. */
   readonly workMs: Millis;
-  /** Processors that its perpetual tasks reserve, in thousandths of a core. */
+  /**
+   * Processors that its perpetual tasks and its ready ones reserve, in
+   * thousandths of a core.
+   */
   readonly reservedMilli: number;
 }
 
@@ -74,7 +77,7 @@
     return this.sent.get(shard)?.workMs ?? 0;
   }
 
-  /** Processors that perpetual tasks sent to a shard lately reserve there. */
+  /** Processors that what was sent to a shard lately reserves there. */
   reservedMilliTo(shard: string): number {
     return this.sent.get(shard)?.reservedMilli ?? 0;
   }
--- a/src/common/batch/hand_over_policy.ts
+++ b/src/common/batch/hand_over_policy.ts
@@ -14,7 +14,9 @@
 import {isFinal} from './job_records.js';
 import {ListedCapacity} from './listed_capacity.js';
 import {ReservationBalance, reservesForGood} from './reservation_balance.js';
+import {reservationOf} from './room.js';
 import {RoomBalance} from './room_balance.js';
+import {RoomSearch} from './room_search.js';
 import {SchedulerState} from './scheduler_state.js';
 import {ShardLayout, ShardLoad} from './shard_layout.js';
 import {WorkerListing} from './types.js';
@@ -26,7 +28,6 @@
   WaitingWork,
 } from './waiting_work.js';
 import {WorkerContact} from './worker_contact.js';
-import {exclusionReason} from './worker_exclusion.js';
 
 /** Hand-overs of a job after which it moves only if it can't run at all. */
 const MAX_GENERATION = 3;
@@ -38,15 +39,6 @@
 /** Maximum number of jobs behind the front to look at in each call. */
 const MAX_BALANCE_TRIES = 200;
 
-/** Maximum number of searches for a worker with room in each call. */
-const MAX_ROOM_SEARCHES = 10;
-
-/**
- * Time that a perpetual task waits for room in this shard. Callers expect a task
- * that ended to run again within 6 s, wherever there is room.
- */
-const ROOM_WAIT_MS: Millis = 2 * SECOND;
-
 /** Time that other jobs wait before they leave for a shorter backlog. */
 const BACKLOG_WAIT_MS: Millis = SECOND;
 
@@ -81,7 +73,7 @@
   private readonly contact = new WorkerContact();
   private readonly budget = new HandOverBudget();
   private readonly demandBalance: DemandBalance;
-  private readonly roomBalance: RoomBalance;
+  private readonly roomSearch: RoomSearch;
   private listings: ReadonlyMap<string, WorkerListing> = new Map();
   private isGroupingStale = false;
   /** Whether this shard's listings are complete enough to miss a worker. */
@@ -100,16 +92,19 @@
   private behindFront: WaitingJob[] = [];
   private orderedAt: Millis = -Infinity;
   private cursor: Iterator<ActiveTask>;
-  private roomSearches = 0;
-  /** Results of the searches in this call, by step. */
-  private readonly ownRoom = new Map<ActiveStep, boolean>();
-  /** Jobs to which no rule applies while workers are listed as in a version. */
+  /**
+   * Jobs to which only the rule for room applies while workers are listed as in
+   * a version.
+   */
   private plainJobs = new WeakSet<ActiveJob>();
   private plainVersion = 0;
 
   /** Rules for single jobs; the first one that applies decides. */
   private readonly rules: readonly (readonly [HandOverReason, Rule])[] = [
-    [HandOverReason.NO_WORKER_FITS, candidate => this.whereItFits(candidate)],
+    [
+      HandOverReason.NO_WORKER_FITS,
+      (candidate, now) => this.whereItFits(candidate, now),
+    ],
     [HandOverReason.UNREACHABLE, candidate => this.awayFromSilence(candidate)],
     [HandOverReason.DATA, (candidate, now) => this.whereDataIs(candidate, now)],
     [
@@ -130,7 +125,6 @@
     random: () => number = Math.random,
   ) {
     this.demandBalance = new DemandBalance(random);
-    this.roomBalance = new RoomBalance(this.ledger, random);
     this.work = new WaitingWork(state);
     this.capacity = new ListedCapacity(shard);
     this.destinations = new HandOverDestinations(
@@ -138,6 +132,12 @@
       this.capacity,
       this.ledger,
     );
+    this.roomSearch = new RoomSearch(
+      shard,
+      state,
+      this.destinations,
+      new RoomBalance(this.ledger, random),
+    );
     this.cursor = state.waitingTasks.values();
   }
 
@@ -204,8 +204,7 @@
     this.ledger.expire(now);
     this.groupListings(now);
     if (now - this.loadedAt >= LOAD_TTL_MS) this.load(now);
-    this.roomSearches = 0;
-    this.ownRoom.clear();
+    this.roomSearch.begin();
     let left = MAX_HAND_OVERS;
     for (const handOver of this.search(elapsed, now)) {
       yield handOver;
@@ -241,13 +240,12 @@
     const seen = new Set<ActiveJob>();
     const count = Math.min(MAX_SCANNED_TASKS, waitingTasks.size);
     for (let index = 0; index < count; index++) {
-      if (this.roomSearches >= MAX_ROOM_SEARCHES) return;
+      if (this.roomSearch.isExhausted) return;
       const task = this.nextTask();
       if (task === undefined) return;
       const {job} = task.step.occurrence;
       const isFirst = !seen.has(job);
       seen.add(job);
-      if (this.plainJobs.has(job) && !this.contact.isLost) continue;
       if (!this.isWaiting(job)) continue;
       const handOver = isFirst ? this.applyRules(job, task, now) : undefined;
       if (handOver !== undefined) yield handOver;
@@ -291,6 +289,11 @@
     task: ActiveTask,
     now: Millis,
   ): HandOver | undefined {
+    if (this.plainJobs.has(job) && !this.contact.isLost) {
+      const to = this.whereRoomIs({job, task}, now);
+      if (to === undefined) return undefined;
+      return this.handOver(job, to, HandOverReason.NO_ROOM, now);
+    }
     const candidate = {job, task, steps: unfinishedSteps(job)};
     if (this.isPlain(candidate)) this.plainJobs.add(job);
     for (const [reason, rule] of this.rules) {
@@ -301,7 +304,7 @@
     return undefined;
   }
 
-  /** Whether only the silence of all workers would make a job leave. */
+  /** Whether only silence of all workers or want of room makes a job leave. */
   private isPlain({steps}: Candidate): boolean {
     if (!this.destinations.canRunAll(steps, this.shard)) return false;
     return steps.every(({shape}) => !shape.perpetual && shape.dataRack === '');
@@ -315,6 +318,7 @@
   ): HandOver {
     const workMs = this.work.ofJob(job);
     const reservedMilli = unfinishedSteps(job)
+      .filter(step => step.shape.perpetual || isStepReady(step))
       .map(step => reservedMilliOf(step) * ownTaskCount(step))
       .reduce((sum, milli) => sum + milli, 0);
     this.ledger.add(job.id, to, {workMs, reservedMilli}, now);
@@ -325,13 +329,21 @@
   }
 
   /** Rule for jobs that can't run here with the listed workers. */
-  private whereItFits({steps}: Candidate): string | undefined {
+  private whereItFits(
+    {job, task, steps}: Candidate,
+    now: Millis,
+  ): string | undefined {
     if (this.destinations.canRunAll(steps, this.shard)) return undefined;
     if (!this.isListed) return undefined;
     const canContinue = steps.some(
       step => isStepReady(step) && this.capacity.canRun(step, this.shard),
     );
     if (canContinue) {
+      // A job that came for room uses it before it moves on for later steps.
+      const cameForRoom = this.generationOf(job) > 0;
+      if (cameForRoom && this.roomSearch.hasOwnRoom(task.step, now)) {
+        return undefined;
+      }
       const shards = this.destinations.shardsForAll(steps);
       return this.destinations.shortest(shards);
     }
@@ -376,40 +388,26 @@
     return addedMs < savedMs ? to : undefined;
   }
 
-  /** Rule for jobs without runs whose perpetual tasks wait for room. */
-  private whereRoomIs({job, task}: Candidate, now: Millis): string | undefined {
-    return hasRun(job) ? undefined : this.shardWithRoom(task, now);
+  /** Rule for jobs without runs whose tasks wait for room. */
+  private whereRoomIs(
+    {job, task}: Pick<Candidate, 'job' | 'task'>,
+    now: Millis,
+  ): string | undefined {
+    if (!this.roomSearch.isDue(task, now) || hasRun(job)) return undefined;
+    return this.shardWithRoom(task, now);
   }
 
   /**
-   * Another shard with room for a perpetual task that has waited in vain;
-   * undefined if it stays.
+   * Another shard with room for a task that has waited in vain; undefined if it
+   * stays.
    */
   private shardWithRoom(task: ActiveTask, now: Millis): string | undefined {
-    const {step} = task;
-    if (!step.shape.perpetual) return undefined;
-    // The room of workers that are silent for a moment is not known.
-    if (!this.contact.isPresent && !this.contact.isLost) return undefined;
-    if (now - task.readySince <= ROOM_WAIT_MS) return undefined;
-    if (this.hasOwnRoom(step, now)) return undefined;
-    const shards = step.shape.gang
-      ? this.destinations.shardsForAll(unfinishedSteps(step.occurrence.job))
-      : this.destinations.shardsForOne(step);
-    return this.roomBalance.choose(step, shards, this.destinations.loads);
-  }
-
-  /** Whether a worker of this shard has room for a task of a step. */
-  private hasOwnRoom(step: ActiveStep, now: Millis): boolean {
-    // The tasks of a step need the same, and nothing is placed meanwhile.
-    let result = this.ownRoom.get(step);
-    if (result === undefined) {
-      this.roomSearches++;
-      result = [...this.state.workers.values()].some(
-        worker => exclusionReason(step, worker, now) === undefined,
-      );
-      this.ownRoom.set(step, result);
-    }
-    return result;
+    // The room of workers that are silent for a moment is not known. For those
+    // that are silent for long, another rule moves the jobs that end.
+    const {isPresent, isLost} = this.contact;
+    if (!isPresent && !(isLost && task.step.shape.perpetual)) return undefined;
+    if (!this.roomSearch.isDue(task, now)) return undefined;
+    return this.roomSearch.choose(task, now);
   }
 
   /** Hands over jobs to shards with clearly shorter backlogs. */
@@ -481,9 +479,9 @@
   return job.hasStarted && job.detached === undefined;
 }
 
-/** Processors that a perpetual task reserves, in thousandths of a core. */
+/** Processors that a task reserves, in thousandths of a core. */
 function reservedMilliOf({shape}: ActiveStep): number {
-  return shape.perpetual && !shape.fills ? shape.cpuMilli : 0;
+  return reservationOf(shape).cpuMilli;
 }
 
 /** Whether a job has tasks that reserve processors. */
--- a/src/common/batch/hand_over_room.test.ts
+++ b/src/common/batch/hand_over_room.test.ts
@@ -46,7 +46,7 @@
     shard.submit('gang', gang);
     const worker = shard.state.workers.get('a0')!;
     for (const run of [...worker.runs.values()]) worker.remove(run);
-    expect(ids(shard.run(LOST_AFTER_MS))).toEqual(['gang']);
+    expect(ids(shard.runAndRelease(LOST_AFTER_MS))).toEqual(['gang']);
   });
 
   it('hands over a short job although the backlog is short', () => {
--- a/src/common/batch/job_hand_over.test.ts
+++ b/src/common/batch/job_hand_over.test.ts
@@ -196,6 +196,35 @@
     expect(known(b).state?.phase).toBe(JobPhase.COMPLETE);
   });
 
+  it('counts attempts and failures from before the job left', () => {
+    // Guards against more failed runs than the queue allows, or a number of a
+    // run that is used twice, after a job has left between two steps (BUDGET).
+    submit({}, {after: [0]});
+    run(1300);
+    const second = `${ID}.0.1.0`;
+    for (let failure = 1; failure < QUEUE.maxAttempts; failure++) {
+      run(300);
+      workerOfA.end(second, RunOutcome.FAILED);
+      if (failure === QUEUE.maxAttempts - 1) {
+        workerOfA.phase = WorkerPhase.DRAINING;
+      }
+      run(100);
+    }
+    const before = workerOfA.starts.filter(task => task === second).length;
+    handOver(a, b);
+    run(200);
+    b.takeOver();
+    const {attempt} = workerOfB.runs.get(second)!;
+    workerOfB.end(second, RunOutcome.FAILED);
+    run(8000);
+    expect([before, attempt]).toEqual([
+      QUEUE.maxAttempts - 1,
+      QUEUE.maxAttempts,
+    ]);
+    expect(workerOfB.starts).toEqual([second]);
+    expect(known(b).state?.phase).toBe(JobPhase.FAILED);
+  });
+
   it('uses no progress from before the job left when it comes back', () => {
     // Guards against a task that is done in the other shard and run again after
     // a takeover in the first one, whose old record of the job was not removed.
--- a/src/common/batch/simulated_shard.test_support.ts
+++ b/src/common/batch/simulated_shard.test_support.ts
@@ -227,6 +227,17 @@
     }
     return chosen;
   }
+
+  /** Calls the policy for some time; the chosen jobs leave the shard. */
+  runAndRelease(duration: Millis): HandOver[] {
+    const chosen: HandOver[] = [];
+    for (let time = 0; time < duration; time += TICK_MS) {
+      for (const handOver of this.choose()) {
+        if (this.lifecycle.release(handOver.job)) chosen.push(handOver);
+      }
+    }
+    return chosen;
+  }
 }
 
 /** Ids of the jobs. */
--- a/src/common/batch/work_without_room.test.ts
+++ b/src/common/batch/work_without_room.test.ts
@@ -1,6 +1,7 @@
 import {ManualClock} from '../base/manual_clock.js';
 import {Millis, SECOND} from '../base/clock.js';
 import {ActiveTask} from './active_job.js';
+import {HandOverReason} from './hand_over.js';
 import {
   LAYOUT_KEY,
   packHandOver,
@@ -155,7 +156,75 @@
     // Guards against a job that never starts, as the perpetual tasks before it
     // don't end, while another shard is idle (LOST).
     shard.submit('short', {cpuMilli: 1000});
-    expect(ids(shard.run(10 * SECOND))).toEqual(['short']);
+    expect(ids(shard.runAndRelease(10 * SECOND))).toEqual(['short']);
+  });
+
+  it('hands over a job in time for a run within 3 s', () => {
+    // Guards against a job that is shown without a run for 3 s although another
+    // shard has room (LOST).
+    shard.submit('short', {cpuMilli: 1000});
+    expect(ids(shard.runAndRelease(2.5 * SECOND))).toEqual(['short']);
+  });
+
+  it('hands over a job to a shard with enough memory', () => {
+    // Guards against a job that is sent where only processors are idle.
+    const noMemory: ShardLoad = {...load(0), room: [[4000, WORKERS, 8, 0]]};
+    const withMemory: ShardLoad = {...load(900), room: [[2000, 1, 128, 0]]};
+    shard.setLoads({b: noMemory, c: withMemory});
+    shard.submit('short', {cpuMilli: 1000});
+    const reason = HandOverReason.NO_ROOM;
+    expect(summary(shard.runAndRelease(3 * SECOND))).toEqual([
+      `short c ${reason}`,
+    ]);
+  });
+
+  it('hands over a best-effort job that lasting tasks keep from a start', () => {
+    // Guards against a best-effort job without a run in a shard whose
+    // processors are reserved, while another shard is idle (LOST).
+    shard.setLoads({b: {...IDLE, reserved: 0.9}, c: {...IDLE, reserved: 0.1}});
+    shard.submit('filling', {fills: true});
+    const reason = HandOverReason.NO_ROOM;
+    expect(summary(shard.runAndRelease(3 * SECOND))).toEqual([
+      `filling c ${reason}`,
+    ]);
+  });
+
+  it('keeps a gang that another shard has room for only in part', () => {
+    // Guards against gangs that travel in vain.
+    const room: ShardLoad = {...load(0), room: [[4000, 2]]};
+    shard.setLoads({b: room, c: room});
+    shard.submit('gang', {gang: true, count: 3, cpuMilli: 3000});
+    expect(ids(shard.runAndRelease(5 * SECOND))).toEqual([]);
+  });
+
+  it('keeps jobs while no shard has room', () => {
+    // Guards against jobs that move to and fro in an overloaded fleet.
+    const full: ShardLoad = {...load(0), room: [[500, WORKERS]]};
+    shard.setLoads({b: full, c: full});
+    shard.submitMany(50, 'short');
+    const chosen = shard.runAndRelease(10 * SECOND);
+    const forRoom = chosen.filter(
+      ({reason}) => reason === HandOverReason.NO_ROOM,
+    );
+    expect(ids(forRoom)).toEqual([]);
+  });
+
+  it('keeps a job that has a run', () => {
+    // Guards against a hand-over of a job whose run would have two owners.
+    shard.submit('wide', {cpuMilli: 1000, count: 2});
+    const worker = shard.state.workers.get('a0')!;
+    const [serving] = worker.runs.values();
+    worker.remove(serving);
+    shard.start('wide', worker);
+    worker.add(serving);
+    expect(ids(shard.runAndRelease(5 * SECOND))).toEqual([]);
+  });
+
+  it('sends no more jobs to a shard than it has room for', () => {
+    // Guards against schedulers that fill a shard beyond its published room.
+    shard.setLoads({b: {...load(0), room: [[4000, 2]]}, c: load(0, 0)});
+    shard.submitMany(50, 'short');
+    expect(shard.runAndRelease(2.2 * SECOND)).toHaveLength(8);
   });
 
   it('hands over a started job whose next step has no room for long', () => {
@@ -163,7 +232,30 @@
     // don't end, while another shard is idle (LOST).
     shard.submit('started', {cpuMilli: 1000});
     shard.state.jobs.get('started')!.hasStarted = true;
-    expect(ids(shard.run(10 * SECOND))).toEqual(['started']);
+    expect(ids(shard.runAndRelease(10 * SECOND))).toEqual(['started']);
+  });
+});
+
+describe('HandOverPolicy of a shard to which a job came for room', () => {
+  let shard: SimulatedShard;
+
+  beforeEach(() => {
+    shard = new SimulatedShard('a', new ManualClock(1000), new ListedFleet());
+    shard.submit('chain', {}, {requiredLabel: 'b-1', after: [0]});
+    shard.generations.set('chain', 1);
+  });
+
+  it('keeps it while it has room, although a later step needs another', () => {
+    // Guards against a job that is sent back to a shard without room for its
+    // first step before that is started (LOST).
+    expect(summary(shard.run(SECOND))).toEqual([]);
+  });
+
+  it('sends it back once the room is taken', () => {
+    // Guards against a job that waits where it has no room and can't end.
+    shard.fill();
+    const reason = HandOverReason.NO_WORKER_FITS;
+    expect(summary(shard.runAndRelease(SECOND))).toEqual([`chain b ${reason}`]);
   });
 });
 
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -131,6 +131,15 @@
     return this.listing?.phase === WorkerPhase.DRAINING;
   }
 
+  /** Resources that no run reserves; negative after the capacity has shrunk. */
+  get free(): Resources {
+    return {
+      cpuMilli: this.capacity.cpuMilli - this.reserved.cpuMilli,
+      memoryMb: this.capacity.memoryMb - this.reserved.memoryMb,
+      gpus: this.capacity.gpus - this.reserved.gpus,
+    };
+  }
+
   /** Whether all runs fit; not after the worker's capacity has shrunk. */
   get hasCapacityForRuns(): boolean {
     const {cpuMilli, memoryMb, gpus} = this.reserved;
--- a/src/node/batch/simulated_shards.test_support.ts
+++ b/src/node/batch/simulated_shards.test_support.ts
@@ -161,11 +161,11 @@
     }
   }
 
-  /** Stores a job with one step. */
-  submit(id: string, step: Partial<StepShape>): void {
+  /** Stores a job with these steps. */
+  submit(id: string, ...steps: Partial<StepShape>[]): void {
     const shape = {
       spec: '',
-      steps: [{...STEP, ...step}],
+      steps: steps.map(step => ({...STEP, ...step})),
       repeats: 0,
       startMs: 0,
       periodMs: 0,
