Try a hand-over again as soon as the job may leave

With the rule for room, a job whose state was being stored would wait 2 s more, over the 3 s that callers allow.

Cause: a chosen hand-over counted as made for 2 s although the scheduler had refused it (JobHandOvers.release).

Change: a refused choice is forgotten at once, and the policy leaves out jobs that may not leave, which would be chosen again at each check.

Test: job_hand_overs.test.ts, "as soon as its state is stored", failed before.

--- a/src/common/batch/hand_over_ledger.ts
+++ b/src/common/batch/hand_over_ledger.ts
@@ -43,6 +43,14 @@
     this.count(to, work, 1);
   }
 
+  /** Forgets a hand-over that is not made, so that it can be chosen again. */
+  remove(id: string): void {
+    const handOver = this.recent.get(id);
+    if (handOver === undefined) return;
+    this.recent.delete(id);
+    this.count(handOver.to, handOver, -1);
+  }
+
   /** Keeps a hand-over until its record is stored. */
   beginStoring(id: string): void {
     const handOver = this.recent.get(id);
--- a/src/common/batch/hand_over_policy.ts
+++ b/src/common/batch/hand_over_policy.ts
@@ -278,9 +278,10 @@
     return first.done === true ? undefined : first.value;
   }
 
-  /** Whether a job is neither over nor about to leave. */
+  /** Whether a job may leave and is neither over nor about to leave. */
   private isWaiting(job: ActiveJob): boolean {
-    if (isFinal(job.phase) || this.ledger.has(job.id)) return false;
+    if (isFinal(job.phase) || !job.canLeave) return false;
+    if (this.ledger.has(job.id)) return false;
     return this.state.jobs.get(job.id) === job;
   }
 
--- a/src/node/batch/job_hand_overs.test.ts
+++ b/src/node/batch/job_hand_overs.test.ts
@@ -70,8 +70,10 @@
   let intake: SlowIntake;
   let handOvers: JobHandOvers;
   let loads: Map<string, ShardLoad>;
+  let isStateStored: boolean;
 
   beforeEach(() => {
+    isStateStored = true;
     clock = new ManualClock(1000);
     view = new JobView(() => {});
     const layout = packLayout(new ShardLayout(['a', 'b']));
@@ -111,7 +113,7 @@
       clock,
       decisions: {decide: () => {}},
       loads: () => loads,
-      term: {scheduler, isStateStored: () => true},
+      term: {scheduler, isStateStored: () => isStateStored},
       intake,
     });
   });
@@ -183,6 +185,18 @@
     expect(intake.appends).toHaveLength(1);
   });
 
+  it('hands a job over as soon as its state is stored', async () => {
+    // Guards against a job that waits 2 s more for each try at a time at which
+    // it could not leave (seed 106 of the soak).
+    isStateStored = false;
+    add('1');
+    await run(SECOND);
+    expect(appendedKeys()).toEqual([]);
+    isStateStored = true;
+    await run(0.2 * SECOND);
+    expect(appendedKeys()).toEqual([[`${RecordKind.HAND_OVER}1`]]);
+  });
+
   it('hands over no more jobs while the last ones are being stored', async () => {
     // Guards against hand-overs that pile up behind a slow store: their jobs
     // have left this shard and have not arrived in another one.
--- a/src/node/batch/job_hand_overs.ts
+++ b/src/node/batch/job_hand_overs.ts
@@ -144,25 +144,36 @@
     }
   }
 
-  /** Gives up a job, unless its state is being stored, or one of its tasks. */
-  private release({job, task, to, reason}: HandOver): void {
-    const {term, decisions} = this.dependencies;
-    // The state of a job stays with it when a task leaves.
-    if (task === undefined && !term.isStateStored(job.id)) return;
-    const record =
-      task === undefined
-        ? this.scheduler.handOver(job, to)
-        : this.scheduler.detach(task, to);
-    if (record === undefined) return;
+  /** Makes a hand-over, unless the job or the task can't leave now. */
+  private release(handOver: HandOver): void {
+    const {job, task, to, reason} = handOver;
     const id = task?.name ?? job.id;
+    const record = this.recordOf(handOver);
+    if (record === undefined) {
+      this.policy.ledger.remove(id);
+      return;
+    }
     const {number} = record;
-    decisions.decide('hand-over', {job: id, to, reason, number});
+    this.dependencies.decisions.decide('hand-over', {
+      job: id,
+      to,
+      reason,
+      number,
+    });
     this.policy.ledger.beginStoring(id);
     // Jobs that are read or checked together are stored in one append.
     if (this.released.length === 0) queueMicrotask(() => void this.store());
     this.released.push({id, job, task, record});
   }
 
+  /** Gives up a job, unless its state is being stored, or one of its tasks. */
+  private recordOf({job, task, to}: HandOver): HandOverRecord | undefined {
+    // The state of a job stays with it when a task leaves.
+    if (task !== undefined) return this.scheduler.detach(task, to);
+    if (!this.dependencies.term.isStateStored(job.id)) return undefined;
+    return this.scheduler.handOver(job, to);
+  }
+
   private async store(): Promise<void> {
     const {view, clock, intake} = this.dependencies;
     const {released} = this;
