Look at a worker again before each sending of a start

Cause: a start that was decided is repeated until it is settled, and the facts that led to the placement were not looked at again. Evidence: in a run of the script the worker is listed as draining 42 ms after place, the relay is lost 2.2 s later (start-refused, unknown), and the start is sent again over another.

Change: one check before each sending, the first as well: draining, unlisted, service, label, capacity. An unanswered start is withdrawn only after a report, which may show that the run has begun; then it stays. Otherwise it is stopped first, so the worker refuses the stuck order. Of a gang, the other members are stopped.

Why it works: no start leaves after its reason has gone, and a task is placed anew only once the first run can't begin any more.

--- a/src/common/batch/room_search.ts
+++ b/src/common/batch/room_search.ts
@@ -7,7 +7,11 @@
 import {SchedulerState} from './scheduler_state.js';
 import {Resources} from './types.js';
 import {unfinishedSteps} from './waiting_work.js';
-import {exclusionReason, isUsable} from './worker_exclusion.js';
+import {
+  exclusionReason,
+  isUsable,
+  unsuitableReason,
+} from './worker_exclusion.js';
 import {WorkerState} from './worker_state.js';
 
 /** Maximum numbers of searches for a worker and for a shard in each call. */
@@ -179,13 +183,7 @@
 }
 
 /** Whether a worker could run a task of a step if it were idle. */
-function couldRun(step: ActiveStep, {listing}: WorkerState): boolean {
-  if (listing === undefined) return false;
-  const {shape, occurrence} = step;
-  const {capacity, service, labels} = listing;
-  if (service !== occurrence.job.queue.service) return false;
-  if (shape.requiredLabel && !labels.includes(shape.requiredLabel)) {
-    return false;
-  }
-  return tasksThatFit(capacity, shape) > 0;
+function couldRun(step: ActiveStep, worker: WorkerState): boolean {
+  if (unsuitableReason(step, worker) !== undefined) return false;
+  return tasksThatFit(worker.capacity, step.shape) > 0;
 }
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -441,7 +441,8 @@
     return {result: WorkerCallResult.ACCEPTED, clockMs, report};
   }
 
-  private execute(command: Command): void {
+  /** Sends a command to its worker. */
+  execute(command: Command): void {
     if (command.kind === CommandKind.START) this.start(command);
     else if (command.kind === CommandKind.STOP) this.stop(command);
     else if (command.kind === CommandKind.STOP_STRAY) {
--- a/src/common/batch/worker_exclusion.ts
+++ b/src/common/batch/worker_exclusion.ts
@@ -26,6 +26,8 @@
   PROCESSORS: 'processors',
   MEMORY: 'memory',
   GPUS: 'gpus',
+  /** Its runs need more than it has since its capacity has shrunk. */
+  SHRUNK: 'shrunk',
   /** It has as many tasks of the step as the step allows on a worker. */
   LIMIT: 'limit',
 } as const;
@@ -57,18 +59,42 @@
   return unusableReason(worker, now) === undefined;
 }
 
-/** Why a worker has no room for one more task of a step, if it hasn't. */
-export function noRoomReason(
+/** Why a worker may not run a step whatever it has free, if so. */
+export function unsuitableReason(
   {shape, occurrence}: ActiveStep,
-  worker: WorkerState,
+  {listing}: WorkerState,
 ): ExclusionReason | undefined {
-  const {reserved, listing} = worker;
   if (listing === undefined) return ExclusionReason.UNLISTED;
-  const {capacity, service, labels} = listing;
+  const {service, labels} = listing;
   if (service !== occurrence.job.queue.service) return ExclusionReason.SERVICE;
-  if (shape.requiredLabel && !labels.includes(shape.requiredLabel)) {
-    return ExclusionReason.LABEL;
-  }
+  const {requiredLabel} = shape;
+  const isLabelled = requiredLabel === '' || labels.includes(requiredLabel);
+  return isLabelled ? undefined : ExclusionReason.LABEL;
+}
+
+/**
+ * Why a start that was decided must not be sent any more, if so. What is true
+ * when a task is placed may have changed while its start is stored or repeated.
+ */
+export function startObstacle(
+  step: ActiveStep,
+  worker: WorkerState,
+): ExclusionReason | undefined {
+  if (worker.isDraining) return ExclusionReason.DRAINING;
+  const reason = unsuitableReason(step, worker);
+  if (reason !== undefined) return reason;
+  return worker.hasCapacityForRuns ? undefined : ExclusionReason.SHRUNK;
+}
+
+/** Why a worker has no room for one more task of a step, if it hasn't. */
+export function noRoomReason(
+  step: ActiveStep,
+  worker: WorkerState,
+): ExclusionReason | undefined {
+  const reason = unsuitableReason(step, worker);
+  if (reason !== undefined) return reason;
+  const {shape} = step;
+  const {reserved, capacity} = worker;
   if (worker.hasProbationRun) return ExclusionReason.PROBATION;
   const cpu = shape.fills ? 0 : shape.cpuMilli;
   if (reserved.cpuMilli + cpu > capacity.cpuMilli) {
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -17,6 +17,7 @@
   WorkerCallResult,
   WorkerResponse,
 } from './worker_calls.js';
+import {ExclusionReason, startObstacle} from './worker_exclusion.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
 /** Longest time that a worker holds a renewal open while no run ends. */
@@ -297,11 +298,12 @@
   /**
    * Grants a lease for a start request that is about to be sent. Returns its
    * end on the worker's clock in ms; undefined if none may be granted. Withdraws
-   * the run if it no longer fits.
+   * the run if it could not be placed on its worker any more.
    */
   grantStart(run: Run): Millis | undefined {
-    if (!run.worker.hasCapacityForRuns) {
-      this.withdraw(run, 'its worker has less room than before');
+    const obstacle = startObstacle(run.task.step, run.worker);
+    if (obstacle !== undefined) {
+      this.withdrawObstructed(run, obstacle);
       return undefined;
     }
     const leaseUntil = this.grantLease(run.worker);
@@ -309,6 +311,22 @@
     return leaseUntil;
   }
 
+  /**
+   * Withdraws a run unless the worker may have it: the next report shows
+   * whether an earlier start was executed.
+   */
+  private withdrawObstructed(run: Run, obstacle: ExclusionReason): void {
+    const {worker, task, unansweredAt = -Infinity} = run;
+    if (run.uncertain && worker.lastResponseAt <= unansweredAt) return;
+    this.withdraw(run, `its worker has become unsuitable: ${obstacle}`);
+    if (!task.step.shape.gang) return;
+    // The others can't work without it, and wait for it on their workers.
+    for (const other of task.step.tasks) {
+      if (other.run === undefined || other.run === run) continue;
+      this.state.stop(other.run, 'a member of its gang is not started');
+    }
+  }
+
   /** Withdraws a run whose placement could not be stored. */
   withdrawUnstored(run: Run): void {
     this.withdraw(run, 'its placement could not be stored');
@@ -345,7 +363,10 @@
       this.isFenced = true;
       return FollowUp.SETTLED;
     }
-    if (result === WorkerCallResult.UNKNOWN) run.uncertain = true;
+    if (result === WorkerCallResult.UNKNOWN) {
+      run.uncertain = true;
+      run.unansweredAt = now;
+    }
     if (result === WorkerCallResult.LATE || !DEFINITE_REJECTIONS.has(result)) {
       return FollowUp.REPEAT;
     }
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -30,6 +30,8 @@
   readonly placedAt: Millis;
   /** Whether the worker may still execute an earlier start request. */
   uncertain: boolean;
+  /** Local time of the last start request without a response, if any. */
+  unansweredAt?: Millis;
   /**
    * Local time of the first start request, if one was sent; after a takeover,
    * the time of the takeover.
