Count the wait for a lost worker from what is known of the predecessor

Cause: the successor waited for the predecessor's whole authority (5 s) and then a lease (6 s), both from its own start, and began that wait anew if it had never heard from the worker.

Change: only heartbeats confirm the authority, so the time from the reading of the last one counts. A process that finds the record of a scheduler with its name and address, but another incarnation, tells that this one has ended; then only a lease is left. The lost worker is recorded with the incarnation of the run if none has responded.

Why it works: each bound follows from something that was read, so it only shrinks. A process that is cut off or frozen is not taken for gone: only a later process at its address proves its end. The constants stay, as leases have to outlive the longest outages.

--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -15,7 +15,7 @@
 } from './job_records.js';
 import {hasRoomForOccurrence} from './job_size.js';
 import {KnownJob, LostWorker} from './job_view.js';
-import {LEASE_EXPIRY_MARGIN_MS, SchedulerState} from './scheduler_state.js';
+import {SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunOutcome} from './types.js';
 import {SlownessTracker} from './slowness_tracker.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
@@ -219,15 +219,10 @@
     const lost = this.lostWorkers.get(workerId);
     if (lost !== undefined && lost.born === born) {
       worker.isRecordedAsLost = true;
-      worker.leaseEnd = Math.max(worker.leaseEnd, lost.leaseEnd);
+      worker.inheritLease(lost.leaseEnd);
       return;
     }
-    const {leaseMs} = state.timings;
-    worker.extendLease(
-      state.previousAuthorityMs + leaseMs,
-      LEASE_EXPIRY_MARGIN_MS,
-      now,
-    );
+    worker.inheritLease(state.inheritedLeaseEnd);
   }
 
   /** Adds the occurrences whose start time has come. */
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -106,11 +106,19 @@
   readonly instance: string;
   /** Distinguishes restarts of an instance. */
   readonly incarnation: string;
+  /** `host:port` of the instance; no other process of its machine has it. */
+  readonly address?: string;
+  /**
+   * Time for which the scheduler may grant leases after a heartbeat, in ms.
+   * Absent in records of earlier versions, whose other appends counted as well.
+   */
+  readonly authorityMs?: number;
   /** Whether the instance has resigned from the scheduler role. */
   readonly resigned: boolean;
   /**
-   * Time from the writing of a resignation for which schedulers before this one
-   * may still grant leases, in ms. Absent in records of earlier versions.
+   * Time from the writing of the record for which schedulers before this one
+   * may still grant leases, in ms. Absent before the term has begun, and in
+   * records of earlier versions.
    */
   readonly earlierAuthorityMs?: number;
   /**
@@ -139,6 +147,11 @@
   readonly dataCentre?: string;
   /** `host:port` at which it calls workers for the scheduler, if it does. */
   readonly relayAddress?: string;
+  /**
+   * Incarnations of schedulers that were earlier processes of this instance, on
+   * the same machine, and have ended.
+   */
+  readonly endedIncarnations?: readonly string[];
 }
 
 /** Kinds of record; the first letter of a record's key. */
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -1,4 +1,5 @@
 import {Millis} from '../base/clock.js';
+import {TermReading} from './earlier_authority.js';
 import {DetachedTask} from './detached_task.js';
 import {InterferenceWeights} from './interference.js';
 import {
@@ -57,10 +58,9 @@
 }
 
 /** The latest scheduler of a shard. */
-interface KnownScheduler {
-  readonly record: SchedulerRecord;
-  /** Last record of the scheduler before it; undefined if it is unknown. */
-  readonly predecessor: SchedulerRecord | undefined;
+interface KnownScheduler extends TermReading {
+  /** The term before; undefined if it is unknown. */
+  readonly predecessor: TermReading | undefined;
 }
 
 /** Called with the key of each record that can't be decoded. */
@@ -130,6 +130,11 @@
    * there was none or if it was not read.
    */
   predecessorOf(shard: string): SchedulerRecord | undefined {
+    return this.earlierTermOf(shard)?.record;
+  }
+
+  /** The term before the latest one of a shard, like `predecessorOf`. */
+  earlierTermOf(shard: string): TermReading | undefined {
     return this.schedulers.get(shard)?.predecessor;
   }
 
@@ -174,7 +179,8 @@
   ): void {
     if (key[0] === RecordKind.SCHEDULER) {
       if (value.length === 0) return;
-      this.applyScheduler(key.slice(1), unpackScheduler(value), isNewest);
+      const scheduler = unpackScheduler(value);
+      this.applyScheduler(key.slice(1), scheduler, now, isNewest);
       return;
     }
     if (key === LAYOUT_KEY) {
@@ -239,6 +245,7 @@
   private applyScheduler(
     shard: string,
     record: SchedulerRecord,
+    now: Millis,
     isNewest: boolean,
   ): void {
     const known = this.schedulers.get(shard);
@@ -246,9 +253,9 @@
     const isSame = record.epoch === known?.record.epoch;
     // A resignation stands, also if an earlier record is read again.
     if (isSame && known!.record.resigned) return;
-    const last = isNewest ? undefined : known?.record;
-    const predecessor = isSame ? known!.predecessor : last;
-    this.schedulers.set(shard, {record, predecessor});
+    const last = isNewest ? undefined : known;
+    const predecessor = isSame ? known!.predecessor : withoutPredecessor(last);
+    this.schedulers.set(shard, {record, readAt: now, predecessor});
   }
 
   /**
@@ -329,3 +336,12 @@
 function isCompleteOrFailed(state: JobStateRecord | undefined): boolean {
   return state?.phase === JobPhase.COMPLETE || state?.phase === JobPhase.FAILED;
 }
+
+/** What is kept of a term that is not the latest any more. */
+function withoutPredecessor(
+  term: KnownScheduler | undefined,
+): TermReading | undefined {
+  if (term === undefined) return undefined;
+  const {record, readAt} = term;
+  return {record, readAt};
+}
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -4,7 +4,7 @@
 import {JobStateRecord} from './job_records.js';
 import {JobTimePredictor} from './job_time_predictor.js';
 import {WHOLE_FLEET} from './shard_layout.js';
-import {Run, RunPhase, WorkerState} from './worker_state.js';
+import {leaseEndFrom, Run, RunPhase, WorkerState} from './worker_state.js';
 import {BatchConfiguration} from './types.js';
 
 /** Kinds of command that the scheduler sends to workers. */
@@ -90,7 +90,9 @@
   /** Tasks that are ready to run and not placed. */
   readonly waitingTasks = new Set<ActiveTask>();
   /** Local time at which the scheduler took over. */
-  private readonly startedAt: Millis;
+  readonly startedAt: Millis;
+  /** Local time by which earlier schedulers grant no more leases. */
+  private earlierAuthorityEndsAt: Millis;
   /** Whether waiting tasks are placed; not while the fleet is being divided. */
   placesTasks = true;
 
@@ -100,7 +102,7 @@
    */
   constructor(
     readonly epoch: number,
-    readonly previousAuthorityMs: Millis,
+    previousAuthorityMs: Millis,
     readonly timings: SchedulerTimings,
     readonly clock: Clock,
     readonly wallClock: Clock,
@@ -116,12 +118,30 @@
   ) {
     this.timePredictor = new JobTimePredictor(clock);
     this.startedAt = clock.now();
+    this.earlierAuthorityEndsAt = this.startedAt + previousAuthorityMs;
   }
 
   /** Time for which earlier schedulers may still grant leases. */
   get earlierAuthorityLeftMs(): Millis {
-    const elapsed = this.now() - this.startedAt;
-    return Math.max(0, this.previousAuthorityMs - elapsed);
+    return Math.max(0, this.earlierAuthorityEndsAt - this.now());
+  }
+
+  /**
+   * Handles the news that earlier schedulers grant no more leases from a local
+   * time on. Leases that they granted before may last for longer.
+   */
+  endEarlierAuthority(endsAt: Millis): void {
+    if (endsAt >= this.earlierAuthorityEndsAt) return;
+    this.earlierAuthorityEndsAt = endsAt;
+    const end = this.inheritedLeaseEnd;
+    for (const worker of this.workers.values()) worker.limitInherited(end);
+  }
+
+  /** Local time by which all leases of earlier schedulers are over. */
+  get inheritedLeaseEnd(): Millis {
+    const {leaseMs} = this.timings;
+    const from = Math.max(this.now(), this.earlierAuthorityEndsAt);
+    return leaseEndFrom(from, leaseMs, LEASE_EXPIRY_MARGIN_MS);
   }
 
   now(): Millis {
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -174,6 +174,9 @@
 /** Simulated time between two steps. */
 const TICK_MS: Millis = 50;
 
+/** Time for which a scheduler may grant leases after an append. */
+const AUTHORITY_MS: Millis = 5000;
+
 /** A scheduler with simulated workers and a log that commits at once. */
 export class SimulatedFleet {
   readonly clock = new ManualClock(1000);
@@ -216,13 +219,17 @@
     private readonly shard: string = WHOLE_FLEET,
     private readonly recordBytes: number = LOG_LIMITS.recordBytes,
   ) {
-    this.scheduler = this.createScheduler();
+    this.scheduler = this.createScheduler(0);
   }
 
-  /** Lets a new scheduler take over with the records of the log. */
-  takeOver(): void {
+  /**
+   * Lets a new scheduler take over with the records of the log.
+   * @param earlierAuthorityMs time for which earlier schedulers may still grant
+   *     leases.
+   */
+  takeOver(earlierAuthorityMs: Millis = AUTHORITY_MS): void {
     this.pendingStarts.length = 0;
-    this.scheduler = this.createScheduler();
+    this.scheduler = this.createScheduler(earlierAuthorityMs);
     this.scheduler.restore(this.view);
   }
 
@@ -279,7 +286,7 @@
     this.scheduler.onJob(this.view.jobs.get(key.slice(1))!);
   }
 
-  private createScheduler(): Scheduler {
+  private createScheduler(earlierAuthorityMs: Millis): Scheduler {
     const configuration: BatchConfiguration = {
       version: 1,
       queues: this.queues,
@@ -288,7 +295,7 @@
     };
     const timings = {
       leaseMs: 6000,
-      authorityMs: 5000,
+      authorityMs: AUTHORITY_MS,
       stopMs: 400,
       keepEndedMs: 120_000,
       earlyMs: 250,
@@ -300,10 +307,10 @@
         this.entries.push({decision, fields});
       },
     };
-    const isFirst = this.epoch++ === 0;
+    this.epoch++;
     const state = new SchedulerState(
       this.epoch,
-      isFirst ? 0 : timings.authorityMs,
+      earlierAuthorityMs,
       timings,
       this.clock,
       this.wallClock,
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -451,19 +451,17 @@
         worker.isRecordedAsLost = true;
         const leaseLeftMs = Math.max(0, worker.leaseEnd - now);
         const {shard} = this.state;
-        const record = {born: worker.born, leaseLeftMs, shard};
+        const record = {born: worker.knownBorn, leaseLeftMs, shard};
         yield {key, value: packRecord(record)};
       }
     }
   }
 
   private isNewlyLost(worker: WorkerState, now: Millis): boolean {
-    if (worker.isResponsive || worker.isRecordedAsLost || worker.born === 0) {
-      return false;
-    }
-    return (
-      worker.runs.size > 0 && now - worker.lastResponseAt > RECORD_LOST_AFTER_MS
-    );
+    if (worker.isResponsive || worker.isRecordedAsLost) return false;
+    if (worker.runs.size === 0 || worker.knownBorn === 0) return false;
+    const silentSince = Math.max(worker.lastResponseAt, this.state.startedAt);
+    return now - silentSince > RECORD_LOST_AFTER_MS;
   }
 
   /** Handles a stored record; a removal allows new leases to the worker. */
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -99,8 +99,10 @@
   /** Last reading of the worker's monotonic clock, and when it arrived. */
   clockMs: Millis = 0;
   clockReceivedAt: Millis = 0;
-  /** Time after which no run started on the worker can still execute. */
-  leaseEnd: Millis = 0;
+  /** Time by which the leases that this scheduler has granted are over. */
+  private grantedLeaseEnd: Millis = 0;
+  /** The same for leases of earlier schedulers. */
+  private inheritedLeaseEnd: Millis = 0;
   /** Time of the last response to a renewal that carried a report. */
   lastResponseAt: Millis = 0;
   /** Whether a record says, or is about to say, that the worker is lost. */
@@ -142,6 +144,17 @@
     };
   }
 
+  /**
+   * Incarnation that responded last, or else the latest one that is recorded
+   * with a run; 0 if there is none.
+   */
+  get knownBorn(): number {
+    if (this.born > 0) return this.born;
+    let latest = 0;
+    for (const {born} of this.runs.values()) latest = Math.max(latest, born);
+    return latest;
+  }
+
   /** Whether all runs fit; not after the worker's capacity has shrunk. */
   get hasCapacityForRuns(): boolean {
     const {cpuMilli, memoryMb, gpus} = this.reserved;
@@ -174,13 +187,25 @@
     this.clockReceivedAt = now;
   }
 
-  /**
-   * Accounts for a lease that was granted at `now`. The worker's clock may run
-   * slow, so the lease may last longer by local time.
-   */
+  /** Time after which no run started on the worker can still execute. */
+  get leaseEnd(): Millis {
+    return Math.max(this.grantedLeaseEnd, this.inheritedLeaseEnd);
+  }
+
+  /** Accounts for a lease that was granted at `now`. */
   extendLease(duration: Millis, margin: Millis, now: Millis): void {
-    const end = now + duration * (1 + MAX_CLOCK_DRIFT) + margin;
-    this.leaseEnd = Math.max(this.leaseEnd, end);
+    const end = leaseEndFrom(now, duration, margin);
+    this.grantedLeaseEnd = Math.max(this.grantedLeaseEnd, end);
+  }
+
+  /** Accounts for leases of earlier schedulers that are over by a time. */
+  inheritLease(end: Millis): void {
+    this.inheritedLeaseEnd = Math.max(this.inheritedLeaseEnd, end);
+  }
+
+  /** Handles the news that all leases of earlier schedulers end by a time. */
+  limitInherited(end: Millis): void {
+    this.inheritedLeaseEnd = Math.min(this.inheritedLeaseEnd, end);
   }
 
   add(run: Run): void {
@@ -206,3 +231,15 @@
     };
   }
 }
+
+/**
+ * Local time by which a lease is over that is granted at `now`. The worker's
+ * clock may run slow, so the lease may last longer by local time.
+ */
+export function leaseEndFrom(
+  now: Millis,
+  duration: Millis,
+  margin: Millis,
+): Millis {
+  return now + duration * (1 + MAX_CLOCK_DRIFT) + margin;
+}
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -4,6 +4,10 @@
 import {Clock, Millis, SECOND} from '../../common/base/clock.js';
 import {CostMeter, CostPart} from '../../common/batch/cost_meter.js';
 import {ProcessUsage} from '../../common/batch/cost_report.js';
+import {
+  ProcessIdentity,
+  replacesProcess,
+} from '../../common/batch/earlier_authority.js';
 import {isWeaker} from '../../common/batch/election.js';
 import {
   InstanceRecord,
@@ -112,8 +116,10 @@
   private readonly workers: WorkerList;
   readonly lookup: JobLookup;
   private readonly intake: IntakeWriter;
-  /** Tells this process apart from earlier ones under the same name. */
-  private readonly incarnation = randomBytes(6).toString('hex');
+  /** Tells this process apart from all others. */
+  private readonly identity: ProcessIdentity;
+  /** Earlier processes of this instance that were schedulers and have ended. */
+  private endedIncarnations: readonly string[] = [];
   private readonly statesTail: LogTail;
   private readonly intakeTail: LogTail;
   private readonly operatorTail: LogTail;
@@ -124,7 +130,12 @@
   private stopping = false;
 
   constructor(private readonly dependencies: BatchInstanceDependencies) {
-    const {log, clock, decisions} = dependencies;
+    const {log, clock, decisions, name, announcement} = dependencies;
+    this.identity = {
+      instance: name,
+      incarnation: randomBytes(6).toString('hex'),
+      address: announcement.relayAddress,
+    };
     this.view = new JobView((key, error) =>
       decisions.decide('record-fault', {key, error: String(error)}),
     );
@@ -166,7 +177,7 @@
     );
     this.roleHost = {
       ...dependencies,
-      incarnation: this.incarnation,
+      identity: this.identity,
       view: this.view,
       workers: this.workers,
       statesTail: this.statesTail,
@@ -255,14 +266,34 @@
   private async announce(): Promise<void> {
     const {name, announcement, clock, decisions} = this.dependencies;
     while (!this.stopping) {
+      const {endedIncarnations} = this;
+      const record = {...announcement, endedIncarnations};
       const deadline = clock.now() + ANNOUNCE_TIMEOUT_MS;
-      const result = await this.intake.announce(name, announcement, deadline);
-      decisions.decide('announce', {...announcement, result});
+      const result = await this.intake.announce(name, record, deadline);
+      decisions.decide('announce', {...record, result});
       if (result === IntakeResult.STORED) return;
       await sleep(ANNOUNCE_TIMEOUT_MS);
     }
   }
 
+  /**
+   * Tells the others which schedulers were earlier processes of this instance:
+   * these grant no more leases.
+   */
+  private announceEndedProcesses(): void {
+    const ended = new Set<string>();
+    for (const shard of this.roles.keys()) {
+      const scheduler = this.view.schedulerOf(shard);
+      if (scheduler === undefined) continue;
+      if (scheduler.incarnation === this.identity.incarnation) continue;
+      if (!replacesProcess(this.identity, scheduler)) continue;
+      ended.add(scheduler.incarnation);
+    }
+    if (ended.size === 0) return;
+    this.endedIncarnations = [...ended];
+    void this.announce();
+  }
+
   /** Reports not ready, resigns from its role and makes no more claims. */
   stop(): void {
     this.stopping = true;
@@ -461,6 +492,7 @@
     const {instances} = this.view;
     this.updateWeakness();
     const other = key.slice(1);
+    for (const role of this.roles.values()) role.onInstance();
     const announced = instances.get(other)?.processors;
     if (announced === undefined) {
       // The withdrawal of an earlier process under this name was stored late.
@@ -496,6 +528,8 @@
   }
 
   private async runElections(): Promise<void> {
+    while (!this.stopping && !this.isLoaded) await sleep(ELECTION_PERIOD_MS);
+    this.announceEndedProcesses();
     while (!this.stopping) {
       await sleep(ELECTION_PERIOD_MS);
       if (!this.isLoaded) continue;
--- a/src/node/batch/role_writer.ts
+++ b/src/node/batch/role_writer.ts
@@ -8,10 +8,16 @@
   schedulerKey,
   SchedulerRecord,
 } from '../../common/batch/job_records.js';
-import {ShardLoad, WHOLE_FLEET} from '../../common/batch/shard_layout.js';
+import {WHOLE_FLEET} from '../../common/batch/shard_layout.js';
 import {KeyedLog, KeyedRecord, Topic} from '../../common/batch/store.js';
 import {FencedWriter, FencedWriterListener} from './fenced_writer.js';
 
+/** What changes in the record of a scheduler during its term. */
+export type SchedulerStatus = Pick<
+  SchedulerRecord,
+  'load' | 'earlierAuthorityMs'
+>;
+
 /** Interval of the checks whether a heartbeat is due. */
 const CHECK_INTERVAL_MS: Millis = 100;
 
@@ -38,8 +44,8 @@
     firstSequence: number,
     listener: FencedWriterListener,
     private readonly shard: string = WHOLE_FLEET,
-    /** Returns the shard's load, if it is known. */
-    private readonly load: () => ShardLoad | undefined = () => undefined,
+    /** Returns what heartbeats add to the record of the claim. */
+    private readonly status: () => SchedulerStatus = () => ({}),
   ) {
     this.writer = new FencedWriter(
       log,
@@ -97,8 +103,7 @@
 
   private heartbeat(): KeyedRecord {
     this.lastBeatAt = this.clock.now();
-    const load = this.load();
-    const record = load === undefined ? this.record : {...this.record, load};
+    const record = {...this.record, ...this.status()};
     return {key: schedulerKey(this.shard), value: packRecord(record)};
   }
 
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -2,7 +2,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Millis} from '../../common/base/clock.js';
 import {CostReport} from '../../common/batch/cost_report.js';
-import {earlierAuthority} from '../../common/batch/earlier_authority.js';
+import {
+  earlierAuthorityEnd,
+  isToldAsEnded,
+  replacesProcess,
+} from '../../common/batch/earlier_authority.js';
 import {Election} from '../../common/batch/election.js';
 import {
   LAYOUT_KEY,
@@ -33,7 +37,7 @@
 import {JobHandOvers} from './job_hand_overs.js';
 import {MeteredWorkerCalls} from './metered_worker_calls.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
-import {RoleWriter} from './role_writer.js';
+import {RoleWriter, SchedulerStatus} from './role_writer.js';
 import {ShardDecisionLog} from './shard_decision_log.js';
 import {ShardRoleHost} from './shard_role_host.js';
 import {Takeover} from './takeover.js';
@@ -87,7 +91,7 @@
     const {announcement, clock, decisions} = host;
     const isRemote = shard !== WHOLE_FLEET && shard !== announcement.dataCentre;
     this.election = new Election(
-      host.incarnation,
+      host.identity.incarnation,
       claimDelayMs,
       clock.now(),
       isRemote,
@@ -130,7 +134,7 @@
   }
 
   private async claimOnce(): Promise<void> {
-    const {log, name, incarnation, view, statesTail, clock} = this.host;
+    const {log, view, statesTail, clock} = this.host;
     // A version that kept the role in the progress topic may have run before.
     const isUnclaimed = view.schedulerOf(this.shard) === undefined;
     if (isUnclaimed && this.shard === WHOLE_FLEET) {
@@ -142,11 +146,11 @@
     const epoch = view.nextEpoch(this.shard);
     const quickTakeovers = this.election.quickTakeovers(clock.now());
     const record: SchedulerRecord = {
+      ...this.host.identity,
       epoch,
-      instance: name,
-      incarnation,
       resigned: false,
       quickTakeovers,
+      authorityMs: this.host.timings().authorityMs,
     };
     const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
     const claimedAt = this.host.permissionClock.now();
@@ -239,12 +243,13 @@
           for (const entry of records) {
             // Heartbeats are applied in the order of the topic, by its tail.
             if (entry.key[0] !== RecordKind.SCHEDULER) view.apply(entry, now);
+            // A successor knows of no other appends when they were made.
+            else confirm(sentAt);
           }
-          confirm(sentAt);
         },
       },
       shard,
-      () => this.handOvers?.load(),
+      () => this.status(),
     );
     const createWriter = (topic: Topic): FencedWriter =>
       new FencedWriter(
@@ -256,7 +261,7 @@
         {
           onFenced,
           onRefused,
-          onStored: (_records, _end, sentAt) => confirm(sentAt),
+          onStored: () => {},
         },
         shard,
       );
@@ -267,6 +272,19 @@
     };
   }
 
+  /** What heartbeats tell of the term; nothing before it has begun. */
+  private status(): SchedulerStatus {
+    const load = this.handOvers?.load();
+    const earlierAuthorityMs =
+      this.term?.scheduler.state.earlierAuthorityLeftMs;
+    return {
+      ...(load !== undefined && {load}),
+      ...(earlierAuthorityMs !== undefined && {
+        earlierAuthorityMs: Math.ceil(earlierAuthorityMs),
+      }),
+    };
+  }
+
   /**
    * Reads the states topic up to this instance's claim, so that the last record
    * of the predecessor is known.
@@ -312,6 +330,7 @@
       jobs: state.jobs.size,
       waiting: state.waitingTasks.size,
       workers: own.size,
+      earlierAuthorityMs: Math.round(state.earlierAuthorityLeftMs),
       takeoverMs: Math.round(permissionClock.now() - claimedAt),
     });
     const division = new FleetDivision({
@@ -339,9 +358,43 @@
 
   /** Time for which schedulers before this term may still grant leases. */
   private get earlierAuthorityMs(): Millis {
-    const {view, timings} = this.host;
+    return Math.max(0, this.earlierAuthorityEnd - this.host.clock.now());
+  }
+
+  private get earlierAuthorityEnd(): Millis {
+    const {view, timings, clock} = this.host;
+    const now = clock.now();
+    const endedBy = this.hasPredecessorEnded ? now : Infinity;
+    const {authorityMs} = timings();
+    const term = view.earlierTermOf(this.shard);
+    return earlierAuthorityEnd(now, term, endedBy, authorityMs);
+  }
+
+  /** Whether the process of the scheduler before this term has ended. */
+  private get hasPredecessorEnded(): boolean {
+    const {view, identity} = this.host;
     const predecessor = view.predecessorOf(this.shard);
-    return earlierAuthority(predecessor, timings().authorityMs);
+    if (predecessor === undefined) return false;
+    return (
+      replacesProcess(identity, predecessor) ||
+      isToldAsEnded(predecessor, view.instances)
+    );
+  }
+
+  /** Handles what an instance has told about itself. */
+  onInstance(): void {
+    const {term} = this;
+    if (term === undefined || !this.hasPredecessorEnded) return;
+    const {state} = term.scheduler;
+    const leftMs = state.earlierAuthorityLeftMs;
+    state.endEarlierAuthority(this.earlierAuthorityEnd);
+    if (state.earlierAuthorityLeftMs === leftMs) return;
+    const predecessor = this.host.view.predecessorOf(this.shard)!;
+    this.decisions.decide('predecessor-ended', {
+      instance: predecessor.instance,
+      incarnation: predecessor.incarnation,
+      leftMs: Math.round(leftMs),
+    });
   }
 
   private createScheduler(epoch: number): Scheduler {
--- a/src/node/batch/shard_role_host.ts
+++ b/src/node/batch/shard_role_host.ts
@@ -1,6 +1,7 @@
 import {Clock} from '../../common/base/clock.js';
 import {CostMeter} from '../../common/batch/cost_meter.js';
 import {ProcessUsage} from '../../common/batch/cost_report.js';
+import {ProcessIdentity} from '../../common/batch/earlier_authority.js';
 import {InstanceRecord} from '../../common/batch/job_records.js';
 import {JobView} from '../../common/batch/job_view.js';
 import {
@@ -16,9 +17,8 @@
 
 /** What all roles of an instance share. */
 export interface ShardRoleHost {
-  readonly name: string;
-  /** Tells this process apart from earlier ones under the same name. */
-  readonly incarnation: string;
+  /** Tells this process apart from all others. */
+  readonly identity: ProcessIdentity;
   readonly announcement: InstanceRecord;
   readonly log: KeyedLog;
   readonly clock: Clock;
