Quarantine a worker by new evidence only, and not when it is needed

Cause: after the first quarantine each failure of a run that had been placed before it doubled the time, up to 24 s, and the time held whether a task had another worker or not.

Change: runs placed before the last quarantine don't count, for failures, refused starts and stalls alike. A perpetual task that has waited 2 s without another worker is tried on a quarantined one, one at a time; tasks that end, which have a limit of attempts, are kept away meanwhile. A perpetual run at work ends the probation after 0.5 s and resets the count after 3 s.

Why it works: a verdict follows from what happened after the last one, and a task that would have nothing else is what tests it.

--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -15,18 +15,12 @@
 } from './job_records.js';
 import {hasRoomForOccurrence} from './job_size.js';
 import {KnownJob, LostWorker} from './job_view.js';
+import {Quarantine} from './quarantine.js';
 import {SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunOutcome} from './types.js';
 import {SlownessTracker} from './slowness_tracker.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
-/** Different jobs that fail on a worker in a row before it is quarantined. */
-const FAILED_JOBS_TO_QUARANTINE = 3;
-
-/** First and longest quarantine of a worker; each one is twice the last. */
-const FIRST_QUARANTINE_MS: Millis = 3000;
-const MAX_QUARANTINE_MS: Millis = 24_000;
-
 /**
  * Workers that crash soon after the start of one task, until its job is given
  * up. One more or less may be due to another cause.
@@ -40,7 +34,11 @@
   /** Workers that previous schedulers recorded as unreachable. */
   lostWorkers: ReadonlyMap<string, LostWorker> = new Map();
 
-  constructor(private readonly state: SchedulerState) {
+  /** @param quarantine of the workers on which runs fail. */
+  constructor(
+    private readonly state: SchedulerState,
+    readonly quarantine: Quarantine = new Quarantine(state),
+  ) {
     this.slownessTracker = new SlownessTracker(state.timePredictor);
   }
 
@@ -465,11 +463,9 @@
   }
 
   private onDone(run: Run): void {
-    const {task, worker} = run;
+    const {task} = run;
     const {step} = task;
-    worker.consecutiveFailedJobs.clear();
-    worker.isOnProbation = false;
-    worker.quarantineCount = 0;
+    this.quarantine.onDone(run);
     this.slownessTracker.onDone(run, this.state.now());
     this.state.timePredictor.onRunDone(run);
     if (step.shape.perpetual) {
@@ -510,10 +506,9 @@
 
   private onFailed(run: Run): void {
     const {task, worker} = run;
-    const {job} = task.step.occurrence;
     countFailure(task, run.attempt);
     task.failedOn = worker.id;
-    this.countWorkerFailure(worker, job.submittedId);
+    this.quarantine.onFailed(run);
     if (!this.failIfExhausted(task)) this.requeue(task);
   }
 
@@ -533,34 +528,6 @@
     }
     return true;
   }
-
-  /**
-   * Counts a failed job against a worker. Quarantines the worker after failures
-   * of several jobs in a row, or after a single one while it is on probation.
-   */
-  private countWorkerFailure(worker: WorkerState, job: string): void {
-    worker.consecutiveFailedJobs.add(job);
-    const limit = worker.isOnProbation ? 1 : FAILED_JOBS_TO_QUARANTINE;
-    if (worker.consecutiveFailedJobs.size < limit) return;
-    worker.consecutiveFailedJobs.clear();
-    this.quarantine(worker, 'tasks of several jobs failed in a row');
-  }
-
-  /**
-   * Quarantines a worker: it gets no starts for a time that doubles with each
-   * consecutive quarantine, up to a maximum, and then one start at a time while
-   * it is on probation.
-   */
-  quarantine(worker: WorkerState, reason: string): void {
-    const duration = Math.min(
-      FIRST_QUARANTINE_MS * 2 ** worker.quarantineCount,
-      MAX_QUARANTINE_MS,
-    );
-    worker.quarantineCount++;
-    worker.quarantinedUntil = this.state.now() + duration;
-    worker.isOnProbation = true;
-    this.state.log.decide('quarantine', {worker: worker.id, duration, reason});
-  }
 }
 
 /** Whether a job without a schedule has no tasks yet. */
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -100,7 +100,7 @@
     this.placement = new Placement(state, forecast);
     this.pacing = new Pacing(state, forecast);
     this.evacuation = new Evacuation(state);
-    this.stallDetector = new StallDetector(state, this.lifecycle);
+    this.stallDetector = new StallDetector(state, this.lifecycle.quarantine);
     this.heldJobs = new HeldJobs(state);
   }
 
@@ -290,6 +290,7 @@
     leases: () => this.leases.expireLeases(),
     evacuation: () => this.evacuation.run(),
     stalls: () => this.stallDetector.run(),
+    quarantines: () => this.lifecycle.quarantine.admitNeeded(),
     schedules: () => this.lifecycle.addDueOccurrences(),
   };
 
--- a/src/common/batch/stall_detector.ts
+++ b/src/common/batch/stall_detector.ts
@@ -1,5 +1,5 @@
 import {Millis} from '../base/clock.js';
-import {JobLifecycle} from './job_lifecycle.js';
+import {Quarantine} from './quarantine.js';
 import {SchedulerState} from './scheduler_state.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
@@ -33,7 +33,7 @@
 
   constructor(
     private readonly state: SchedulerState,
-    private readonly lifecycle: JobLifecycle,
+    private readonly quarantine: Quarantine,
   ) {}
 
   /** Stops the stalled runs, so that they are placed again. */
@@ -72,6 +72,6 @@
     this.stallCounts.set(worker, count);
     if (count < STALLS_TO_QUARANTINE) return;
     this.stallCounts.set(worker, 0);
-    this.lifecycle.quarantine(worker, 'runs on it make no progress');
+    this.quarantine.impose(run, 'runs on it make no progress');
   }
 }
--- a/src/common/batch/worker_exclusion.ts
+++ b/src/common/batch/worker_exclusion.ts
@@ -21,7 +21,7 @@
   INCARNATION: 'incarnation',
   SERVICE: 'service',
   LABEL: 'label',
-  /** It is on probation and has a run that tests it. */
+  /** It is on probation and has a run that tests it, or waits for another. */
   PROBATION: 'probation',
   PROCESSORS: 'processors',
   MEMORY: 'memory',
@@ -96,6 +96,9 @@
   const {shape} = step;
   const {reserved, capacity} = worker;
   if (worker.hasProbationRun) return ExclusionReason.PROBATION;
+  if (worker.isForPerpetualTests && !shape.perpetual) {
+    return ExclusionReason.PROBATION;
+  }
   const cpu = shape.fills ? 0 : shape.cpuMilli;
   if (reserved.cpuMilli + cpu > capacity.cpuMilli) {
     return ExclusionReason.PROCESSORS;
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -258,10 +258,9 @@
     const {perpetual} = run.task.step.shape;
     const isActive = perpetual && entry.percent === 100;
     if (isActive) run.task.crashes = [];
-    // Other runs end the probation by succeeding; a perpetual one never ends.
-    if (isActive && worker.isProbationRun(run)) worker.isOnProbation = false;
     if (entry.percent !== run.percent) run.lastProgressAt = now;
     run.percent = entry.percent;
+    if (isActive) this.lifecycle.quarantine.onAtWork(run);
     run.gauge = entry.gauge;
     if (entry.checkpoint !== '') run.task.checkpoint = entry.checkpoint;
   }
@@ -371,7 +370,7 @@
       return FollowUp.REPEAT;
     }
     if (result === WorkerCallResult.UNHEALTHY) {
-      this.lifecycle.quarantine(worker, 'it refuses starts as unhealthy');
+      this.lifecycle.quarantine.impose(run, 'it refuses starts as unhealthy');
     }
     this.withdraw(run, `start refused: ${result}`);
     return FollowUp.SETTLED;
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -111,7 +111,8 @@
   isResponsive = false;
   /** Time that the worker has for its next response. */
   readonly responseTime = new ResponseTime();
-  /** Time until which the worker gets no starts. */
+  /** Time from which and until which the worker gets no starts. */
+  quarantinedFrom: Millis = -Infinity;
   quarantinedUntil: Millis = 0;
   /** Quarantines since the last run that succeeded here. */
   quarantineCount = 0;
@@ -128,6 +129,8 @@
    * a run succeeds.
    */
   isOnProbation = false;
+  /** Whether only perpetual tasks may test the worker while on probation. */
+  isForPerpetualTests = false;
 
   constructor(readonly id: string) {}
 
