Record a worker as lost in a term only after a failed renewal

A takeover that takes over 1.5 s until its first calls would have recorded workers that are well, which get no leases until the record is removed.

Change: the silence of a worker that has not responded in this term counts from the first renewal without a report. A record of a later incarnation covers the runs of earlier ones, which have ended, so the wait does not begin anew for them. Times that another instance measures are taken as up to 2% longer, since they count from the last heartbeat now. A lasting task is tried on a quarantined worker after 2.5 s, so that it leaves for another shard with room before.

--- a/src/common/batch/earlier_authority.ts
+++ b/src/common/batch/earlier_authority.ts
@@ -1,6 +1,9 @@
 import {Millis} from '../base/clock.js';
 import {InstanceRecord, SchedulerRecord} from './job_records.js';
 
+/** Fraction by which the clocks of two instances may differ in speed. */
+const MAX_CLOCK_DIFFERENCE = 0.02;
+
 /** A scheduler's term as an instance has read it from the log. */
 export interface TermReading {
   /** Last record of the term. */
@@ -29,16 +32,21 @@
   const {record, readAt} = predecessor;
   // One that resigned grants no more leases; those before it, which may have
   // been cut off and not know of it, may go on.
-  if (record.resigned) return readAt + (record.earlierAuthorityMs ?? 0);
+  if (record.resigned) return endAfter(readAt, record.earlierAuthorityMs ?? 0);
   // Other appends confirmed the authority in earlier versions.
   const ownEnd =
     record.authorityMs === undefined
       ? now + authorityMs
-      : readAt + record.authorityMs;
-  const endBefore = readAt + (record.earlierAuthorityMs ?? authorityMs);
+      : endAfter(readAt, record.authorityMs);
+  const endBefore = endAfter(readAt, record.earlierAuthorityMs ?? authorityMs);
   return Math.min(ownEnd, Math.max(endedBy, endBefore));
 }
 
+/** Local time by which a time is over that another instance measures. */
+function endAfter(from: Millis, duration: Millis): Millis {
+  return from + duration * (1 + MAX_CLOCK_DIFFERENCE);
+}
+
 /** What tells processes apart. */
 export interface ProcessIdentity {
   /** Name of the instance. */
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -215,7 +215,8 @@
     task.run = run;
     worker.add(run);
     const lost = this.lostWorkers.get(workerId);
-    if (lost !== undefined && lost.born === born) {
+    // Runs of earlier incarnations have ended.
+    if (lost !== undefined && born <= lost.born) {
       worker.isRecordedAsLost = true;
       worker.inheritLease(lost.leaseEnd);
       return;
--- a/src/common/batch/quarantine.ts
+++ b/src/common/batch/quarantine.ts
@@ -20,9 +20,9 @@
 /**
  * Time that a perpetual task waits for another worker before it is tried on a
  * quarantined one. Callers expect a task that ended to run again within 6 s,
- * wherever there is room.
+ * wherever there is room; after 2 s it leaves for another shard with room.
  */
-const NEEDED_AFTER_MS: Millis = 2 * SECOND;
+const NEEDED_AFTER_MS: Millis = 2.5 * SECOND;
 
 /**
  * Times for which a perpetual run has to be at work to end the probation of its
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -89,8 +89,6 @@
   readonly timePredictor: JobTimePredictor;
   /** Tasks that are ready to run and not placed. */
   readonly waitingTasks = new Set<ActiveTask>();
-  /** Local time at which the scheduler took over. */
-  readonly startedAt: Millis;
   /** Local time by which earlier schedulers grant no more leases. */
   private earlierAuthorityEndsAt: Millis;
   /** Whether waiting tasks are placed; not while the fleet is being divided. */
@@ -117,8 +115,7 @@
     readonly recordBytes: number = Infinity,
   ) {
     this.timePredictor = new JobTimePredictor(clock);
-    this.startedAt = clock.now();
-    this.earlierAuthorityEndsAt = this.startedAt + previousAuthorityMs;
+    this.earlierAuthorityEndsAt = clock.now() + previousAuthorityMs;
   }
 
   /** Time for which earlier schedulers may still grant leases. */
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -139,6 +139,7 @@
     const wasResponsive = worker.isResponsive;
     worker.isResponsive = report !== undefined;
     if (report === undefined) {
+      worker.silentSince = Math.min(worker.silentSince, now);
       if (response.result === WorkerCallResult.UNKNOWN) {
         worker.responseTime.onTimeout();
       }
@@ -459,8 +460,9 @@
   private isNewlyLost(worker: WorkerState, now: Millis): boolean {
     if (worker.isResponsive || worker.isRecordedAsLost) return false;
     if (worker.runs.size === 0 || worker.knownBorn === 0) return false;
-    const silentSince = Math.max(worker.lastResponseAt, this.state.startedAt);
-    return now - silentSince > RECORD_LOST_AFTER_MS;
+    const {born, lastResponseAt, silentSince} = worker;
+    const since = born > 0 ? lastResponseAt : silentSince;
+    return now - since > RECORD_LOST_AFTER_MS;
   }
 
   /** Handles a stored record; a removal allows new leases to the worker. */
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -105,6 +105,8 @@
   private inheritedLeaseEnd: Millis = 0;
   /** Time of the last response to a renewal that carried a report. */
   lastResponseAt: Millis = 0;
+  /** Time at which a renewal had no report for the first time; else Infinity. */
+  silentSince: Millis = Infinity;
   /** Whether a record says, or is about to say, that the worker is lost. */
   isRecordedAsLost = false;
   /** Whether the last renewal returned a report; otherwise no new lease. */
