Let other tasks test a worker once its quarantine would have ended

A worker whose quarantine was ended for a perpetual task stayed barred for tasks that end if the perpetual one was cancelled or placed elsewhere before it was tried.

Change: the bar ends at the time at which the quarantine would have ended, and a job that is held ends no quarantine.

Test: quarantine.test.ts, "admits other tasks when the quarantine would have ended", fails without the change.

--- a/src/common/batch/quarantine.test.ts
+++ b/src/common/batch/quarantine.test.ts
@@ -146,6 +146,21 @@
     expect(tests.filter(task => !task.startsWith(lasting))).toEqual([]);
   });
 
+  it('admits other tasks when the quarantine would have ended', () => {
+    // Guards against a sound worker that gets no tasks that end, because the
+    // perpetual one for which its quarantine was ended has gone.
+    const {state} = fleet.scheduler;
+    const worker = state.workers.get('grey')!;
+    worker.isOnProbation = true;
+    worker.quarantinedUntil = state.now();
+    worker.perpetualTestsUntil = state.now() + 3 * SECOND;
+    const ending = `${submit({})}.0.0.0`;
+    fleet.run(2.5 * SECOND);
+    expect(grey.starts).not.toContain(ending);
+    fleet.run(SECOND);
+    expect(grey.starts).toContain(ending);
+  });
+
   it('begins short again after a perpetual run was at work for long', () => {
     // Guards against a worker with lasting tasks only, whose quarantines grow
     // from one trouble to the next, as no run on it ends with success.
--- a/src/common/batch/quarantine.ts
+++ b/src/common/batch/quarantine.ts
@@ -60,7 +60,7 @@
   onDone({worker}: Run): void {
     worker.consecutiveFailedJobs.clear();
     worker.isOnProbation = false;
-    worker.isForPerpetualTests = false;
+    worker.perpetualTestsUntil = 0;
     worker.quarantineCount = 0;
   }
 
@@ -72,7 +72,7 @@
     if (workedFor < TESTED_AFTER_MS) return;
     // Other runs end the probation by succeeding; a perpetual one never ends.
     worker.isOnProbation = false;
-    worker.isForPerpetualTests = false;
+    worker.perpetualTestsUntil = 0;
     if (workedFor >= PROVEN_AFTER_MS) worker.quarantineCount = 0;
   }
 
@@ -88,18 +88,22 @@
     worker.quarantinedFrom = this.state.now();
     worker.quarantinedUntil = worker.quarantinedFrom + duration;
     worker.isOnProbation = true;
-    worker.isForPerpetualTests = false;
+    worker.perpetualTestsUntil = 0;
     this.state.log.decide('quarantine', {worker: worker.id, duration, reason});
   }
 
   /**
    * Ends quarantines of workers that perpetual tasks need, as they find no
-   * other. These have no limit of attempts; until one of them is at work, tasks
-   * that end by themselves, which have one, are kept away.
+   * other. These have no limit of attempts; until one of them is at work, or the
+   * quarantine would have ended, tasks that have one are kept away.
    */
   admitNeeded(): void {
     const now = this.state.now();
     const workers = [...this.state.workers.values()];
+    for (const worker of workers) {
+      // The quarantine would have ended by itself.
+      if (worker.perpetualTestsUntil <= now) worker.perpetualTestsUntil = 0;
+    }
     let waiting = workers.filter(worker => isAdmissible(worker, now));
     if (waiting.length === 0) return;
     for (const [step, tasks] of this.stepsInNeed(now)) {
@@ -127,8 +131,8 @@
       waitedMs: Math.round(now - task.readySince),
       leftMs: Math.round(worker.quarantinedUntil - now),
     });
+    worker.perpetualTestsUntil = worker.quarantinedUntil;
     worker.quarantinedUntil = now;
-    worker.isForPerpetualTests = true;
   }
 
   /** Perpetual steps whose tasks have waited for long, with these tasks. */
@@ -137,6 +141,7 @@
     for (const task of this.state.waitingTasks) {
       const {step, readySince, notBefore} = task;
       if (!step.shape.perpetual || step.shape.gang) continue;
+      if (step.occurrence.job.heldUntil > 0) continue;
       if (now - readySince < NEEDED_AFTER_MS || notBefore > now) continue;
       const tasks = steps.get(step);
       if (tasks !== undefined) tasks.push(task);
--- a/src/common/batch/worker_exclusion.ts
+++ b/src/common/batch/worker_exclusion.ts
@@ -96,7 +96,7 @@
   const {shape} = step;
   const {reserved, capacity} = worker;
   if (worker.hasProbationRun) return ExclusionReason.PROBATION;
-  if (worker.isForPerpetualTests && !shape.perpetual) {
+  if (worker.perpetualTestsUntil > 0 && !shape.perpetual) {
     return ExclusionReason.PROBATION;
   }
   const cpu = shape.fills ? 0 : shape.cpuMilli;
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -131,8 +131,11 @@
    * a run succeeds.
    */
   isOnProbation = false;
-  /** Whether only perpetual tasks may test the worker while on probation. */
-  isForPerpetualTests = false;
+  /**
+   * Time until which only perpetual tasks may test the worker, as its quarantine
+   * was ended early for them; 0 if any may.
+   */
+  perpetualTestsUntil: Millis = 0;
 
   constructor(readonly id: string) {}
 
