Tell of an earlier process also after its successor has claimed the role

Cause: a process that starts looked for the record of a scheduler with its name and address.

Change: an instance's record has the incarnation of its process. A new process reads the topics before it replaces that record, and names the process of before and those that it named, eight at most.

Test: platform/hand_over.test.ts, "tells of a scheduler of its own that has been replaced since".

--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -147,9 +147,11 @@
   readonly dataCentre?: string;
   /** `host:port` at which it calls workers for the scheduler, if it does. */
   readonly relayAddress?: string;
+  /** Distinguishes restarts; absent in records of earlier versions. */
+  readonly incarnation?: string;
   /**
-   * Incarnations of schedulers that were earlier processes of this instance, on
-   * the same machine, and have ended.
+   * Incarnations of earlier processes of this instance, on the same machine,
+   * which have ended; the latest first.
    */
   readonly endedIncarnations?: readonly string[];
 }
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -69,6 +69,12 @@
 /** Timeout of an append of the instance's record, and delay before a retry. */
 const ANNOUNCE_TIMEOUT_MS: Millis = 2 * SECOND;
 
+/** Interval of the checks whether the topics are loaded. */
+const LOAD_CHECK_INTERVAL_MS: Millis = 10;
+
+/** Earlier processes that an instance tells of, at most. */
+const MAX_ENDED_PROCESSES = 8;
+
 /** Age of a scheduler's last record up to which its load counts as known. */
 const MAX_LOAD_AGE_MS: Millis = 3 * SECOND;
 
@@ -118,7 +124,7 @@
   private readonly intake: IntakeWriter;
   /** Tells this process apart from all others. */
   private readonly identity: ProcessIdentity;
-  /** Earlier processes of this instance that were schedulers and have ended. */
+  /** Earlier processes of this instance, which have ended. */
   private endedIncarnations: readonly string[] = [];
   private readonly statesTail: LogTail;
   private readonly intakeTail: LogTail;
@@ -208,11 +214,11 @@
 
   /** Whether the configuration and the job topics have been read once. */
   private get isLoaded(): boolean {
-    return (
-      this.configuration !== undefined &&
-      this.statesTail.isLoaded &&
-      this.intakeTail.isLoaded
-    );
+    return this.configuration !== undefined && this.areTopicsLoaded;
+  }
+
+  private get areTopicsLoaded(): boolean {
+    return this.statesTail.isLoaded && this.intakeTail.isLoaded;
   }
 
   /** Whether this instance is the scheduler of a shard. */
@@ -262,12 +268,18 @@
     void this.runElections();
   }
 
-  /** Publishes what elections and the choice of relays depend on. */
+  /** Publishes what elections, relays and the end of authority depend on. */
   private async announce(): Promise<void> {
     const {name, announcement, clock, decisions} = this.dependencies;
+    // The record of the process before is replaced, so it is read first.
+    while (!this.stopping && !this.areTopicsLoaded) {
+      await sleep(LOAD_CHECK_INTERVAL_MS);
+    }
+    const {incarnation} = this.identity;
+    this.endedIncarnations = this.findEndedProcesses();
+    const {endedIncarnations} = this;
+    const record = {...announcement, incarnation, endedIncarnations};
     while (!this.stopping) {
-      const {endedIncarnations} = this;
-      const record = {...announcement, endedIncarnations};
       const deadline = clock.now() + ANNOUNCE_TIMEOUT_MS;
       const result = await this.intake.announce(name, record, deadline);
       decisions.decide('announce', {...record, result});
@@ -277,21 +289,29 @@
   }
 
   /**
-   * Tells the others which schedulers were earlier processes of this instance:
-   * these grant no more leases.
+   * Earlier processes of this instance, as far as they are known: if they were
+   * schedulers, they grant no more leases.
    */
-  private announceEndedProcesses(): void {
-    const ended = new Set<string>();
-    for (const shard of this.roles.keys()) {
-      const scheduler = this.view.schedulerOf(shard);
-      if (scheduler === undefined) continue;
-      if (scheduler.incarnation === this.identity.incarnation) continue;
-      if (!replacesProcess(this.identity, scheduler)) continue;
-      ended.add(scheduler.incarnation);
+  private findEndedProcesses(): string[] {
+    const {instance, incarnation} = this.identity;
+    const ended = new Set(this.endedIncarnations);
+    const schedulers = [...this.roles.keys()].map(shard =>
+      this.view.schedulerOf(shard),
+    );
+    const known = this.view.instances.get(instance);
+    const former = known?.incarnation && {
+      instance,
+      incarnation: known.incarnation,
+      address: known.relayAddress,
+    };
+    for (const other of [former, ...schedulers]) {
+      if (!other || !replacesProcess(this.identity, other)) continue;
+      ended.add(other.incarnation);
+      if (other !== former) continue;
+      for (const earlier of known?.endedIncarnations ?? []) ended.add(earlier);
     }
-    if (ended.size === 0) return;
-    this.endedIncarnations = [...ended];
-    void this.announce();
+    ended.delete(incarnation);
+    return [...ended].slice(0, MAX_ENDED_PROCESSES);
   }
 
   /** Reports not ready, resigns from its role and makes no more claims. */
@@ -528,8 +548,6 @@
   }
 
   private async runElections(): Promise<void> {
-    while (!this.stopping && !this.isLoaded) await sleep(ELECTION_PERIOD_MS);
-    this.announceEndedProcesses();
     while (!this.stopping) {
       await sleep(ELECTION_PERIOD_MS);
       if (!this.isLoaded) continue;
