Count the wait of a lost run's lasting task from its worker's silence

Cause: a lasting task takes room that is reserved for others only after it has waited 3.5 s while short tasks wait, and that time began anew when the lease of its worker was over.

Change: for perpetual tasks the time counts from the worker's last response, or from the first failed renewal of the term. A worker without an address counts as one that does not respond.

Tests: lost_worker_takeover.test.ts, "takes what is reserved for others as soon as its lease is over" failed before.

--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -432,8 +432,15 @@
     );
   }
 
-  /** Requeues the task of a run that ended without a reported end. */
-  onRunLost(run: Run, reason: string): void {
+  /**
+   * Requeues the task of a run that ended without a reported end.
+   * @param silentSince local time since which nothing is known of the run.
+   */
+  onRunLost(
+    run: Run,
+    reason: string,
+    silentSince: Millis = this.state.now(),
+  ): void {
     this.state.log.decide('run-lost', {
       task: run.task.name,
       attempt: run.attempt,
@@ -442,7 +449,11 @@
     });
     this.removeRun(run);
     this.requeue(run.task);
-    this.removeIfSettled(run.task.step.occurrence.job);
+    // Callers have missed a perpetual task since then.
+    const {task} = run;
+    const isPerpetual = task.step.shape.perpetual;
+    if (isPerpetual) task.readySince = Math.min(task.readySince, silentSince);
+    this.removeIfSettled(task.step.occurrence.job);
   }
 
   /** Removes a run from its worker and its task. */
--- a/src/common/batch/lost_worker_takeover.test.ts
+++ b/src/common/batch/lost_worker_takeover.test.ts
@@ -54,6 +54,17 @@
     expect(spare.starts).toEqual([TASK]);
   });
 
+  it('takes what is reserved for others as soon as its lease is over', () => {
+    // Guards against a task that waits for the reserve from the end of its lease
+    // on, although callers have missed it for 6 s (LOST, day of review/8).
+    fleet.submit('00000000000000bb', [{perpetual: true, cpuMilli: 3000}]);
+    fleet.run(300);
+    expect(spare.runs.size).toBe(1);
+    fleet.takeOver(0);
+    fleet.run(LEASE_SPAN_MS + START_MS);
+    expect(spare.starts).toContain(TASK);
+  });
+
   it('waits for the leases that the successor itself has granted', () => {
     // Guards against a second run beside one whose lease the successor has
     // extended after the predecessor had ended.
@@ -91,6 +102,15 @@
     expect(spare.starts).toEqual([TASK]);
   });
 
+  it('is recorded as lost with a worker that has left the list', () => {
+    // Guards against the same for a worker without an address, which no
+    // scheduler can call after its entry has expired.
+    lost.isListed = false;
+    fleet.takeOver();
+    fleet.run(3 * SECOND);
+    expect(fleet.view.lostWorkers.has('w1')).toBe(true);
+  });
+
   it('is not recorded as lost before the successor has called its worker', () => {
     // Guards against records of workers that are well at each takeover: they
     // get no leases until the record is removed.
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -139,7 +139,7 @@
     const wasResponsive = worker.isResponsive;
     worker.isResponsive = report !== undefined;
     if (report === undefined) {
-      worker.silentSince = Math.min(worker.silentSince, now);
+      worker.unansweredSince = Math.min(worker.unansweredSince, now);
       if (response.result === WorkerCallResult.UNKNOWN) {
         worker.responseTime.onTimeout();
       }
@@ -205,8 +205,8 @@
     }
   }
 
-  private declareLost(run: Run, reason: string): void {
-    this.lifecycle.onRunLost(run, reason);
+  private declareLost(run: Run, reason: string, silentSince?: Millis): void {
+    this.lifecycle.onRunLost(run, reason, silentSince);
   }
 
   private processReport(
@@ -407,6 +407,10 @@
     const now = this.state.now();
     for (const worker of this.state.workers.values()) {
       if (worker.isResponsive) continue;
+      // One without an address can't be called.
+      if (worker.address === '') {
+        worker.unansweredSince = Math.min(worker.unansweredSince, now);
+      }
       if (now >= worker.leaseEnd) {
         this.declareAllLost(worker, 'the lease of its worker ran out');
       }
@@ -423,7 +427,7 @@
     const lost: Run[] = [];
     for (const run of [...worker.runs.values()]) {
       if (run.phase === RunPhase.STAGED) continue;
-      this.declareLost(run, reason);
+      this.declareLost(run, reason, silentSince(worker));
       lost.push(run);
     }
     if (lost.length === 0) return;
@@ -460,9 +464,7 @@
   private isNewlyLost(worker: WorkerState, now: Millis): boolean {
     if (worker.isResponsive || worker.isRecordedAsLost) return false;
     if (worker.runs.size === 0 || worker.knownBorn === 0) return false;
-    const {born, lastResponseAt, silentSince} = worker;
-    const since = born > 0 ? lastResponseAt : silentSince;
-    return now - since > RECORD_LOST_AFTER_MS;
+    return now - silentSince(worker) > RECORD_LOST_AFTER_MS;
   }
 
   /** Handles a stored record; a removal allows new leases to the worker. */
@@ -489,3 +491,12 @@
   const isKnown = worker.isResponsive || worker.listing !== undefined;
   return !isKnown && worker.runs.size === 0;
 }
+
+/** Local time of a worker's last response, or of the first failed renewal. */
+function silentSince({
+  born,
+  lastResponseAt,
+  unansweredSince,
+}: WorkerState): Millis {
+  return born > 0 ? lastResponseAt : unansweredSince;
+}
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -106,7 +106,7 @@
   /** Time of the last response to a renewal that carried a report. */
   lastResponseAt: Millis = 0;
   /** Time at which a renewal had no report for the first time; else Infinity. */
-  silentSince: Millis = Infinity;
+  unansweredSince: Millis = Infinity;
   /** Whether a record says, or is about to say, that the worker is lost. */
   isRecordedAsLost = false;
   /** Whether the last renewal returned a report; otherwise no new lease. */
