Log what the scheduler assumes of a lease and of a worker's incarnation

Change: leaseLeftMs in worker-lost, worker-regained and worker-restarted; lease-over with the incarnations that reported and that are listed; worker-clock-differs for responses to starts and stops. No change of logic.

--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -29,6 +29,12 @@
 /** Time without a response after which a worker is recorded as lost. */
 const RECORD_LOST_AFTER_MS: Millis = 1500;
 
+/**
+ * Difference between a worker's clock and its estimate from which on it is
+ * logged: the response is of another incarnation than the estimate.
+ */
+const LOGGED_CLOCK_DIFFERENCE_MS: Millis = 1000;
+
 /** Whether a call to a worker is settled or has to be sent again. */
 export const FollowUp = {SETTLED: 'settled', REPEAT: 'repeat'} as const;
 export type FollowUp = (typeof FollowUp)[keyof typeof FollowUp];
@@ -169,9 +175,27 @@
       worker: worker.id,
       result,
       runs: worker.runs.size,
+      leaseLeftMs: Math.round(worker.leaseEnd - this.state.now()),
     });
   }
 
+  /** Sets a worker's clock from a response to a command. */
+  private setClock(
+    worker: WorkerState,
+    {clockMs}: WorkerResponse,
+    call: string,
+  ): void {
+    if (clockMs === undefined) return;
+    const now = this.state.now();
+    const expectedMs = worker.estimateClock(now);
+    if (Math.abs(clockMs - expectedMs) > LOGGED_CLOCK_DIFFERENCE_MS) {
+      const {id, born} = worker;
+      const fields = {worker: id, born, call, clockMs, expectedMs};
+      this.state.log.decide('worker-clock-differs', fields);
+    }
+    worker.setClock(clockMs, now);
+  }
+
   /**
    * Handles the first response of an incarnation. Runs of the previous one have
    * ended, but requests sent to it may still arrive at the new one: a higher
@@ -194,6 +218,7 @@
       worker: worker.id,
       born: report.born,
       runs: worker.runs.size,
+      leaseLeftMs: Math.round(worker.leaseEnd - this.state.now()),
     });
     return false;
   }
@@ -342,7 +367,7 @@
   onStartResponse(run: Run, response: WorkerResponse): FollowUp {
     const {worker} = run;
     const now = this.state.now();
-    if (response.clockMs !== undefined) worker.setClock(response.clockMs, now);
+    this.setClock(worker, response, 'start');
     if (!this.isStartPending(run)) return FollowUp.SETTLED;
     const {result} = response;
     if (result === WorkerCallResult.ACCEPTED) {
@@ -391,7 +416,7 @@
   onStopResponse(run: Run, response: WorkerResponse): FollowUp {
     const {worker} = run;
     const now = this.state.now();
-    if (response.clockMs !== undefined) worker.setClock(response.clockMs, now);
+    this.setClock(worker, response, 'stop');
     if (worker.runs.get(run.task.name) !== run) return FollowUp.SETTLED;
     if (response.result === WorkerCallResult.FENCED) this.isFenced = true;
     if (response.result === WorkerCallResult.ACCEPTED) run.stopAcceptedAt = now;
@@ -431,6 +456,14 @@
       lost.push(run);
     }
     if (lost.length === 0) return;
+    const {id, born, listing} = worker;
+    this.state.log.decide('lease-over', {
+      worker: id,
+      runs: lost.length,
+      born,
+      listedBorn: listing?.born,
+      silentMs: Math.round(this.state.now() - silentSince(worker)),
+    });
     worker.tokenOffset++;
     this.crashes.onLost(worker, lost);
   }
