Let simulated workers keep leases, clocks and late calls as real ones do

Change: each incarnation has its own monotonic clock, which all responses carry. Starts of attempts that were stopped or ended there are refused, and all calls check the fencing token. Calls can be held and executed later in the incarnation of that time; a held renewal stays open until its time is over. Responses to starts can be delayed. The fleet records tasks with two runs at a time and starts after an acknowledged end. No test relied on workers without leases, so the lease is not optional.

--- a/src/common/batch/detached_task.test.ts
+++ b/src/common/batch/detached_task.test.ts
@@ -10,12 +10,8 @@
   RecordKind,
 } from './job_records.js';
 import {ShardLayout} from './shard_layout.js';
-import {
-  QUEUE,
-  SimulatedFleet,
-  SimulatedWorker,
-  STEP,
-} from './simulated_fleet.test_support.js';
+import {QUEUE, SimulatedFleet, STEP} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {RunOutcome, StepShape} from './types.js';
 
 const LAYOUT = new ShardLayout(['a', 'b']);
--- a/src/common/batch/draining_worker.test.ts
+++ b/src/common/batch/draining_worker.test.ts
@@ -1,9 +1,7 @@
 import {Millis} from '../base/clock.js';
 import {JobPhase} from './job_records.js';
-import {
-  SimulatedFleet,
-  SimulatedWorker,
-} from './simulated_fleet.test_support.js';
+import {SimulatedFleet} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {WorkerPhase} from './types.js';
 import {MAX_CLOCK_DRIFT} from './worker_state.js';
 import {LEASE_EXPIRY_MARGIN_MS} from './scheduler_state.js';
--- a/src/common/batch/held_jobs.test.ts
+++ b/src/common/batch/held_jobs.test.ts
@@ -1,8 +1,6 @@
 import {JobPhase, RecordKind} from './job_records.js';
-import {
-  SimulatedFleet,
-  SimulatedWorker,
-} from './simulated_fleet.test_support.js';
+import {SimulatedFleet} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 
 const HELD = '00000000000000aa';
 const OTHER = '00000000000000bb';
--- a/src/common/batch/job_hand_over.test.ts
+++ b/src/common/batch/job_hand_over.test.ts
@@ -9,12 +9,8 @@
 } from './job_records.js';
 import {KnownJob} from './job_view.js';
 import {ShardLayout} from './shard_layout.js';
-import {
-  QUEUE,
-  SimulatedFleet,
-  SimulatedWorker,
-  STEP,
-} from './simulated_fleet.test_support.js';
+import {QUEUE, SimulatedFleet, STEP} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {RunOutcome, StepShape, WorkerPhase} from './types.js';
 
 const LAYOUT = new ShardLayout(['a', 'b']);
--- a/src/common/batch/job_size.test.ts
+++ b/src/common/batch/job_size.test.ts
@@ -1,11 +1,7 @@
 import {JobPhase, packProgress, TaskPhase} from './job_records.js';
 import {maxTasks, taskCount} from './job_size.js';
-import {
-  QUEUE,
-  SimulatedFleet,
-  SimulatedWorker,
-  STEP,
-} from './simulated_fleet.test_support.js';
+import {QUEUE, SimulatedFleet, STEP} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {RunOutcome} from './types.js';
 
 const JOB = '00000000000000aa';
--- a/src/common/batch/lost_worker_takeover.test.ts
+++ b/src/common/batch/lost_worker_takeover.test.ts
@@ -1,9 +1,7 @@
 import {Millis, SECOND} from '../base/clock.js';
 import {RecordKind} from './job_records.js';
-import {
-  SimulatedFleet,
-  SimulatedWorker,
-} from './simulated_fleet.test_support.js';
+import {SimulatedFleet} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 
 const JOB = '00000000000000aa';
 const TASK = `${JOB}.0.0.0`;
--- a/src/common/batch/mixed_load.test.ts
+++ b/src/common/batch/mixed_load.test.ts
@@ -1,8 +1,6 @@
 import {InterferenceModel} from './interference.js';
-import {
-  SimulatedFleet,
-  SimulatedWorker,
-} from './simulated_fleet.test_support.js';
+import {SimulatedFleet} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {StepShape} from './types.js';
 
 const SERVING: Partial<StepShape> = {
--- a/src/common/batch/paused_scheduler.test.ts
+++ b/src/common/batch/paused_scheduler.test.ts
@@ -1,8 +1,6 @@
 import {Millis} from '../base/clock.js';
-import {
-  SimulatedFleet,
-  SimulatedWorker,
-} from './simulated_fleet.test_support.js';
+import {SimulatedFleet} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {LeaseRenewal, WorkerCallResult} from './worker_calls.js';
 import {WorkerState} from './worker_state.js';
 
--- a/src/common/batch/quarantine.test.ts
+++ b/src/common/batch/quarantine.test.ts
@@ -1,9 +1,7 @@
 import {Millis, SECOND} from '../base/clock.js';
 import {CommandKind} from './scheduler_state.js';
-import {
-  SimulatedFleet,
-  SimulatedWorker,
-} from './simulated_fleet.test_support.js';
+import {SimulatedFleet} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {RunOutcome} from './types.js';
 import {WorkerCallResult} from './worker_calls.js';
 import {RunPhase} from './worker_state.js';
--- a/src/common/batch/shrinking_worker.test.ts
+++ b/src/common/batch/shrinking_worker.test.ts
@@ -1,7 +1,5 @@
-import {
-  SimulatedFleet,
-  SimulatedWorker,
-} from './simulated_fleet.test_support.js';
+import {SimulatedFleet} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 
 const JOB = '00000000000000aa';
 
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -3,6 +3,7 @@
 import {CostMeter} from './cost_meter.js';
 import {JobView} from './job_view.js';
 import {packRecord, RecordKind} from './job_records.js';
+import {RunViolations} from './run_violations.test_support.js';
 import {Scheduler} from './scheduler.js';
 import {WHOLE_FLEET} from './shard_layout.js';
 import {recordSize} from './log_limits.js';
@@ -15,16 +16,17 @@
   SchedulerState,
 } from './scheduler_state.js';
 import {
-  BatchConfiguration,
-  JobShape,
-  Queue,
-  ReportedEnd,
-  RunOutcome,
-  StepShape,
-  WorkerListing,
-  WorkerPhase,
-} from './types.js';
-import {WorkerCallResult, RenewalResponse} from './worker_calls.js';
+  CallKind,
+  SERVICE,
+  SimulatedWorker,
+} from './simulated_worker.test_support.js';
+import {BatchConfiguration, JobShape, Queue, StepShape} from './types.js';
+import {
+  LeaseRenewal,
+  RenewalResponse,
+  WorkerCallResult,
+  WorkerResponse,
+} from './worker_calls.js';
 import {FollowUp} from './worker_leases.js';
 import {Run, RunPhase, WorkerState} from './worker_state.js';
 
@@ -32,7 +34,7 @@
   name: 'cuts',
   host: 'shop.example',
   pathPrefix: '/cuts/',
-  service: 'desk',
+  service: SERVICE,
   priority: 0,
   maxAttempts: 2,
   stretch: 2,
@@ -61,116 +63,25 @@
   mayMiss: 0,
 };
 
-/** A run on a simulated worker. */
-interface SimulatedRun {
-  readonly attempt: number;
-  readonly endsAt: Millis;
-  percent: number;
-  gauge: number;
-  checkpoint?: string;
-}
-
-/** A simulated worker, which executes start and stop requests. */
-export class SimulatedWorker {
-  readonly runs = new Map<string, SimulatedRun>();
-  /** Names of the tasks that were started, in order. */
-  readonly starts: string[] = [];
-  /** Names of the tasks whose stop was requested, in order. */
-  readonly stops: string[] = [];
-  /** Paces that were set, in percent and in order. */
-  readonly paces: number[] = [];
-  /** Ends that are not acknowledged yet. */
-  ends: ReportedEnd[] = [];
-  /** Most ends in one report. */
-  maxListedEnds = 500;
-  /** Phase that the worker publishes in its listing. */
-  phase: WorkerPhase = WorkerPhase.READY;
-  isListed = true;
-  /** Renewals and requests get no response and have no effect. */
-  isUnreachable = false;
-  /** Start requests are executed, but their responses are lost. */
-  dropsStartResponses = false;
-  /** Local time at which a crashed worker is back; undefined if it is up. */
-  backAt: Millis | undefined;
-  rack = 'rack-1';
-  /** Address, which stays when a worker returns under another id. */
-  address: string;
-  /** Runs that nothing expects go on after a stop request. */
-  isSlowToStop = false;
-  /** How runs end after their run time. */
-  outcome: RunOutcome = RunOutcome.DONE;
-  /** Number of the incarnation; stands for its start in ms since 1970. */
-  born = 1;
-  /** Highest fencing token that the worker has seen. */
-  token = 0;
-  private sequence = 0;
-
-  /** Processors, in thousandths of a core; they may change. */
-  cpuMilli: number;
-
-  constructor(
-    readonly id: string,
-    cpuMilli: number,
-    readonly memoryMb: number,
-    readonly dataCentre = 'a',
-  ) {
-    this.cpuMilli = cpuMilli;
-    this.address = `${id}:1`;
-  }
-
-  /** Loses all runs and ends, as a new incarnation with the same id. */
-  restart(): void {
-    this.runs.clear();
-    this.ends = [];
-    this.sequence = 0;
-    this.token = 0;
-    this.born++;
-  }
-
-  /** Stops responding at once, until `backAt`. */
-  crash(backAt: Millis): void {
-    this.runs.clear();
-    this.isUnreachable = true;
-    this.isListed = false;
-    this.backAt = backAt;
-  }
-
-  /** Ends a run and reports the end until it is acknowledged. */
-  end(task: string, end: RunOutcome): void {
-    const run = this.runs.get(task);
-    if (run === undefined) return;
-    this.runs.delete(task);
-    this.ends.push({
-      sequence: ++this.sequence,
-      task,
-      attempt: run.attempt,
-      end,
-      checkpoint: '',
-    });
-  }
-
-  listing(): WorkerListing {
-    return {
-      id: this.id,
-      born: this.born,
-      service: QUEUE.service,
-      address: this.address,
-      dataCentre: this.dataCentre,
-      phase: this.phase,
-      remainingMs: this.phase === WorkerPhase.DRAINING ? 4000 : undefined,
-      warmupMs: 0,
-      capacity: {cpuMilli: this.cpuMilli, memoryMb: this.memoryMb, gpus: 0},
-      labels: ['kind', this.rack],
-    };
-  }
-}
-
 /** A line of the scheduler's log. */
 export interface LogEntry {
   readonly decision: string;
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
+/** A renewal without a response so far. */
+interface OpenRenewal {
+  readonly state: WorkerState;
+  readonly renewal: LeaseRenewal;
+  readonly sentAt: Millis;
+}
+
+/** A response to a start request that is on its way. */
+interface StartResponse {
+  readonly run: Run;
+  readonly response: WorkerResponse;
+}
+
 /** Simulated time between two steps. */
 const TICK_MS: Millis = 50;
 
@@ -210,8 +121,20 @@
   downMs: Millis = 3000;
   /** Crashed workers return under another id. */
   renamesWorkers = false;
+  /**
+   * Start requests are executed, but their responses arrive only with
+   * `deliverStartResponses`.
+   */
+  delaysStartResponses = false;
   /** Runs whose start request is to be sent again. */
   private readonly pendingStarts: Run[] = [];
+  private startResponses: StartResponse[] = [];
+  /** Renewals that are held, by worker. */
+  private readonly openRenewals = new Map<SimulatedWorker, OpenRenewal>();
+  private readonly runViolations = new RunViolations(
+    () => this.clock.now(),
+    this.workers,
+  );
   private epoch = 0;
 
   constructor(
@@ -222,6 +145,11 @@
     this.scheduler = this.createScheduler(0);
   }
 
+  /** Tasks that ran twice at a time or were started after their end. */
+  get violations(): readonly string[] {
+    return this.runViolations.found;
+  }
+
   /**
    * Lets a new scheduler take over with the records of the log.
    * @param earlierAuthorityMs time for which earlier schedulers may still grant
@@ -229,13 +157,22 @@
    */
   takeOver(earlierAuthorityMs: Millis = AUTHORITY_MS): void {
     this.pendingStarts.length = 0;
+    this.startResponses = [];
+    this.openRenewals.clear();
     this.scheduler = this.createScheduler(earlierAuthorityMs);
     this.scheduler.restore(this.view);
   }
 
   addWorker(id: string, cpuMilli = 4000, memoryMb = 4000): SimulatedWorker {
     const dataCentre = this.shard === WHOLE_FLEET ? undefined : this.shard;
-    const worker = new SimulatedWorker(id, cpuMilli, memoryMb, dataCentre);
+    const worker = new SimulatedWorker(
+      id,
+      cpuMilli,
+      memoryMb,
+      this.clock,
+      this.runViolations,
+      dataCentre,
+    );
     this.workers.set(id, worker);
     return worker;
   }
@@ -335,7 +272,7 @@
     );
     for (const worker of this.workers.values()) {
       this.bringBack(worker);
-      this.endRuns(worker);
+      worker.endRuns();
     }
     this.resendStarts();
     this.commit();
@@ -369,12 +306,6 @@
     });
   }
 
-  private endRuns(worker: SimulatedWorker): void {
-    for (const [task, {endsAt}] of [...worker.runs]) {
-      if (endsAt <= this.clock.now()) worker.end(task, worker.outcome);
-    }
-  }
-
   private commit(): void {
     const {scheduler} = this;
     for (const command of scheduler.takeImmediate()) this.execute(command);
@@ -404,17 +335,37 @@
     this.scheduler.onSubmissionsRemoved(ids);
   }
 
+  /** Renews a worker's lease unless a renewal without response is open. */
   private renew(worker: SimulatedWorker): void {
+    const open = this.openRenewals.get(worker);
+    if (open !== undefined) {
+      this.expireRenewal(worker, open);
+      return;
+    }
     const state = this.scheduler.state.workers.get(worker.id);
     if (state === undefined) return;
     const renewal = this.scheduler.leases.nextRenewal(state);
     const sentAt = this.clock.now();
-    const response = this.respond(
-      worker,
-      renewal.fencingToken,
-      renewal.acknowledgedEnd,
+    const isHeld = worker.heldKinds.has(CallKind.RENEWAL);
+    const response: RenewalResponse = worker.receive(CallKind.RENEWAL, () =>
+      worker.renew(renewal.acknowledgedEnd, {
+        token: renewal.fencingToken,
+        leaseUntil: renewal.leaseUntil,
+      }),
     );
-    this.scheduler.onRenewalResponse(state, renewal, sentAt, response);
+    if (isHeld) this.openRenewals.set(worker, {state, renewal, sentAt});
+    else this.scheduler.onRenewalResponse(state, renewal, sentAt, response);
+  }
+
+  /** Gives a held renewal up once the time for its response is over. */
+  private expireRenewal(worker: SimulatedWorker, open: OpenRenewal): void {
+    const {state, renewal, sentAt} = open;
+    const timeout = renewal.waitMs + renewal.responseMs;
+    if (this.clock.now() - sentAt < timeout) return;
+    this.openRenewals.delete(worker);
+    this.scheduler.onRenewalResponse(state, renewal, sentAt, {
+      result: WorkerCallResult.UNKNOWN,
+    });
   }
 
   /** Renews a worker at whose address another one responds. */
@@ -425,41 +376,12 @@
     });
   }
 
-  private respond(
-    worker: SimulatedWorker,
-    token: number,
-    acknowledged: number,
-  ): RenewalResponse {
-    if (worker.isUnreachable) return {result: WorkerCallResult.UNKNOWN};
-    if (token < worker.token) return {result: WorkerCallResult.FENCED};
-    worker.token = token;
-    worker.ends = worker.ends.filter(({sequence}) => sequence > acknowledged);
-    const running = [...worker.runs].map(([task, run]) => ({
-      task,
-      attempt: run.attempt,
-      checkpoint: run.checkpoint ?? '',
-      percent: run.percent,
-      gauge: run.gauge,
-    }));
-    const clockMs = this.clock.now();
-    const ends = worker.ends.slice(0, worker.maxListedEnds);
-    const hasMoreEnds = ends.length >= worker.maxListedEnds;
-    const report = {born: worker.born, clockMs, running, ends, hasMoreEnds};
-    return {result: WorkerCallResult.ACCEPTED, clockMs, report};
-  }
-
   /** Sends a command to its worker. */
   execute(command: Command): void {
     if (command.kind === CommandKind.START) this.start(command);
     else if (command.kind === CommandKind.STOP) this.stop(command);
-    else if (command.kind === CommandKind.STOP_STRAY) {
-      const worker = this.workers.get(command.worker.id);
-      worker?.stops.push(command.task);
-      if (worker?.isSlowToStop) return;
-      worker?.end(command.task, RunOutcome.STOPPED);
-    } else {
-      this.pace(command);
-    }
+    else if (command.kind === CommandKind.STOP_STRAY) this.stopStray(command);
+    else this.pace(command);
   }
 
   private start({run}: Command & {kind: typeof CommandKind.START}): void {
@@ -473,66 +395,99 @@
   }
 
   private sendStart(run: Run): void {
-    if (!this.scheduler.leases.isStartPending(run)) return;
-    if (this.scheduler.leases.grantStart(run) === undefined) {
+    const {leases} = this.scheduler;
+    if (!leases.isStartPending(run)) return;
+    const leaseUntil = leases.grantStart(run);
+    if (leaseUntil === undefined) {
       this.pendingStarts.push(run);
       return;
     }
     const worker = this.workers.get(run.worker.id);
-    if (worker === undefined) {
-      const result = WorkerCallResult.REPLACED;
-      this.scheduler.onStartResponse(run, {result});
-      return;
-    }
-    if (!worker.isUnreachable && !worker.runs.has(run.task.name)) {
-      worker.starts.push(run.task.name);
-      const {perpetual, cpuMilli} = run.task.step.shape;
-      worker.runs.set(run.task.name, {
-        attempt: run.attempt,
-        endsAt: perpetual ? Infinity : this.clock.now() + this.taskMs,
-        percent: perpetual ? 100 : 0,
-        gauge: perpetual ? 0 : cpuMilli,
-      });
-      if (this.crashingTasks.has(run.task.name)) {
+    const response =
+      worker === undefined
+        ? {result: WorkerCallResult.REPLACED}
+        : this.requestStart(worker, run, leaseUntil);
+    if (this.delaysStartResponses) this.startResponses.push({run, response});
+    else this.onStartResponse(run, response);
+  }
+
+  private requestStart(
+    worker: SimulatedWorker,
+    {task, attempt, worker: state}: Run,
+    leaseUntil: Millis,
+  ): WorkerResponse {
+    const {perpetual, cpuMilli, speculative} = task.step.shape;
+    if (speculative) this.runViolations.speculativeTasks.add(task.name);
+    const request = {
+      task: task.name,
+      attempt,
+      durationMs: perpetual ? Infinity : this.taskMs,
+      percent: perpetual ? 100 : 0,
+      gauge: perpetual ? 0 : cpuMilli,
+      token: this.scheduler.state.fencingToken(state),
+      leaseUntil,
+    };
+    const response = worker.receive(CallKind.START, () => {
+      const response = worker.start(request);
+      if (worker.runs.has(task.name) && this.crashingTasks.has(task.name)) {
         worker.crash(this.clock.now() + this.downMs);
       }
-    }
-    const isResponseLost = worker.isUnreachable || worker.dropsStartResponses;
-    const result = isResponseLost
-      ? WorkerCallResult.UNKNOWN
-      : WorkerCallResult.ACCEPTED;
-    const next = this.scheduler.onStartResponse(run, {result});
+      return response;
+    });
+    const isLost = worker.isUnreachable || worker.dropsStartResponses;
+    return isLost ? {result: WorkerCallResult.UNKNOWN} : response;
+  }
+
+  private onStartResponse(run: Run, response: WorkerResponse): void {
+    const next = this.scheduler.onStartResponse(run, response);
     if (next === FollowUp.REPEAT) this.pendingStarts.push(run);
   }
 
+  /** Delivers the responses to start requests that are on their way. */
+  deliverStartResponses(): void {
+    const responses = this.startResponses;
+    this.startResponses = [];
+    for (const {run, response} of responses) {
+      this.onStartResponse(run, response);
+    }
+  }
+
   private pace({
     run,
     percent,
   }: Command & {kind: typeof CommandKind.PACE}): void {
     const worker = this.workers.get(run.worker.id);
-    if (worker === undefined) return;
-    worker.paces.push(percent);
-    const simulated = worker.runs.get(run.task.name);
-    if (simulated === undefined) return;
-    simulated.gauge = (run.task.step.shape.cpuMilli * percent) / 100;
+    const {name, step} = run.task;
+    const gauge = (step.shape.cpuMilli * percent) / 100;
+    const token = this.scheduler.state.fencingToken(run.worker);
+    worker?.receive(CallKind.PACE, () =>
+      worker.pace(name, percent, gauge, {token}),
+    );
   }
 
   private stop(command: Command & {kind: typeof CommandKind.STOP}): void {
     const {run} = command;
     const worker = this.workers.get(run.worker.id);
-    if (worker === undefined) {
-      const result = WorkerCallResult.REPLACED;
-      this.scheduler.onStopResponse(run, {result});
-      return;
-    }
-    const result = worker.isUnreachable
-      ? WorkerCallResult.UNKNOWN
-      : WorkerCallResult.ACCEPTED;
-    if (!worker.isUnreachable) {
-      worker.stops.push(run.task.name);
-      worker.end(run.task.name, RunOutcome.STOPPED);
-    }
-    const next = this.scheduler.onStopResponse(run, {result});
+    const token = this.scheduler.state.fencingToken(run.worker);
+    const response =
+      worker === undefined
+        ? {result: WorkerCallResult.REPLACED}
+        : worker.receive(CallKind.STOP, () =>
+            worker.stop(run.task.name, run.attempt, {token}),
+          );
+    const next = this.scheduler.onStopResponse(run, response);
     if (next === FollowUp.REPEAT) this.scheduler.state.immediate.push(command);
   }
+
+  private stopStray({
+    worker: state,
+    task,
+    attempt,
+  }: Command & {kind: typeof CommandKind.STOP_STRAY}): void {
+    const worker = this.workers.get(state.id);
+    const token = this.scheduler.state.fencingToken(state);
+    worker?.receive(CallKind.STOP, () =>
+      worker.stopStray(task, attempt, {token}),
+    );
+  }
 }
--- a/src/common/batch/unsuitable_worker.test.ts
+++ b/src/common/batch/unsuitable_worker.test.ts
@@ -1,10 +1,7 @@
 import {Millis, SECOND} from '../base/clock.js';
 import {JobPhase} from './job_records.js';
-import {
-  QUEUE,
-  SimulatedFleet,
-  SimulatedWorker,
-} from './simulated_fleet.test_support.js';
+import {QUEUE, SimulatedFleet} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {StepShape, WorkerPhase} from './types.js';
 
 const JOB = '00000000000000aa';
--- a/src/common/batch/work_without_room.test.ts
+++ b/src/common/batch/work_without_room.test.ts
@@ -10,12 +10,8 @@
   RecordKind,
 } from './job_records.js';
 import {ShardLayout, ShardLoad} from './shard_layout.js';
-import {
-  QUEUE,
-  SimulatedFleet,
-  SimulatedWorker,
-  STEP,
-} from './simulated_fleet.test_support.js';
+import {QUEUE, SimulatedFleet, STEP} from './simulated_fleet.test_support.js';
+import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {
   ids,
   ListedFleet,
--- a/src/node/batch/simulated_shards.test_support.ts
+++ b/src/node/batch/simulated_shards.test_support.ts
@@ -10,9 +10,9 @@
 import {
   QUEUE,
   SimulatedFleet,
-  SimulatedWorker,
   STEP,
 } from '../../common/batch/simulated_fleet.test_support.js';
+import {SimulatedWorker} from '../../common/batch/simulated_worker.test_support.js';
 import {KeyedRecord} from '../../common/batch/store.js';
 import {StepShape, WorkerListing} from '../../common/batch/types.js';
 import {JobHandOvers} from './job_hand_overs.js';
