Take the clock of a worker from its reports only

Cause: a response to a start or stop set the scheduler's reading of the worker's clock, and does not tell which incarnation it is of. A response of the former incarnation that arrived after a report of the new one made the next renewal carry a deadline of the former clock, which grants the longest lease (10 s) where the scheduler counts 6 s. Change: only reports, which carry the incarnation, set the clock; what responses to commands show is logged if it differs. Reports come at least each second, so the estimate is not older than before in practice.

--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -179,21 +179,23 @@
     });
   }
 
-  /** Sets a worker's clock from a response to a command. */
-  private setClock(
+  /**
+   * Logs a clock in a response to a command that is not the one of the last
+   * report. It is not used for later calls: the response does not tell which
+   * incarnation it is of.
+   */
+  private checkClock(
     worker: WorkerState,
     {clockMs}: WorkerResponse,
     call: string,
   ): void {
     if (clockMs === undefined) return;
-    const now = this.state.now();
-    const expectedMs = worker.estimateClock(now);
-    if (Math.abs(clockMs - expectedMs) > LOGGED_CLOCK_DIFFERENCE_MS) {
-      const {id, born} = worker;
-      const fields = {worker: id, born, call, clockMs, expectedMs};
-      this.state.log.decide('worker-clock-differs', fields);
-    }
-    worker.setClock(clockMs, now);
+    const expectedMs = worker.estimateClock(this.state.now());
+    const difference = Math.abs(clockMs - expectedMs);
+    if (difference <= LOGGED_CLOCK_DIFFERENCE_MS) return;
+    const {id, born} = worker;
+    const fields = {worker: id, born, call, clockMs, expectedMs};
+    this.state.log.decide('worker-clock-differs', fields);
   }
 
   /**
@@ -367,7 +369,7 @@
   onStartResponse(run: Run, response: WorkerResponse): FollowUp {
     const {worker} = run;
     const now = this.state.now();
-    this.setClock(worker, response, 'start');
+    this.checkClock(worker, response, 'start');
     if (!this.isStartPending(run)) return FollowUp.SETTLED;
     const {result} = response;
     if (result === WorkerCallResult.ACCEPTED) {
@@ -416,7 +418,7 @@
   onStopResponse(run: Run, response: WorkerResponse): FollowUp {
     const {worker} = run;
     const now = this.state.now();
-    this.setClock(worker, response, 'stop');
+    this.checkClock(worker, response, 'stop');
     if (worker.runs.get(run.task.name) !== run) return FollowUp.SETTLED;
     if (response.result === WorkerCallResult.FENCED) this.isFenced = true;
     if (response.result === WorkerCallResult.ACCEPTED) run.stopAcceptedAt = now;
