Bound the leases that a worker may take from calls for its former life

Cause: the end of a lease is a time on the worker's clock. A worker that starts again has another clock and has seen no fencing token; a call that was meant for its former incarnation gives the new one the longest lease of the platform (10 s) from its execution. The scheduler counted 6 s from the sending of each call, in all cases, and so did its successor. Change: LeaseAccount is the one place that bounds the leases of a silent worker, by what each call may grant in the incarnation that it was meant for and in a later one. A later incarnation is known from the list of workers, from a report, or from an answer that leaves more of a lease than intended. From then on the longest lease counts: from the first response to a higher token, or 12 s after the last call if there was none. Runs that a response has shown on the former incarnation, with no start under way, wait for the common lease only. No lease is granted with a clock that the list shows to be of the past. Placements and records of lost workers tell successors.

--- a/src/common/batch/active_job.ts
+++ b/src/common/batch/active_job.ts
@@ -289,10 +289,16 @@
     crashes: task.crashes,
     worker: task.run?.worker.id ?? '',
     born: task.run?.born ?? 0,
+    ...longLease(task.run),
     checkpoint: task.checkpoint,
   };
 }
 
+function longLease(run: Run | undefined): Pick<TaskRecord, 'longLeaseUntil'> {
+  const longLeaseUntil = run?.longLeaseUntil;
+  return longLeaseUntil === undefined ? {} : {longLeaseUntil};
+}
+
 /**
  * Returns the first record of a task that is detached from its job. Of the
  * other tasks it tells only which are done, as steps depend on them.
--- a/src/common/batch/candidate_workers.test.ts
+++ b/src/common/batch/candidate_workers.test.ts
@@ -1,3 +1,5 @@
+import {LeaseAccount} from './lease_account.js';
+import {LEASE_TIMINGS} from './lease_timings.test_support.js';
 import fc from 'fast-check';
 import {ManualClock} from '../base/manual_clock.js';
 import {Millis, SECOND} from '../base/clock.js';
@@ -159,7 +161,10 @@
 
 function createWorkers(count: number): WorkerState[] {
   return Array.from({length: count}, (_, index) => {
-    const worker = new WorkerState(`w${index}`);
+    const worker = new WorkerState(
+      `w${index}`,
+      new LeaseAccount(LEASE_TIMINGS),
+    );
     // Some of them have restarted lately.
     worker.born = WALL_NOW - (index % 3) * 10 * SECOND;
     return worker;
@@ -174,6 +179,7 @@
     born: worker.born,
     phase: RunPhase.STAGED,
     placedAt: NOW,
+    attributedAt: 0,
     uncertain: false,
     confirmedAt: 0,
     stopAcceptedAt: 0,
--- a/src/common/batch/draining_worker.test.ts
+++ b/src/common/batch/draining_worker.test.ts
@@ -3,8 +3,7 @@
 import {SimulatedFleet} from './simulated_fleet.test_support.js';
 import {SimulatedWorker} from './simulated_worker.test_support.js';
 import {WorkerPhase} from './types.js';
-import {MAX_CLOCK_DRIFT} from './worker_state.js';
-import {LEASE_EXPIRY_MARGIN_MS} from './scheduler_state.js';
+import {LEASE_EXPIRY_MARGIN_MS, MAX_CLOCK_DRIFT} from './lease_account.js';
 
 const JOB = '00000000000000aa';
 const TASK = `${JOB}.0.0.0`;
--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -12,9 +12,11 @@
   ProgressRecord,
   SubmissionRecord,
   TaskPhase,
+  TaskRecord,
 } from './job_records.js';
 import {hasRoomForOccurrence} from './job_size.js';
 import {KnownJob, LostWorker} from './job_view.js';
+import {MAX_WALL_CLOCK_ERROR_MS} from './lease_account.js';
 import {Quarantine} from './quarantine.js';
 import {SchedulerState} from './scheduler_state.js';
 import {parseTaskName, Queue, ReportedEnd, RunOutcome} from './types.js';
@@ -77,9 +79,7 @@
     if (!isFinal(job.phase) && needsFirstOccurrence(job)) {
       job.addOccurrence(0, now);
     }
-    for (const [task, {worker, born}] of placed) {
-      this.restoreRun(task, worker, born);
-    }
+    for (const [task, record] of placed) this.restoreRun(task, record);
     if (isFinal(job.phase)) {
       if (![...job.tasks()].some(task => task.run)) return;
       state.jobs.set(id, job);
@@ -191,7 +191,10 @@
    * which the previous scheduler may still extend it. For a worker that was
    * recorded as unreachable, the recorded end of its leases applies instead.
    */
-  private restoreRun(task: ActiveTask, workerId: string, born: number): void {
+  private restoreRun(
+    task: ActiveTask,
+    {worker: workerId, born, longLeaseUntil}: TaskRecord,
+  ): void {
     const {state} = this;
     const now = state.now();
     const worker = state.getOrCreateWorker(workerId);
@@ -200,10 +203,13 @@
       attempt: task.attempt,
       worker,
       born,
+      longLeaseUntil,
       phase: RunPhase.UNVERIFIED,
       placedAt: now,
+      attributedAt: 0,
       uncertain: true,
       startSentAt: now,
+      unansweredAt: state.earlierGrantsUntil,
       confirmedAt: 0,
       stopAcceptedAt: 0,
       percent: 0,
@@ -214,14 +220,21 @@
     };
     task.run = run;
     worker.add(run);
+    worker.onRecordedIncarnation(born);
+    const {lease} = worker;
+    if (longLeaseUntil !== undefined) {
+      const latest = longLeaseUntil + MAX_WALL_CLOCK_ERROR_MS;
+      lease.showEnd(now + latest - state.wallClock.now());
+    }
     const lost = this.lostWorkers.get(workerId);
     // Runs of earlier incarnations have ended.
     if (lost !== undefined && born <= lost.born) {
       worker.isRecordedAsLost = true;
-      worker.inheritLease(lost.leaseEnd);
+      worker.onRecordedIncarnation(lost.born);
+      lease.inheritEnd(lost.leaseEnd);
       return;
     }
-    worker.inheritLease(state.inheritedLeaseEnd);
+    lease.inherit(state.earlierGrantsUntil);
   }
 
   /** Adds the occurrences whose start time has come. */
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -48,6 +48,11 @@
   readonly worker: string;
   /** Incarnation of that worker, in ms since 1970; 0 for none. */
   readonly born: number;
+  /**
+   * Time of day until which that incarnation may have a lease of a call that was
+   * meant for an earlier one, in ms since 1970; absent for no such lease.
+   */
+  readonly longLeaseUntil?: number;
   /** Checkpoint from which the next run resumes; empty for none. */
   readonly checkpoint: string;
 }
@@ -210,13 +215,19 @@
       string,
       // Absent in records of earlier versions.
       (readonly number[])?,
+      number?,
     ];
 
 function packTask(task: TaskRecord): PackedTask {
   if (task.phase === TaskPhase.WAITING && task.attempt === 0) return 0;
   const {phase, attempt, failures, crashes, worker, born, checkpoint} = task;
   if (phase === TaskPhase.DONE) return [phase, attempt, failures, '', 0, ''];
-  return [phase, attempt, failures, worker, born, checkpoint, crashes];
+  const {longLeaseUntil} = task;
+  const run = [worker, born, checkpoint] as const;
+  if (longLeaseUntil === undefined) {
+    return [phase, attempt, failures, ...run, crashes];
+  }
+  return [phase, attempt, failures, ...run, crashes, longLeaseUntil];
 }
 
 /** A task that was never placed. */
@@ -232,15 +243,16 @@
 
 function unpackTask(packed: PackedTask): TaskRecord {
   if (packed === 0) return UNSTARTED_TASK;
-  const [phase, attempt, failures, worker, born, checkpoint, crashes = []] =
+  const [phase, attempt, failures, worker, born, checkpoint, crashes, until] =
     packed;
   return {
     phase: phase as TaskPhase,
     attempt,
     failures,
-    crashes,
+    crashes: crashes ?? [],
     worker,
     born,
+    ...(until !== undefined && {longLeaseUntil: until}),
     checkpoint,
   };
 }
--- a/src/common/batch/long_queue.test.ts
+++ b/src/common/batch/long_queue.test.ts
@@ -45,6 +45,7 @@
     clock = new BusyClock(1000);
     const timings = {
       leaseMs: 6000,
+      longestLeaseMs: 10_000,
       authorityMs: 5000,
       stopMs: 400,
       keepEndedMs: 120_000,
--- a/src/common/batch/room.test.ts
+++ b/src/common/batch/room.test.ts
@@ -1,10 +1,12 @@
+import {LeaseAccount} from './lease_account.js';
+import {LEASE_TIMINGS} from './lease_timings.test_support.js';
 import {Room, roomOf, tasksInRoom} from './room.js';
 import {STEP} from './simulated_fleet.test_support.js';
 import {StepShape} from './types.js';
 import {WorkerState} from './worker_state.js';
 
 function worker(cpuMilli: number, reservedMilli: number): WorkerState {
-  const state = new WorkerState('w');
+  const state = new WorkerState('w', new LeaseAccount(LEASE_TIMINGS));
   state.capacity = {cpuMilli, memoryMb: 1000, gpus: 0};
   state.reserved = {cpuMilli: reservedMilli, memoryMb: 0, gpus: 0};
   return state;
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -228,6 +228,7 @@
       worker.rack = listing.labels[1] ?? '';
       worker.capacity = listing.capacity;
       worker.wasDraining = listing.phase === WorkerPhase.DRAINING;
+      this.leases.onListing(worker, listing);
     }
     this.leases.crashes.onListings(listings.values());
     for (const worker of this.state.workers.values()) {
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -1,10 +1,11 @@
-import {Clock, Millis, SECOND} from '../base/clock.js';
+import {Clock, Millis} from '../base/clock.js';
 import {ActiveJob, ActiveTask} from './active_job.js';
 import {CostMeter} from './cost_meter.js';
 import {JobStateRecord} from './job_records.js';
 import {JobTimePredictor} from './job_time_predictor.js';
 import {WHOLE_FLEET} from './shard_layout.js';
-import {leaseEndFrom, Run, RunPhase, WorkerState} from './worker_state.js';
+import {LeaseAccount, LeaseTimings} from './lease_account.js';
+import {Run, RunPhase, WorkerState} from './worker_state.js';
 import {BatchConfiguration} from './types.js';
 
 /** Kinds of command that the scheduler sends to workers. */
@@ -41,9 +42,7 @@
 }
 
 /** Timings that the platform guarantees or that the operator sets. */
-export interface SchedulerTimings {
-  /** Duration of the lease that each renewal grants to a worker. */
-  readonly leaseMs: Millis;
+export interface SchedulerTimings extends LeaseTimings {
   /**
    * Time for which a scheduler may grant leases after the log accepted one of
    * its records.
@@ -59,9 +58,6 @@
   readonly remoteFactor: number;
 }
 
-/** Time after the end of a lease until its runs count as lost. */
-export const LEASE_EXPIRY_MARGIN_MS: Millis = 0.3 * SECOND;
-
 /**
  * Fencing tokens per epoch. Bounds how often the token of one worker can be
  * raised in a term, after a restart or after its runs were declared lost.
@@ -130,15 +126,13 @@
   endEarlierAuthority(endsAt: Millis): void {
     if (endsAt >= this.earlierAuthorityEndsAt) return;
     this.earlierAuthorityEndsAt = endsAt;
-    const end = this.inheritedLeaseEnd;
-    for (const worker of this.workers.values()) worker.limitInherited(end);
+    const until = this.earlierGrantsUntil;
+    for (const {lease} of this.workers.values()) lease.limitInherited(until);
   }
 
-  /** Local time by which all leases of earlier schedulers are over. */
-  get inheritedLeaseEnd(): Millis {
-    const {leaseMs} = this.timings;
-    const from = Math.max(this.now(), this.earlierAuthorityEndsAt);
-    return leaseEndFrom(from, leaseMs, LEASE_EXPIRY_MARGIN_MS);
+  /** Local time by which all leases of earlier schedulers are granted. */
+  get earlierGrantsUntil(): Millis {
+    return Math.max(this.now(), this.earlierAuthorityEndsAt);
   }
 
   now(): Millis {
@@ -149,12 +143,19 @@
   getOrCreateWorker(id: string): WorkerState {
     let worker = this.workers.get(id);
     if (worker === undefined) {
-      worker = new WorkerState(id);
+      worker = new WorkerState(id, new LeaseAccount(this.timings));
       this.workers.set(id, worker);
     }
     return worker;
   }
 
+  /** What `Run.longLeaseUntil` is for a run that is placed on a worker now. */
+  longLeaseUntil({lease}: WorkerState): number | undefined {
+    const now = this.now();
+    if (!lease.mayBeLong(now)) return undefined;
+    return Math.ceil(this.wallClock.now() + lease.longestEnd - now);
+  }
+
   /** Logs an unexpected error that ends only the part in which it occurred. */
   onFault(part: string, error: unknown): void {
     const text = error instanceof Error ? error.stack : String(error);
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -232,6 +232,7 @@
     };
     const timings = {
       leaseMs: 6000,
+      longestLeaseMs: 10_000,
       authorityMs: AUTHORITY_MS,
       stopMs: 400,
       keepEndedMs: 120_000,
--- a/src/common/batch/simulated_shard.test_support.ts
+++ b/src/common/batch/simulated_shard.test_support.ts
@@ -82,6 +82,7 @@
   ) {
     const timings = {
       leaseMs: 6000,
+      longestLeaseMs: 10_000,
       authorityMs: 5000,
       stopMs: 400,
       keepEndedMs: 120_000,
@@ -187,6 +188,7 @@
       born: worker.born,
       phase: RunPhase.RUNNING,
       placedAt: this.clock.now(),
+      attributedAt: 0,
       uncertain: false,
       confirmedAt: this.clock.now(),
       stopAcceptedAt: 0,
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -4,12 +4,9 @@
 import {JobLifecycle} from './job_lifecycle.js';
 import {packRecord, RecordKind} from './job_records.js';
 import {KeyedRecord} from './store.js';
-import {
-  CommandKind,
-  LEASE_EXPIRY_MARGIN_MS,
-  SchedulerState,
-} from './scheduler_state.js';
-import {ReportedRun, WorkerReport} from './types.js';
+import {CLOCK_TOLERANCE_MS, mayHaveLongLease} from './lease_account.js';
+import {CommandKind, SchedulerState} from './scheduler_state.js';
+import {ReportedRun, WorkerListing, WorkerReport} from './types.js';
 import {
   DEFINITE_REJECTIONS,
   LeaseRenewal,
@@ -35,6 +32,13 @@
  */
 const LOGGED_CLOCK_DIFFERENCE_MS: Millis = 1000;
 
+/** Results of calls whose lease the worker has taken. */
+const LEASE_GRANTING_RESULTS: ReadonlySet<WorkerCallResult> = new Set([
+  WorkerCallResult.ACCEPTED,
+  WorkerCallResult.SUPERSEDED,
+  WorkerCallResult.FULL,
+]);
+
 /** Whether a call to a worker is settled or has to be sent again. */
 export const FollowUp = {SETTLED: 'settled', REPEAT: 'repeat'} as const;
 export type FollowUp = (typeof FollowUp)[keyof typeof FollowUp];
@@ -123,9 +127,11 @@
     if (!worker.isResponsive || !this.hasAuthority || worker.isRecordedAsLost) {
       return undefined;
     }
+    // The clock of a later incarnation is not known.
+    if (!worker.isLatest(worker.born)) return undefined;
     const {leaseMs} = this.state.timings;
     const now = this.state.now();
-    worker.extendLease(leaseMs, LEASE_EXPIRY_MARGIN_MS, now);
+    worker.lease.grant(now);
     return worker.estimateClock(now) + leaseMs;
   }
 
@@ -156,13 +162,16 @@
     if (!wasResponsive) this.logReachability(worker, true, response.result);
     worker.lastResponseAt = now;
     worker.setClock(report.clockMs, now);
-    if (report.born !== worker.born && !this.onRestart(worker, report)) return;
+    this.onGrantAnswered(worker, renewal.leaseUntil, response);
+    if (report.born === worker.born) worker.onSameIncarnation(sentAt);
+    else if (!this.onRestart(worker, report)) return;
     this.crashes.onSameIncarnation(worker);
     worker.confirmedAck = Math.max(
       worker.confirmedAck,
       renewal.acknowledgedEnd,
     );
     if (renewal.fencingToken < this.state.fencingToken(worker)) return;
+    if (worker.isLatest(report.born)) worker.lease.onFenced(now);
     this.processReport(worker, report, sentAt);
   }
 
@@ -175,27 +184,59 @@
       worker: worker.id,
       result,
       runs: worker.runs.size,
-      leaseLeftMs: Math.round(worker.leaseEnd - this.state.now()),
+      leaseLeftMs: Math.round(worker.leaseLeft(this.state.now())),
     });
   }
 
   /**
-   * Logs a clock in a response to a command that is not the one of the last
-   * report. It is not used for later calls: the response does not tell which
-   * incarnation it is of.
+   * Handles the worker's clock in a response to a command. It is not used for
+   * later calls: the response does not tell which incarnation it is of.
+   * @returns whether it is the clock of the incarnation that reported last.
    */
   private checkClock(
     worker: WorkerState,
     {clockMs}: WorkerResponse,
     call: string,
-  ): void {
-    if (clockMs === undefined) return;
+  ): boolean {
+    if (clockMs === undefined) return false;
     const expectedMs = worker.estimateClock(this.state.now());
     const difference = Math.abs(clockMs - expectedMs);
-    if (difference <= LOGGED_CLOCK_DIFFERENCE_MS) return;
-    const {id, born} = worker;
-    const fields = {worker: id, born, call, clockMs, expectedMs};
-    this.state.log.decide('worker-clock-differs', fields);
+    if (difference > LOGGED_CLOCK_DIFFERENCE_MS) {
+      const {id, born} = worker;
+      const fields = {worker: id, born, call, clockMs, expectedMs};
+      this.state.log.decide('worker-clock-differs', fields);
+    }
+    return difference <= CLOCK_TOLERANCE_MS;
+  }
+
+  /** Accounts for the lease that an answered call has granted. */
+  private onGrantAnswered(
+    worker: WorkerState,
+    leaseUntil: Millis | undefined,
+    {result, clockMs}: WorkerResponse,
+  ): void {
+    if (leaseUntil === undefined || clockMs === undefined) return;
+    if (!LEASE_GRANTING_RESULTS.has(result)) return;
+    worker.lease.onGrantAnswered(leaseUntil - clockMs, this.state.now());
+  }
+
+  /** Handles the entry of a worker in the list. */
+  onListing(worker: WorkerState, {born}: WorkerListing): void {
+    if (!worker.onListedIncarnation(born, this.state.now())) return;
+    this.logLaterIncarnation('worker-restart-listed', worker, born);
+  }
+
+  private logLaterIncarnation(
+    decision: string,
+    worker: WorkerState,
+    born: number,
+  ): void {
+    this.state.log.decide(decision, {
+      worker: worker.id,
+      born,
+      runs: worker.runs.size,
+      leaseLeftMs: Math.round(worker.leaseLeft(this.state.now())),
+    });
   }
 
   /**
@@ -206,7 +247,15 @@
    */
   private onRestart(worker: WorkerState, report: WorkerReport): boolean {
     const isFirst = worker.born === 0;
-    worker.born = report.born;
+    const {state} = this;
+    const now = state.now();
+    worker.onRespondingIncarnation(report.born, now);
+    const age = state.wallClock.now() - report.born;
+    if (isFirst && mayHaveLongLease(age, state.timings)) {
+      // Calls of earlier schedulers may have been meant for its predecessor.
+      worker.lease.inherit(now);
+      worker.lease.onLaterIncarnation();
+    }
     worker.confirmedAck = 0;
     worker.durableEnd = 0;
     worker.processedEnd = 0;
@@ -216,12 +265,7 @@
     for (const run of worker.runs.values()) {
       if (run.born !== report.born) run.phase = RunPhase.UNVERIFIED;
     }
-    this.state.log.decide('worker-restarted', {
-      worker: worker.id,
-      born: report.born,
-      runs: worker.runs.size,
-      leaseLeftMs: Math.round(worker.leaseEnd - this.state.now()),
-    });
+    this.logLaterIncarnation('worker-restarted', worker, report.born);
     return false;
   }
 
@@ -277,7 +321,12 @@
       return;
     }
     const now = this.state.now();
-    run.born = worker.born;
+    if (run.born !== worker.born) {
+      run.born = worker.born;
+      run.longLeaseUntil = this.state.longLeaseUntil(worker);
+      this.state.jobsToStore.add(run.task.step.occurrence.job);
+    }
+    run.attributedAt = now;
     if (run.phase === RunPhase.STARTING || run.phase === RunPhase.UNVERIFIED) {
       if (run.phase === RunPhase.UNVERIFIED) this.resetPace(run);
       run.phase = RunPhase.RUNNING;
@@ -334,7 +383,9 @@
       return undefined;
     }
     const leaseUntil = this.grantLease(run.worker);
-    if (leaseUntil !== undefined) run.startSentAt ??= this.state.now();
+    if (leaseUntil === undefined) return undefined;
+    run.startSentAt ??= this.state.now();
+    run.leaseUntil = leaseUntil;
     return leaseUntil;
   }
 
@@ -369,12 +420,14 @@
   onStartResponse(run: Run, response: WorkerResponse): FollowUp {
     const {worker} = run;
     const now = this.state.now();
-    this.checkClock(worker, response, 'start');
+    const isSameClock = this.checkClock(worker, response, 'start');
+    this.onGrantAnswered(worker, run.leaseUntil, response);
     if (!this.isStartPending(run)) return FollowUp.SETTLED;
     const {result} = response;
     if (result === WorkerCallResult.ACCEPTED) {
       this.state.costs.count(CostEvent.START);
       run.phase = RunPhase.RUNNING;
+      if (isSameClock) run.attributedAt = now;
       run.confirmedAt = now;
       run.lastProgressAt = now;
       return FollowUp.SETTLED;
@@ -438,33 +491,37 @@
       if (worker.address === '') {
         worker.unansweredSince = Math.min(worker.unansweredSince, now);
       }
-      if (now >= worker.leaseEnd) {
-        this.declareAllLost(worker, 'the lease of its worker ran out');
-      }
+      this.expireRuns(worker);
       this.removeIfUnused(worker);
     }
   }
 
   /**
-   * Declares all runs lost that were sent to a worker. Requests may still be in
-   * flight and arrive once the worker has a new lease, when the task runs
-   * elsewhere; a higher fencing token rejects them.
+   * Declares the runs of a silent worker lost that can no longer execute.
+   * Requests may still be in flight and arrive once the worker has a new lease,
+   * when the task runs elsewhere; a higher fencing token rejects them.
    */
-  private declareAllLost(worker: WorkerState, reason: string): void {
+  private expireRuns(worker: WorkerState): void {
+    const {state} = this;
+    const now = state.now();
+    if (now < worker.lease.intendedEnd) return;
     const lost: Run[] = [];
     for (const run of [...worker.runs.values()]) {
       if (run.phase === RunPhase.STAGED) continue;
+      if (now < worker.leaseEndOf(run)) continue;
+      const reason = 'the lease of its worker ran out';
       this.declareLost(run, reason, silentSince(worker));
       lost.push(run);
     }
     if (lost.length === 0) return;
     const {id, born, listing} = worker;
-    this.state.log.decide('lease-over', {
+    state.log.decide('lease-over', {
       worker: id,
       runs: lost.length,
+      runsLeft: worker.runs.size,
       born,
       listedBorn: listing?.born,
-      silentMs: Math.round(this.state.now() - silentSince(worker)),
+      silentMs: Math.round(now - silentSince(worker)),
     });
     worker.tokenOffset++;
     this.crashes.onLost(worker, lost);
@@ -488,9 +545,9 @@
         yield {key, value: new Uint8Array()};
       } else if (this.isNewlyLost(worker, now)) {
         worker.isRecordedAsLost = true;
-        const leaseLeftMs = Math.max(0, worker.leaseEnd - now);
+        const leaseLeftMs = worker.leaseLeft(now);
         const {shard} = this.state;
-        const record = {born: worker.knownBorn, leaseLeftMs, shard};
+        const record = {born: worker.latestBorn, leaseLeftMs, shard};
         yield {key, value: packRecord(record)};
       }
     }
--- a/src/common/batch/worker_reserve.test.ts
+++ b/src/common/batch/worker_reserve.test.ts
@@ -1,3 +1,5 @@
+import {LeaseAccount} from './lease_account.js';
+import {LEASE_TIMINGS} from './lease_timings.test_support.js';
 import {ActiveJob, ActiveStep} from './active_job.js';
 import {QUEUE, STEP} from './simulated_fleet.test_support.js';
 import {listing} from './simulated_shard.test_support.js';
@@ -14,7 +16,10 @@
 
 function workers(count: number, service = QUEUE.service): WorkerState[] {
   return Array.from({length: count}, (_, index) => {
-    const worker = new WorkerState(`${service}-${index}`);
+    const worker = new WorkerState(
+      `${service}-${index}`,
+      new LeaseAccount(LEASE_TIMINGS),
+    );
     worker.listing = listing(worker.id, 'a', {service});
     worker.capacity = worker.listing.capacity;
     return worker;
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -1,5 +1,6 @@
 import {Millis} from '../base/clock.js';
 import {ActiveTask} from './active_job.js';
+import {LeaseAccount, MAX_CALL_DELAY_MS} from './lease_account.js';
 import {ResponseTime} from './response_time.js';
 import {Resources, WorkerListing, WorkerPhase} from './types.js';
 
@@ -25,18 +26,33 @@
   readonly worker: WorkerState;
   /** Start of the worker's incarnation, ms since 1970. */
   born: number;
+  /**
+   * Time of day until which the worker may have a lease of a misdirected call,
+   * in ms since 1970; undefined for no such lease.
+   */
+  longLeaseUntil?: number;
   phase: RunPhase;
   /** Local time at which the run was placed; set anew after a takeover. */
   readonly placedAt: Millis;
+  /**
+   * Local time of the last response that showed that the incarnation `born` has
+   * the run; 0 for none.
+   */
+  attributedAt: Millis;
   /** Whether the worker may still execute an earlier start request. */
   uncertain: boolean;
-  /** Local time of the last start request without a response, if any. */
+  /**
+   * Local time of the last start request without a response, if any; after a
+   * takeover, the time until which earlier schedulers may have sent one.
+   */
   unansweredAt?: Millis;
   /**
    * Local time of the first start request, if one was sent; after a takeover,
    * the time of the takeover.
    */
   startSentAt?: Millis;
+  /** Lease end in the last start request, on the worker's clock. */
+  leaseUntil?: Millis;
   /** Local time at which the worker confirmed the run; 0 before. */
   confirmedAt: Millis;
   /** Local time at which the worker accepted the stop; 0 before. */
@@ -57,12 +73,6 @@
   overTargetSince?: Millis;
 }
 
-/**
- * Fraction by which a worker's monotonic clock may run slow, as the platform
- * guarantees.
- */
-export const MAX_CLOCK_DRIFT = 0.02;
-
 /**
  * The scheduler's view of one worker: capacity, runs, lease and health. Times
  * are local unless stated otherwise.
@@ -78,6 +88,12 @@
   capacity: Resources = {cpuMilli: 0, memoryMb: 0, gpus: 0};
   /** Incarnation that responded last, ms since 1970; 0 before a response. */
   born = 0;
+  /** Latest incarnation that is known, ms since 1970; 0 for none. */
+  latestBorn = 0;
+  /** Time at which an entry showed the latest incarnation. */
+  private latestListedAt: Millis = -Infinity;
+  /** Incarnations that responded, were listed or are recorded with runs. */
+  private readonly knownIncarnations = new Set<number>();
   /** Runs on the worker, by task name. */
   readonly runs = new Map<string, Run>();
   /** Whether the last report showed runs that no task expects there. */
@@ -99,10 +115,6 @@
   /** Last reading of the worker's monotonic clock, and when it arrived. */
   clockMs: Millis = 0;
   clockReceivedAt: Millis = 0;
-  /** Time by which the leases that this scheduler has granted are over. */
-  private grantedLeaseEnd: Millis = 0;
-  /** The same for leases of earlier schedulers. */
-  private inheritedLeaseEnd: Millis = 0;
   /** Time of the last response to a renewal that carried a report. */
   lastResponseAt: Millis = 0;
   /** Time at which a renewal had no report for the first time; else Infinity. */
@@ -137,7 +149,10 @@
    */
   perpetualTestsUntil: Millis = 0;
 
-  constructor(readonly id: string) {}
+  constructor(
+    readonly id: string,
+    readonly lease: LeaseAccount,
+  ) {}
 
   get isDraining(): boolean {
     return this.listing?.phase === WorkerPhase.DRAINING;
@@ -195,25 +210,73 @@
     this.clockReceivedAt = now;
   }
 
-  /** Time after which no run started on the worker can still execute. */
+  /** Time after which no run on the worker can still execute. */
   get leaseEnd(): Millis {
-    return Math.max(this.grantedLeaseEnd, this.inheritedLeaseEnd);
+    return this.lease.longestEnd;
+  }
+
+  /** Time until then, in ms. */
+  leaseLeft(now: Millis): Millis {
+    return Math.max(0, this.leaseEnd - now);
   }
 
-  /** Accounts for a lease that was granted at `now`. */
-  extendLease(duration: Millis, margin: Millis, now: Millis): void {
-    const end = leaseEndFrom(now, duration, margin);
-    this.grantedLeaseEnd = Math.max(this.grantedLeaseEnd, end);
+  /** Time after which a run on the worker can no longer execute. */
+  leaseEndOf(run: Run): Millis {
+    const {attributedAt, unansweredAt = -Infinity} = run;
+    const wasFormer = attributedAt > 0 && run.born !== this.latestBorn;
+    // No start request could be under way any more while it was shown.
+    const isBound = unansweredAt + MAX_CALL_DELAY_MS <= attributedAt;
+    const hasEnded = wasFormer && isBound;
+    const canExecute = run.startSentAt !== undefined && !hasEnded;
+    return canExecute ? this.lease.longestEnd : this.lease.intendedEnd;
   }
 
-  /** Accounts for leases of earlier schedulers that are over by a time. */
-  inheritLease(end: Millis): void {
-    this.inheritedLeaseEnd = Math.max(this.inheritedLeaseEnd, end);
+  /** Handles an incarnation that records name. */
+  onRecordedIncarnation(born: number): void {
+    if (born === 0) return;
+    this.knownIncarnations.add(born);
+    this.latestBorn = Math.max(this.latestBorn, born);
   }
 
-  /** Handles the news that all leases of earlier schedulers end by a time. */
-  limitInherited(end: Millis): void {
-    this.inheritedLeaseEnd = Math.min(this.inheritedLeaseEnd, end);
+  /**
+   * Handles the incarnation in the worker's entry. Returns whether it is later
+   * than those that were known.
+   */
+  onListedIncarnation(born: number, now: Millis): boolean {
+    if (this.knownIncarnations.has(born)) return false;
+    const isLater = this.knownIncarnations.size > 0;
+    this.knownIncarnations.add(born);
+    this.latestBorn = born;
+    if (!isLater) return false;
+    this.latestListedAt = now;
+    this.lease.onLaterIncarnation();
+    return true;
+  }
+
+  /** Handles the first response of an incarnation in this term. */
+  onRespondingIncarnation(born: number, now: Millis): void {
+    const isRestart = this.born > 0;
+    const isListed = this.knownIncarnations.has(born);
+    const isLater = !isListed && this.knownIncarnations.size > 0;
+    if (isRestart || isLater) this.lease.onLaterIncarnation();
+    this.lease.endMisdirectedCalls(now);
+    this.knownIncarnations.add(born);
+    this.born = born;
+    this.latestBorn = born;
+  }
+
+  /**
+   * Handles a further response of the incarnation that responded last, to a call
+   * that was sent at `sentAt`: an entry that was listed before it and names
+   * another one does not show a later one.
+   */
+  onSameIncarnation(sentAt: Millis): void {
+    if (sentAt > this.latestListedAt) this.latestBorn = this.born;
+  }
+
+  /** Whether no later incarnation is known. */
+  isLatest(born: number): boolean {
+    return born === this.latestBorn;
   }
 
   add(run: Run): void {
@@ -239,15 +302,3 @@
     };
   }
 }
-
-/**
- * Local time by which a lease is over that is granted at `now`. The worker's
- * clock may run slow, so the lease may last longer by local time.
- */
-export function leaseEndFrom(
-  now: Millis,
-  duration: Millis,
-  margin: Millis,
-): Millis {
-  return now + duration * (1 + MAX_CLOCK_DRIFT) + margin;
-}
--- a/src/node/batch/fleet_division.test.ts
+++ b/src/node/batch/fleet_division.test.ts
@@ -21,6 +21,7 @@
 
 const TIMINGS = {
   leaseMs: 6000,
+  longestLeaseMs: 10_000,
   authorityMs: 5000,
   stopMs: 400,
   keepEndedMs: 120_000,
--- a/src/node/batch/job_hand_overs.test.ts
+++ b/src/node/batch/job_hand_overs.test.ts
@@ -22,6 +22,7 @@
 
 const TIMINGS = {
   leaseMs: 6000,
+  longestLeaseMs: 10_000,
   authorityMs: 5000,
   stopMs: 400,
   keepEndedMs: 120_000,
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -54,6 +54,7 @@
 
 const TIMINGS = {
   leaseMs: 6000,
+  longestLeaseMs: 10_000,
   authorityMs: 5000,
   stopMs: 400,
   keepEndedMs: 120_000,
