Remember the fencing token and the lease of a worker that is removed

Callers would see TWICE: a worker without runs that had left the list was forgotten with its raised token. When it came back, also as a new incarnation, a start that was under way found its own token and a new lease and began, while the task ran elsewhere. A worker that had seen the raised token refused the lower one as fenced, which ended the term. Cause: what was sent to an id was kept with the state of the worker only. A worker that comes back gets a higher token than all calls before.

--- a/src/common/batch/lease_account.ts
+++ b/src/common/batch/lease_account.ts
@@ -83,6 +83,11 @@
     return now < this.misdirectedEnd;
   }
 
+  /** Whether a call that grants a lease may still be executed. */
+  mayBeUnderWay(now: Millis): boolean {
+    return now < this.grantedAt + MAX_CALL_DELAY_MS;
+  }
+
   /** Accounts for a call that grants a lease and is about to be sent. */
   grant(now: Millis): void {
     this.grantedAt = Math.max(this.grantedAt, now);
--- a/src/common/batch/restarted_worker_takeover.test.ts
+++ b/src/common/batch/restarted_worker_takeover.test.ts
@@ -58,8 +58,9 @@
 
   /** Returns the time at which the task is started on the other worker. */
   function untilElsewhere(): Millis {
-    for (let i = 0; i < 1200 && !spare.starts.includes(TASK); i++)
-      {fleet.run(50);}
+    for (let i = 0; i < 1200 && !spare.starts.includes(TASK); i++) {
+      fleet.run(50);
+    }
     expect(spare.starts).toContain(TASK);
     return fleet.clock.now();
   }
@@ -191,4 +192,25 @@
     const {state, leases} = fleet.scheduler;
     expect(leases.grantLease(state.workers.get('w1')!)).toBeDefined();
   });
+
+  it('does not lower the fencing token of a worker that returns late', () => {
+    // Guards against a term that ends because a worker has seen a higher token
+    // of the same scheduler.
+    submitLasting();
+    fleet.run(200);
+    worker.restart();
+    fleet.run(500);
+    const {token} = worker;
+    cutOff();
+    worker.isListed = false;
+    fleet.run(25 * SECOND);
+    spare.isListed = false;
+    spare.isUnreachable = true;
+    fleet.run(20 * SECOND);
+    worker.isUnreachable = false;
+    worker.isListed = true;
+    fleet.run(500);
+    expect(fleet.scheduler.leases.isFenced).toBe(false);
+    expect(worker.token).toBeGreaterThan(token);
+  });
 });
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -68,6 +68,11 @@
 export class SchedulerState {
   readonly jobs = new Map<string, ActiveJob>();
   readonly workers = new Map<string, WorkerState>();
+  /** What is remembered of removed workers, by id. */
+  private readonly removedWorkers = new Map<
+    string,
+    Pick<WorkerState, 'lease' | 'tokenOffset'>
+  >();
   /** Jobs whose progress has to be stored. */
   readonly jobsToStore = new Set<ActiveJob>();
   /**
@@ -141,14 +146,38 @@
 
   /** Returns the state of a worker and creates it at first use. */
   getOrCreateWorker(id: string): WorkerState {
-    let worker = this.workers.get(id);
-    if (worker === undefined) {
-      worker = new WorkerState(id, new LeaseAccount(this.timings));
-      this.workers.set(id, worker);
+    return this.workers.get(id) ?? this.createWorker(id);
+  }
+
+  private createWorker(id: string): WorkerState {
+    const removed = this.removedWorkers.get(id);
+    this.removedWorkers.delete(id);
+    const lease = removed?.lease ?? new LeaseAccount(this.timings);
+    const worker = new WorkerState(id, lease);
+    if (removed !== undefined) {
+      // Calls from before the removal must not start anything now.
+      worker.tokenOffset = removed.tokenOffset + 1;
+      lease.onLaterIncarnation();
     }
+    this.workers.set(id, worker);
     return worker;
   }
 
+  /**
+   * Removes a worker. As it may come back under its id, its fencing token is
+   * remembered if it was raised, and its lease while calls may be under way.
+   */
+  removeWorker(worker: WorkerState): void {
+    const {id, lease, tokenOffset} = worker;
+    this.workers.delete(id);
+    this.removedWorkers.set(id, {lease, tokenOffset});
+    const now = this.now();
+    for (const [key, removed] of this.removedWorkers) {
+      if (removed.lease.mayBeUnderWay(now) || removed.tokenOffset > 0) continue;
+      this.removedWorkers.delete(key);
+    }
+  }
+
   /** What `Run.longLeaseUntil` is for a run that is placed on a worker now. */
   longLeaseUntil({lease}: WorkerState): number | undefined {
     const now = this.now();
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -530,7 +530,7 @@
   /** Keeps a worker that is recorded as lost until the record is removed. */
   private removeIfUnused(worker: WorkerState): void {
     if (!isUnused(worker) || worker.isRecordedAsLost) return;
-    this.state.workers.delete(worker.id);
+    this.state.removeWorker(worker);
   }
 
   /** Yields records that tell the next scheduler which workers are lost. */
