Stop a run again that was to be stopped before its worker restarted

Callers would see UNASKED: a task of a cancelled job ran on. Cause: the stop was accepted by the incarnation before the restart, a start that was under way began the run in the new one, and a run that is reported after a restart counted as running, whatever had been asked before. Change: the reason of a stop stays with the run; if a report shows the run after a restart, the stop is sent again. Evidence: 'does not let a run go on whose stop the former incarnation accepted' failed before (1 run after 3 s) and passes.

--- a/src/common/batch/restarted_worker_takeover.test.ts
+++ b/src/common/batch/restarted_worker_takeover.test.ts
@@ -4,6 +4,7 @@
 
 const JOB = '00000000000000aa';
 const TASK = `${JOB}.0.0.0`;
+const SHORT_JOB = '00000000000000bb';
 
 /** Longest lease on a clock that is 2% slow. */
 const LONGEST_LEASE_MS: Millis = 10 * SECOND * 1.02;
@@ -213,4 +214,23 @@
     expect(fleet.scheduler.leases.isFenced).toBe(false);
     expect(worker.token).toBeGreaterThan(token);
   });
+
+  it('does not let a run go on whose stop the former incarnation accepted', () => {
+    // Guards against a task of a cancelled job that a delayed start begins in
+    // the new incarnation, and that nothing stops (UNASKED).
+    worker.heldKinds.add(CallKind.START);
+    fleet.submit(SHORT_JOB, [{perpetual: true}]);
+    fleet.run(100);
+    worker.heldKinds.add(CallKind.RENEWAL);
+    fleet.run(50);
+    fleet.cancel(SHORT_JOB);
+    fleet.run(50);
+    expect(worker.stops).toEqual([`${SHORT_JOB}.0.0.0`]);
+    worker.restart();
+    worker.heldKinds.clear();
+    worker.executeHeld(CallKind.START);
+    expect(worker.runs.size).toBe(1);
+    fleet.run(3 * SECOND);
+    expect(worker.runs.size).toBe(0);
+  });
 });
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -204,6 +204,7 @@
     if (run.phase === RunPhase.STOPPING) return;
     const isStaged = run.phase === RunPhase.STAGED;
     run.phase = RunPhase.STOPPING;
+    run.stopReason = reason;
     this.log.decide('stop', {
       task: run.task.name,
       attempt: run.attempt,
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -331,6 +331,8 @@
       if (run.phase === RunPhase.UNVERIFIED) this.resetPace(run);
       run.phase = RunPhase.RUNNING;
       run.confirmedAt = now;
+      // Another incarnation may have accepted the stop.
+      if (run.stopReason !== undefined) this.state.stop(run, run.stopReason);
     }
     const {perpetual} = run.task.step.shape;
     const isActive = perpetual && entry.percent === 100;
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -57,6 +57,8 @@
   confirmedAt: Millis;
   /** Local time at which the worker accepted the stop; 0 before. */
   stopAcceptedAt: Millis;
+  /** Why a stop was requested; undefined if none was. */
+  stopReason?: string;
   /** Last reported progress, as in ReportedRun, and when it last changed. */
   percent: number;
   lastProgressAt: Millis;
