Read the intake after the progress topic is fenced in a takeover

Callers would see TWICE: a task was started again after its end was acknowledged. Cause: a takeover read the intake beside the fence of the progress topic. Until that fence was stored, the predecessor could read a new job, store its progress, run it and acknowledge its ends. The successor had not read the job, ignored its progress and took it up later as new. Change: the intake is read once both topics are fenced. It then holds every job whose progress may be stored.

--- a/src/node/batch/takeover.ts
+++ b/src/node/batch/takeover.ts
@@ -44,9 +44,7 @@
   ): Promise<readonly KeyedRecord[]> {
     const {intakeTail, workersTail} = this.dependencies;
     workersTail.resume(-1);
-    const intake = intakeWriter
-      .fence()
-      .then(() => this.repeat(() => intakeTail.refresh(), isFenced));
+    const intakeFence = intakeWriter.fence();
     let records: readonly KeyedRecord[] = [];
     if (await progress.fence()) {
       await this.repeat(async () => {
@@ -55,7 +53,9 @@
         return read !== undefined;
       }, isFenced);
     }
-    await intake;
+    await intakeFence;
+    // Only now does the intake hold all jobs whose progress may be stored.
+    await this.repeat(() => intakeTail.refresh(), isFenced);
     while (!workersTail.isLoaded && !isFenced()) {
       await sleep(LOAD_CHECK_INTERVAL_MS);
     }
