Match the removal of a lost worker's record with the record it removes

Callers would see TWICE: the record that a worker is lost stayed in the store while the worker got leases again, and a successor took the leases in it for the last ones. Cause: each batch that was taken before a removal was stored held a further removal, and the confirmation of a late one marked a newer record as removed. Change: a worker remembers the last of its records that is not stored; only that one's confirmation counts, and a removal is written once.

--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -539,20 +539,30 @@
   *lostWorkerRecords(): Generator<KeyedRecord> {
     const now = this.state.now();
     for (const worker of this.state.workers.values()) {
-      const key = RecordKind.LOST_WORKER + worker.id;
-      if (
-        worker.isRecordedAsLost &&
-        (worker.isResponsive || isUnused(worker))
-      ) {
-        yield {key, value: new Uint8Array()};
-      } else if (this.isNewlyLost(worker, now)) {
-        worker.isRecordedAsLost = true;
-        const leaseLeftMs = worker.leaseLeft(now);
-        const {shard} = this.state;
-        const record = {born: worker.latestBorn, leaseLeftMs, shard};
-        yield {key, value: packRecord(record)};
-      }
+      const record = this.nextLostWorkerRecord(worker, now);
+      if (record === undefined) continue;
+      worker.unstoredLossRecord = record;
+      yield record;
+    }
+  }
+
+  private nextLostWorkerRecord(
+    worker: WorkerState,
+    now: Millis,
+  ): KeyedRecord | undefined {
+    const key = RecordKind.LOST_WORKER + worker.id;
+    if (!worker.isRecordedAsLost) {
+      if (!this.isNewlyLost(worker, now)) return undefined;
+      worker.isRecordedAsLost = true;
+      const {shard} = this.state;
+      const leaseLeftMs = worker.leaseLeft(now);
+      const record = {born: worker.latestBorn, leaseLeftMs, shard};
+      return {key, value: packRecord(record)};
     }
+    const isRemovalDue = worker.isResponsive || isUnused(worker);
+    const isBeingRemoved = worker.unstoredLossRecord?.value.length === 0;
+    if (!isRemovalDue || isBeingRemoved) return undefined;
+    return {key, value: new Uint8Array()};
   }
 
   private isNewlyLost(worker: WorkerState, now: Millis): boolean {
@@ -562,10 +572,14 @@
   }
 
   /** Handles a stored record; a removal allows new leases to the worker. */
-  onRecordStored({key, value}: KeyedRecord): void {
-    if (key[0] !== RecordKind.LOST_WORKER || value.length > 0) return;
+  onRecordStored(record: KeyedRecord): void {
+    const {key, value} = record;
+    if (key[0] !== RecordKind.LOST_WORKER) return;
     const worker = this.state.workers.get(key.slice(1));
-    if (worker !== undefined) worker.isRecordedAsLost = false;
+    // An earlier record may be stored after a later one was written.
+    if (worker?.unstoredLossRecord !== record) return;
+    worker.unstoredLossRecord = undefined;
+    if (value.length === 0) worker.isRecordedAsLost = false;
   }
 
   /**
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -2,6 +2,7 @@
 import {ActiveTask} from './active_job.js';
 import {LeaseAccount, MAX_CALL_DELAY_MS} from './lease_account.js';
 import {ResponseTime} from './response_time.js';
+import {KeyedRecord} from './store.js';
 import {Resources, WorkerListing, WorkerPhase} from './types.js';
 
 /** State of a run as the scheduler knows it. */
@@ -123,6 +124,8 @@
   unansweredSince: Millis = Infinity;
   /** Whether a record says, or is about to say, that the worker is lost. */
   isRecordedAsLost = false;
+  /** Last record that says so, or removes one, while it is not stored. */
+  unstoredLossRecord: KeyedRecord | undefined;
   /** Whether the last renewal returned a report; otherwise no new lease. */
   isResponsive = false;
   /** Time that the worker has for its next response. */
