--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -18,6 +18,7 @@
 } from './job_records.js';
 import {hasOwner, JobView, KnownJob} from './job_view.js';
 import {recordSize} from './log_limits.js';
+import {LostWorkerRecords} from './lost_worker_records.js';
 import {Pacing} from './pacing.js';
 import {Placement} from './placement.js';
 import {Command, SchedulerState} from './scheduler_state.js';
@@ -81,6 +82,7 @@
   private readonly evacuation: Evacuation;
   private readonly stallDetector: StallDetector;
   private readonly heldJobs: HeldJobs;
+  private readonly lossRecords: LostWorkerRecords;
   /** Numbers of the hand-overs that are being stored, by job. */
   private readonly leavingJobs = new Map<string, number>();
   /** Jobs of other shards whose progress is to be removed from this topic. */
@@ -102,6 +104,7 @@
     this.evacuation = new Evacuation(state);
     this.stallDetector = new StallDetector(state, this.lifecycle.quarantine);
     this.heldJobs = new HeldJobs(state);
+    this.lossRecords = new LostWorkerRecords(state);
   }
 
   /** Restores all jobs that the log holds, after a takeover. */
@@ -343,7 +346,7 @@
     }
     this.removedJobs.clear();
     records.push(...this.weightRecords());
-    states.push(...this.leases.lostWorkerRecords());
+    states.push(...this.lossRecords.next());
     return {
       records,
       states,
@@ -395,7 +398,7 @@
 
   /** Handles records of the states topic that became durable. */
   onStatesStored(states: readonly KeyedRecord[]): void {
-    for (const record of states) this.leases.onRecordStored(record);
+    for (const record of states) this.lossRecords.onStored(record);
   }
 
   /**
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -2,8 +2,6 @@
 import {CostEvent, CostPart} from './cost_meter.js';
 import {CrashAttribution} from './crash_attribution.js';
 import {JobLifecycle} from './job_lifecycle.js';
-import {packRecord, RecordKind} from './job_records.js';
-import {KeyedRecord} from './store.js';
 import {CLOCK_TOLERANCE_MS, mayHaveLongLease} from './lease_account.js';
 import {CommandKind, SchedulerState} from './scheduler_state.js';
 import {ReportedRun, WorkerListing, WorkerReport} from './types.js';
@@ -23,9 +21,6 @@
 /** Delay before a task is placed again after its start was refused. */
 const START_REFUSED_BACKOFF_MS: Millis = 250;
 
-/** Time without a response after which a worker is recorded as lost. */
-const RECORD_LOST_AFTER_MS: Millis = 1500;
-
 /**
  * Difference between a worker's clock and its estimate from which on it is
  * logged: the response is of another incarnation than the estimate.
@@ -512,7 +507,7 @@
       if (run.phase === RunPhase.STAGED) continue;
       if (now < worker.leaseEndOf(run)) continue;
       const reason = 'the lease of its worker ran out';
-      this.declareLost(run, reason, silentSince(worker));
+      this.declareLost(run, reason, worker.silentSince);
       lost.push(run);
     }
     if (lost.length === 0) return;
@@ -523,7 +518,7 @@
       runsLeft: worker.runs.size,
       born,
       listedBorn: listing?.born,
-      silentMs: Math.round(now - silentSince(worker)),
+      silentMs: Math.round(now - worker.silentSince),
     });
     worker.tokenOffset++;
     this.crashes.onLost(worker, lost);
@@ -531,57 +526,10 @@
 
   /** Keeps a worker that is recorded as lost until the record is removed. */
   private removeIfUnused(worker: WorkerState): void {
-    if (!isUnused(worker) || worker.isRecordedAsLost) return;
+    if (!worker.isUnused || worker.isRecordedAsLost) return;
     this.state.removeWorker(worker);
   }
 
-  /** Yields records that tell the next scheduler which workers are lost. */
-  *lostWorkerRecords(): Generator<KeyedRecord> {
-    const now = this.state.now();
-    for (const worker of this.state.workers.values()) {
-      const record = this.nextLostWorkerRecord(worker, now);
-      if (record === undefined) continue;
-      worker.unstoredLossRecord = record;
-      yield record;
-    }
-  }
-
-  private nextLostWorkerRecord(
-    worker: WorkerState,
-    now: Millis,
-  ): KeyedRecord | undefined {
-    const key = RecordKind.LOST_WORKER + worker.id;
-    if (!worker.isRecordedAsLost) {
-      if (!this.isNewlyLost(worker, now)) return undefined;
-      worker.isRecordedAsLost = true;
-      const {shard} = this.state;
-      const leaseLeftMs = worker.leaseLeft(now);
-      const record = {born: worker.latestBorn, leaseLeftMs, shard};
-      return {key, value: packRecord(record)};
-    }
-    const isRemovalDue = worker.isResponsive || isUnused(worker);
-    const isBeingRemoved = worker.unstoredLossRecord?.value.length === 0;
-    if (!isRemovalDue || isBeingRemoved) return undefined;
-    return {key, value: new Uint8Array()};
-  }
-
-  private isNewlyLost(worker: WorkerState, now: Millis): boolean {
-    if (worker.isResponsive || worker.isRecordedAsLost) return false;
-    if (worker.runs.size === 0 || worker.knownBorn === 0) return false;
-    return now - silentSince(worker) > RECORD_LOST_AFTER_MS;
-  }
-
-  /** Handles a stored record; a removal allows new leases to the worker. */
-  onRecordStored(record: KeyedRecord): void {
-    const {key, value} = record;
-    if (key[0] !== RecordKind.LOST_WORKER) return;
-    const worker = this.state.workers.get(key.slice(1));
-    // An earlier record may be stored after a later one was written.
-    if (worker?.unstoredLossRecord !== record) return;
-    worker.unstoredLossRecord = undefined;
-    if (value.length === 0) worker.isRecordedAsLost = false;
-  }
-
   /**
    * Yields worker, incarnation and last processed end, to be acknowledged once
    * the records that follow from the ends are durable.
@@ -593,18 +541,3 @@
     }
   }
 }
-
-/** Whether a worker is unresponsive, not listed and without runs. */
-function isUnused(worker: WorkerState): boolean {
-  const isKnown = worker.isResponsive || worker.listing !== undefined;
-  return !isKnown && worker.runs.size === 0;
-}
-
-/** Local time of a worker's last response, or of the first failed renewal. */
-function silentSince({
-  born,
-  lastResponseAt,
-  unansweredSince,
-}: WorkerState): Millis {
-  return born > 0 ? lastResponseAt : unansweredSince;
-}
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -163,6 +163,17 @@
     return this.listing?.phase === WorkerPhase.DRAINING;
   }
 
+  /** Whether the worker is unresponsive, not listed and without runs. */
+  get isUnused(): boolean {
+    const isKnown = this.isResponsive || this.listing !== undefined;
+    return !isKnown && this.runs.size === 0;
+  }
+
+  /** Time of the last response, or of the first failed renewal if none. */
+  get silentSince(): Millis {
+    return this.born > 0 ? this.lastResponseAt : this.unansweredSince;
+  }
+
   /** Resources that no run reserves; negative after the capacity has shrunk. */
   get free(): Resources {
     return {
