--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -1,10 +1,11 @@
-import {Clock, Millis, SECOND} from '../base/clock.js';
+import {Clock, Millis} from '../base/clock.js';
 import {ActiveJob, ActiveTask} from './active_job.js';
 import {CostMeter} from './cost_meter.js';
 import {JobStateRecord} from './job_records.js';
 import {JobTimePredictor} from './job_time_predictor.js';
 import {WHOLE_FLEET} from './shard_layout.js';
-import {leaseEndFrom, Run, RunPhase, WorkerState} from './worker_state.js';
+import {LeaseAccount, LeaseTimings} from './lease_account.js';
+import {Run, RunPhase, WorkerState} from './worker_state.js';
 import {BatchConfiguration} from './types.js';
 
 /** Kinds of command that the scheduler sends to workers. */
@@ -41,9 +42,7 @@
 }
 
 /** Timings that the platform guarantees or that the operator sets. */
-export interface SchedulerTimings {
-  /** Duration of the lease that each renewal grants to a worker. */
-  readonly leaseMs: Millis;
+export interface SchedulerTimings extends LeaseTimings {
   /**
    * Time for which a scheduler may grant leases after the log accepted one of
    * its records.
@@ -59,9 +58,6 @@
   readonly remoteFactor: number;
 }
 
-/** Time after the end of a lease until its runs count as lost. */
-export const LEASE_EXPIRY_MARGIN_MS: Millis = 0.3 * SECOND;
-
 /**
  * Fencing tokens per epoch. Bounds how often the token of one worker can be
  * raised in a term, after a restart or after its runs were declared lost.
@@ -72,6 +68,11 @@
 export class SchedulerState {
   readonly jobs = new Map<string, ActiveJob>();
   readonly workers = new Map<string, WorkerState>();
+  /** What is remembered of removed workers, by id. */
+  private readonly removedWorkers = new Map<
+    string,
+    Pick<WorkerState, 'lease' | 'tokenOffset'>
+  >();
   /** Jobs whose progress has to be stored. */
   readonly jobsToStore = new Set<ActiveJob>();
   /**
@@ -130,15 +131,13 @@
   endEarlierAuthority(endsAt: Millis): void {
     if (endsAt >= this.earlierAuthorityEndsAt) return;
     this.earlierAuthorityEndsAt = endsAt;
-    const end = this.inheritedLeaseEnd;
-    for (const worker of this.workers.values()) worker.limitInherited(end);
+    const until = this.earlierGrantsUntil;
+    for (const {lease} of this.workers.values()) lease.limitInherited(until);
   }
 
-  /** Local time by which all leases of earlier schedulers are over. */
-  get inheritedLeaseEnd(): Millis {
-    const {leaseMs} = this.timings;
-    const from = Math.max(this.now(), this.earlierAuthorityEndsAt);
-    return leaseEndFrom(from, leaseMs, LEASE_EXPIRY_MARGIN_MS);
+  /** Local time by which all leases of earlier schedulers are granted. */
+  get earlierGrantsUntil(): Millis {
+    return Math.max(this.now(), this.earlierAuthorityEndsAt);
   }
 
   now(): Millis {
@@ -147,14 +146,45 @@
 
   /** Returns the state of a worker and creates it at first use. */
   getOrCreateWorker(id: string): WorkerState {
-    let worker = this.workers.get(id);
-    if (worker === undefined) {
-      worker = new WorkerState(id);
-      this.workers.set(id, worker);
+    return this.workers.get(id) ?? this.createWorker(id);
+  }
+
+  private createWorker(id: string): WorkerState {
+    const removed = this.removedWorkers.get(id);
+    this.removedWorkers.delete(id);
+    const lease = removed?.lease ?? new LeaseAccount(this.timings);
+    const worker = new WorkerState(id, lease);
+    if (removed !== undefined) {
+      // Calls from before the removal must not start anything now.
+      worker.tokenOffset = removed.tokenOffset + 1;
+      lease.onLaterIncarnation();
     }
+    this.workers.set(id, worker);
     return worker;
   }
 
+  /**
+   * Removes a worker. As it may come back under its id, its fencing token is
+   * remembered if it was raised, and its lease while calls may be under way.
+   */
+  removeWorker(worker: WorkerState): void {
+    const {id, lease, tokenOffset} = worker;
+    this.workers.delete(id);
+    this.removedWorkers.set(id, {lease, tokenOffset});
+    const now = this.now();
+    for (const [key, removed] of this.removedWorkers) {
+      if (removed.lease.mayBeUnderWay(now) || removed.tokenOffset > 0) continue;
+      this.removedWorkers.delete(key);
+    }
+  }
+
+  /** What `Run.longLeaseUntil` is for a run that is placed on a worker now. */
+  longLeaseUntil({lease}: WorkerState): number | undefined {
+    const now = this.now();
+    if (!lease.mayBeLong(now)) return undefined;
+    return Math.ceil(this.wallClock.now() + lease.longestEnd - now);
+  }
+
   /** Logs an unexpected error that ends only the part in which it occurred. */
   onFault(part: string, error: unknown): void {
     const text = error instanceof Error ? error.stack : String(error);
@@ -174,6 +204,7 @@
     if (run.phase === RunPhase.STOPPING) return;
     const isStaged = run.phase === RunPhase.STAGED;
     run.phase = RunPhase.STOPPING;
+    run.stopReason = reason;
     this.log.decide('stop', {
       task: run.task.name,
       attempt: run.attempt,
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -2,14 +2,9 @@
 import {CostEvent, CostPart} from './cost_meter.js';
 import {CrashAttribution} from './crash_attribution.js';
 import {JobLifecycle} from './job_lifecycle.js';
-import {packRecord, RecordKind} from './job_records.js';
-import {KeyedRecord} from './store.js';
-import {
-  CommandKind,
-  LEASE_EXPIRY_MARGIN_MS,
-  SchedulerState,
-} from './scheduler_state.js';
-import {ReportedRun, WorkerReport} from './types.js';
+import {CLOCK_TOLERANCE_MS, mayHaveLongLease} from './lease_account.js';
+import {CommandKind, SchedulerState} from './scheduler_state.js';
+import {ReportedRun, WorkerListing, WorkerReport} from './types.js';
 import {
   DEFINITE_REJECTIONS,
   LeaseRenewal,
@@ -26,15 +21,19 @@
 /** Delay before a task is placed again after its start was refused. */
 const START_REFUSED_BACKOFF_MS: Millis = 250;
 
-/** Time without a response after which a worker is recorded as lost. */
-const RECORD_LOST_AFTER_MS: Millis = 1500;
-
 /**
  * Difference between a worker's clock and its estimate from which on it is
  * logged: the response is of another incarnation than the estimate.
  */
 const LOGGED_CLOCK_DIFFERENCE_MS: Millis = 1000;
 
+/** Results of calls whose lease the worker has taken. */
+const LEASE_GRANTING_RESULTS: ReadonlySet<WorkerCallResult> = new Set([
+  WorkerCallResult.ACCEPTED,
+  WorkerCallResult.SUPERSEDED,
+  WorkerCallResult.FULL,
+]);
+
 /** Whether a call to a worker is settled or has to be sent again. */
 export const FollowUp = {SETTLED: 'settled', REPEAT: 'repeat'} as const;
 export type FollowUp = (typeof FollowUp)[keyof typeof FollowUp];
@@ -123,9 +122,11 @@
     if (!worker.isResponsive || !this.hasAuthority || worker.isRecordedAsLost) {
       return undefined;
     }
+    // The clock of a later incarnation is not known.
+    if (!worker.isLatest(worker.born)) return undefined;
     const {leaseMs} = this.state.timings;
     const now = this.state.now();
-    worker.extendLease(leaseMs, LEASE_EXPIRY_MARGIN_MS, now);
+    worker.lease.grant(now);
     return worker.estimateClock(now) + leaseMs;
   }
 
@@ -156,13 +157,16 @@
     if (!wasResponsive) this.logReachability(worker, true, response.result);
     worker.lastResponseAt = now;
     worker.setClock(report.clockMs, now);
-    if (report.born !== worker.born && !this.onRestart(worker, report)) return;
+    this.onGrantAnswered(worker, renewal.leaseUntil, response);
+    if (report.born === worker.born) worker.onSameIncarnation(sentAt);
+    else if (!this.onRestart(worker, report)) return;
     this.crashes.onSameIncarnation(worker);
     worker.confirmedAck = Math.max(
       worker.confirmedAck,
       renewal.acknowledgedEnd,
     );
     if (renewal.fencingToken < this.state.fencingToken(worker)) return;
+    if (worker.isLatest(report.born)) worker.lease.onFenced(now);
     this.processReport(worker, report, sentAt);
   }
 
@@ -175,25 +179,59 @@
       worker: worker.id,
       result,
       runs: worker.runs.size,
-      leaseLeftMs: Math.round(worker.leaseEnd - this.state.now()),
+      leaseLeftMs: Math.round(worker.leaseLeft(this.state.now())),
     });
   }
 
-  /** Sets a worker's clock from a response to a command. */
-  private setClock(
+  /**
+   * Handles the worker's clock in a response to a command. It is not used for
+   * later calls: the response does not tell which incarnation it is of.
+   * @returns whether it is the clock of the incarnation that reported last.
+   */
+  private checkClock(
     worker: WorkerState,
     {clockMs}: WorkerResponse,
     call: string,
-  ): void {
-    if (clockMs === undefined) return;
-    const now = this.state.now();
-    const expectedMs = worker.estimateClock(now);
-    if (Math.abs(clockMs - expectedMs) > LOGGED_CLOCK_DIFFERENCE_MS) {
+  ): boolean {
+    if (clockMs === undefined) return false;
+    const expectedMs = worker.estimateClock(this.state.now());
+    const difference = Math.abs(clockMs - expectedMs);
+    if (difference > LOGGED_CLOCK_DIFFERENCE_MS) {
       const {id, born} = worker;
       const fields = {worker: id, born, call, clockMs, expectedMs};
       this.state.log.decide('worker-clock-differs', fields);
     }
-    worker.setClock(clockMs, now);
+    return difference <= CLOCK_TOLERANCE_MS;
+  }
+
+  /** Accounts for the lease that an answered call has granted. */
+  private onGrantAnswered(
+    worker: WorkerState,
+    leaseUntil: Millis | undefined,
+    {result, clockMs}: WorkerResponse,
+  ): void {
+    if (leaseUntil === undefined || clockMs === undefined) return;
+    if (!LEASE_GRANTING_RESULTS.has(result)) return;
+    worker.lease.onGrantAnswered(leaseUntil - clockMs, this.state.now());
+  }
+
+  /** Handles the entry of a worker in the list. */
+  onListing(worker: WorkerState, {born}: WorkerListing): void {
+    if (!worker.onListedIncarnation(born, this.state.now())) return;
+    this.logLaterIncarnation('worker-restart-listed', worker, born);
+  }
+
+  private logLaterIncarnation(
+    decision: string,
+    worker: WorkerState,
+    born: number,
+  ): void {
+    this.state.log.decide(decision, {
+      worker: worker.id,
+      born,
+      runs: worker.runs.size,
+      leaseLeftMs: Math.round(worker.leaseLeft(this.state.now())),
+    });
   }
 
   /**
@@ -204,7 +242,15 @@
    */
   private onRestart(worker: WorkerState, report: WorkerReport): boolean {
     const isFirst = worker.born === 0;
-    worker.born = report.born;
+    const {state} = this;
+    const now = state.now();
+    worker.onRespondingIncarnation(report.born, now);
+    const age = state.wallClock.now() - report.born;
+    if (isFirst && mayHaveLongLease(age, state.timings)) {
+      // Calls of earlier schedulers may have been meant for its predecessor.
+      worker.lease.inherit(now);
+      worker.lease.onLaterIncarnation();
+    }
     worker.confirmedAck = 0;
     worker.durableEnd = 0;
     worker.processedEnd = 0;
@@ -214,12 +260,7 @@
     for (const run of worker.runs.values()) {
       if (run.born !== report.born) run.phase = RunPhase.UNVERIFIED;
     }
-    this.state.log.decide('worker-restarted', {
-      worker: worker.id,
-      born: report.born,
-      runs: worker.runs.size,
-      leaseLeftMs: Math.round(worker.leaseEnd - this.state.now()),
-    });
+    this.logLaterIncarnation('worker-restarted', worker, report.born);
     return false;
   }
 
@@ -275,11 +316,18 @@
       return;
     }
     const now = this.state.now();
-    run.born = worker.born;
+    if (run.born !== worker.born) {
+      run.born = worker.born;
+      run.longLeaseUntil = this.state.longLeaseUntil(worker);
+      this.state.jobsToStore.add(run.task.step.occurrence.job);
+    }
+    run.attributedAt = now;
     if (run.phase === RunPhase.STARTING || run.phase === RunPhase.UNVERIFIED) {
       if (run.phase === RunPhase.UNVERIFIED) this.resetPace(run);
       run.phase = RunPhase.RUNNING;
       run.confirmedAt = now;
+      // Another incarnation may have accepted the stop.
+      if (run.stopReason !== undefined) this.state.stop(run, run.stopReason);
     }
     const {perpetual} = run.task.step.shape;
     const isActive = perpetual && entry.percent === 100;
@@ -332,7 +380,9 @@
       return undefined;
     }
     const leaseUntil = this.grantLease(run.worker);
-    if (leaseUntil !== undefined) run.startSentAt ??= this.state.now();
+    if (leaseUntil === undefined) return undefined;
+    run.startSentAt ??= this.state.now();
+    run.leaseUntil = leaseUntil;
     return leaseUntil;
   }
 
@@ -367,12 +417,14 @@
   onStartResponse(run: Run, response: WorkerResponse): FollowUp {
     const {worker} = run;
     const now = this.state.now();
-    this.setClock(worker, response, 'start');
+    const isSameClock = this.checkClock(worker, response, 'start');
+    this.onGrantAnswered(worker, run.leaseUntil, response);
     if (!this.isStartPending(run)) return FollowUp.SETTLED;
     const {result} = response;
     if (result === WorkerCallResult.ACCEPTED) {
       this.state.costs.count(CostEvent.START);
       run.phase = RunPhase.RUNNING;
+      if (isSameClock) run.attributedAt = now;
       run.confirmedAt = now;
       run.lastProgressAt = now;
       return FollowUp.SETTLED;
@@ -416,7 +468,7 @@
   onStopResponse(run: Run, response: WorkerResponse): FollowUp {
     const {worker} = run;
     const now = this.state.now();
-    this.setClock(worker, response, 'stop');
+    this.checkClock(worker, response, 'stop');
     if (worker.runs.get(run.task.name) !== run) return FollowUp.SETTLED;
     if (response.result === WorkerCallResult.FENCED) this.isFenced = true;
     if (response.result === WorkerCallResult.ACCEPTED) run.stopAcceptedAt = now;
@@ -436,33 +488,37 @@
       if (worker.address === '') {
         worker.unansweredSince = Math.min(worker.unansweredSince, now);
       }
-      if (now >= worker.leaseEnd) {
-        this.declareAllLost(worker, 'the lease of its worker ran out');
-      }
+      this.expireRuns(worker);
       this.removeIfUnused(worker);
     }
   }
 
   /**
-   * Declares all runs lost that were sent to a worker. Requests may still be in
-   * flight and arrive once the worker has a new lease, when the task runs
-   * elsewhere; a higher fencing token rejects them.
+   * Declares the runs of a silent worker lost that can no longer execute.
+   * Requests may still be in flight and arrive once the worker has a new lease,
+   * when the task runs elsewhere; a higher fencing token rejects them.
    */
-  private declareAllLost(worker: WorkerState, reason: string): void {
+  private expireRuns(worker: WorkerState): void {
+    const {state} = this;
+    const now = state.now();
+    if (now < worker.lease.intendedEnd) return;
     const lost: Run[] = [];
     for (const run of [...worker.runs.values()]) {
       if (run.phase === RunPhase.STAGED) continue;
-      this.declareLost(run, reason, silentSince(worker));
+      if (now < worker.leaseEndOf(run)) continue;
+      const reason = 'the lease of its worker ran out';
+      this.declareLost(run, reason, worker.silentSince);
       lost.push(run);
     }
     if (lost.length === 0) return;
     const {id, born, listing} = worker;
-    this.state.log.decide('lease-over', {
+    state.log.decide('lease-over', {
       worker: id,
       runs: lost.length,
+      runsLeft: worker.runs.size,
       born,
       listedBorn: listing?.born,
-      silentMs: Math.round(this.state.now() - silentSince(worker)),
+      silentMs: Math.round(now - worker.silentSince),
     });
     worker.tokenOffset++;
     this.crashes.onLost(worker, lost);
@@ -470,41 +526,8 @@
 
   /** Keeps a worker that is recorded as lost until the record is removed. */
   private removeIfUnused(worker: WorkerState): void {
-    if (!isUnused(worker) || worker.isRecordedAsLost) return;
-    this.state.workers.delete(worker.id);
-  }
-
-  /** Yields records that tell the next scheduler which workers are lost. */
-  *lostWorkerRecords(): Generator<KeyedRecord> {
-    const now = this.state.now();
-    for (const worker of this.state.workers.values()) {
-      const key = RecordKind.LOST_WORKER + worker.id;
-      if (
-        worker.isRecordedAsLost &&
-        (worker.isResponsive || isUnused(worker))
-      ) {
-        yield {key, value: new Uint8Array()};
-      } else if (this.isNewlyLost(worker, now)) {
-        worker.isRecordedAsLost = true;
-        const leaseLeftMs = Math.max(0, worker.leaseEnd - now);
-        const {shard} = this.state;
-        const record = {born: worker.knownBorn, leaseLeftMs, shard};
-        yield {key, value: packRecord(record)};
-      }
-    }
-  }
-
-  private isNewlyLost(worker: WorkerState, now: Millis): boolean {
-    if (worker.isResponsive || worker.isRecordedAsLost) return false;
-    if (worker.runs.size === 0 || worker.knownBorn === 0) return false;
-    return now - silentSince(worker) > RECORD_LOST_AFTER_MS;
-  }
-
-  /** Handles a stored record; a removal allows new leases to the worker. */
-  onRecordStored({key, value}: KeyedRecord): void {
-    if (key[0] !== RecordKind.LOST_WORKER || value.length > 0) return;
-    const worker = this.state.workers.get(key.slice(1));
-    if (worker !== undefined) worker.isRecordedAsLost = false;
+    if (!worker.isUnused || worker.isRecordedAsLost) return;
+    this.state.removeWorker(worker);
   }
 
   /**
@@ -518,18 +541,3 @@
     }
   }
 }
-
-/** Whether a worker is unresponsive, not listed and without runs. */
-function isUnused(worker: WorkerState): boolean {
-  const isKnown = worker.isResponsive || worker.listing !== undefined;
-  return !isKnown && worker.runs.size === 0;
-}
-
-/** Local time of a worker's last response, or of the first failed renewal. */
-function silentSince({
-  born,
-  lastResponseAt,
-  unansweredSince,
-}: WorkerState): Millis {
-  return born > 0 ? lastResponseAt : unansweredSince;
-}
