Log what a scheduler knows of the task of a stale end, and ignored progress

Cause: stale-end didn't tell an end whose record is stored, which a successor meets after each takeover, from one whose task runs again; nothing told which record a restored job was taken from.

Change: stale-end has the phase and attempt of the task, job-taken the source of the progress, and progress-ignored names a job whose stored progress belongs to a submission or hand-over that was not read. No change of logic.

--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -90,7 +90,7 @@
     }
     state.jobs.set(id, job);
     if (job.phase !== job.publishedPhase) state.jobsToStore.add(job);
-    this.logAdded(job);
+    this.logAdded(job, progressSource(known));
     for (const occurrence of job.occurrences.values()) this.enqueue(occurrence);
     if (known.cancelled) this.cancel(id);
   }
@@ -108,7 +108,10 @@
     return Math.min(seenAt, state.now() - age);
   }
 
-  private logAdded({id, queue, phase, submission}: ActiveJob): void {
+  private logAdded(
+    {id, queue, phase, submission}: ActiveJob,
+    progress: string,
+  ): void {
     const steps = submission.shape.steps.map(
       ({count, cpuMilli, estimateMs, image, fills, perpetual}) =>
         `${count}x${cpuMilli}m ${estimateMs}ms ${image}` +
@@ -120,6 +123,7 @@
       queue: name,
       priority,
       phase,
+      progress,
       steps,
     });
   }
@@ -334,11 +338,14 @@
   onRunEnd(worker: WorkerState, end: ReportedEnd): void {
     const run = worker.runs.get(end.task);
     if (run === undefined || run.attempt !== end.attempt) {
+      const known = this.findTask(end.task);
       this.state.log.decide('stale-end', {
         task: end.task,
         attempt: end.attempt,
         worker: worker.id,
         end: end.end,
+        taskPhase: known?.phase,
+        taskAttempt: known?.attempt,
       });
       if (end.end === RunOutcome.FAILED) this.countStaleFailure(worker, end);
       return;
@@ -365,12 +372,9 @@
    * repeatedly until it is acknowledged.
    */
   private countStaleFailure(worker: WorkerState, end: ReportedEnd): void {
-    const key = parseTaskName(end.task);
-    if (key === undefined) return;
-    const job = this.state.jobs.get(key.job);
-    const occurrence = job?.occurrences.get(key.occurrence);
-    const task = occurrence?.steps[key.step]?.tasks[key.index];
-    if (job === undefined || task === undefined) return;
+    const task = this.findTask(end.task);
+    if (task === undefined) return;
+    const {job} = task.step.occurrence;
     countFailure(task, end.attempt);
     const {sequence} = end;
     job.addUnstoredEnd(worker, {born: worker.born, sequence});
@@ -380,6 +384,14 @@
     this.removeIfSettled(job);
   }
 
+  /** Returns a task of an active job by its name. */
+  private findTask(name: string): ActiveTask | undefined {
+    const key = parseTaskName(name);
+    if (key === undefined) return undefined;
+    const occurrences = this.state.jobs.get(key.job)?.occurrences;
+    return occurrences?.get(key.occurrence)?.steps[key.step]?.tasks[key.index];
+  }
+
   private readonly endHandlers: Readonly<
     Record<RunOutcome, (run: Run) => void>
   > = {
@@ -572,6 +584,12 @@
   return progress?.handOvers === handOver.number ? progress : handOver.progress;
 }
 
+/** Which record the progress of a job is taken from, for the log. */
+function progressSource({handOver, progress}: KnownJob): string {
+  if (handOver === undefined) return progress === undefined ? 'none' : 'stored';
+  return progress?.handOvers === handOver.number ? 'stored' : 'handed-over';
+}
+
 /**
  * Adds an attempt to the failures of a task, once. Those of a perpetual task
  * have no limit and would fill the job's record.
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -117,6 +117,7 @@
       this.state.getOrCreateWorker(id).isRecordedAsLost = true;
     }
     for (const job of view.all()) {
+      this.logIgnoredProgress(job);
       if (!hasOwner(job) || view.ownerOf(job) !== this.state.shard) {
         if (job.progress !== undefined) this.departedJobs.add(job.id);
         continue;
@@ -134,6 +135,20 @@
     }
   }
 
+  /** Logs progress of a job whose submission or hand-over was not read. */
+  private logIgnoredProgress(known: KnownJob): void {
+    const {id, progress, submission, handOver} = known;
+    if (progress === undefined) return;
+    const handOvers = handOver?.number ?? 0;
+    if (submission !== undefined && progress.handOvers <= handOvers) return;
+    this.state.log.decide('progress-ignored', {
+      job: id,
+      isSubmitted: submission !== undefined,
+      handOvers,
+      progressHandOvers: progress.handOvers,
+    });
+  }
+
   /** Adds a job or applies a cancellation that was read from the log. */
   onJob(known: KnownJob): void {
     const leaving = this.leavingJobs.get(known.id);
