Keep all runs that are lost with a worker for the attribution of crashes

Cause: the runs of one worker may now be declared lost at two times; the second set replaced the first, whose crashes were not counted. Change: both are kept.

--- a/src/common/batch/crash_attribution.ts
+++ b/src/common/batch/crash_attribution.ts
@@ -48,7 +48,10 @@
 
   /** Remembers runs that were declared lost when their worker's lease ended. */
   onLost({address, born}: WorkerState, runs: readonly Run[]): void {
-    this.lostRuns.set(address, {born, runs, lostAt: this.state.now()});
+    const known = this.lostRuns.get(address);
+    const earlier = known?.born === born ? known.runs : [];
+    const lostAt = this.state.now();
+    this.lostRuns.set(address, {born, runs: [...earlier, ...runs], lostAt});
   }
 
   /** Handles the return of a worker that was cut off. */
