Say in a comment which acknowledgement still reaches a new incarnation

Cause: two listed tests show that a delayed renewal brings a number of the former incarnation, which the comment excluded. Change: the comment.

--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -103,8 +103,9 @@
   /**
    * Sequence number of the last end that the worker may discard; 0 for nothing
    * new. A worker that restarts with the same id numbers its ends anew, so a
-   * number of an earlier incarnation must not reach it: none is sent if the
-   * last renewal got no response, and each only until the worker confirms it.
+   * number of an earlier incarnation should not reach it: none is sent if the
+   * last renewal got no response, and each only until the worker confirms it. A
+   * renewal that is delayed until after a restart still brings one.
    */
   private endToAcknowledge(worker: WorkerState): number {
     const isNew = worker.durableEnd > worker.confirmedAck;
