Log the token of a rejected call, and what is unanswered when a run is lost

The logs had neither the rejected call nor its fencing token, and could not tell a renewal with an acknowledgement that was unanswered at a restart, nor the age of the last unanswered start. Change: 'call-fenced', fields of 'run-lost', 'worker-restarted' and 'worker-restart-listed'; responses are processed with the token of their request. No decision changes.

--- a/src/common/batch/job_lifecycle.ts
+++ b/src/common/batch/job_lifecycle.ts
@@ -467,11 +467,16 @@
     reason: string,
     silentSince: Millis = this.state.now(),
   ): void {
+    const now = this.state.now();
+    const {attributedAt, unansweredAt} = run;
     this.state.log.decide('run-lost', {
       task: run.task.name,
       attempt: run.attempt,
       worker: run.worker.id,
       reason,
+      shownMs: attributedAt > 0 ? Math.round(now - attributedAt) : undefined,
+      unansweredMs:
+        unansweredAt === undefined ? undefined : Math.round(now - unansweredAt),
     });
     this.removeRun(run);
     this.requeue(run.task);
--- a/src/common/batch/quarantine.test.ts
+++ b/src/common/batch/quarantine.test.ts
@@ -76,7 +76,8 @@
       if (command.kind !== CommandKind.START) continue;
       command.run.phase = RunPhase.STARTING;
       const result = WorkerCallResult.UNHEALTHY;
-      scheduler.onStartResponse(command.run, {result});
+      const token = scheduler.state.fencingToken(command.run.worker);
+      scheduler.onStartResponse(command.run, {result}, token);
     }
     expect(durations()).toEqual([3000]);
   });
--- a/src/common/batch/restarted_worker_takeover.test.ts
+++ b/src/common/batch/restarted_worker_takeover.test.ts
@@ -159,7 +159,8 @@
     fleet.run(200);
     const {state, leases} = fleet.scheduler;
     const run = state.workers.get('w1')!.runs.get(TASK)!;
-    leases.onStartResponse(run, {result: WorkerCallResult.UNKNOWN});
+    const token = state.fencingToken(run.worker);
+    leases.onStartResponse(run, {result: WorkerCallResult.UNKNOWN}, token);
     expect(run.unansweredAt).toBe(state.now());
   });
 
--- a/src/common/batch/scheduler.ts
+++ b/src/common/batch/scheduler.ts
@@ -288,18 +288,18 @@
     costs.measure(CostPart.PACING, () => this.pacing.onReport(worker));
   }
 
-  onStartResponse(run: Run, response: WorkerResponse): FollowUp {
+  onStartResponse(run: Run, response: WorkerResponse, token: number): FollowUp {
     return this.state.costs.measure(
       CostPart.STARTS,
-      () => this.leases.onStartResponse(run, response),
+      () => this.leases.onStartResponse(run, response, token),
       0,
     );
   }
 
-  onStopResponse(run: Run, response: WorkerResponse): FollowUp {
+  onStopResponse(run: Run, response: WorkerResponse, token: number): FollowUp {
     return this.state.costs.measure(
       CostPart.STOPS,
-      () => this.leases.onStopResponse(run, response),
+      () => this.leases.onStopResponse(run, response, token),
       0,
     );
   }
--- a/src/common/batch/simulated_fleet.test_support.ts
+++ b/src/common/batch/simulated_fleet.test_support.ts
@@ -80,6 +80,8 @@
 interface StartResponse {
   readonly run: Run;
   readonly response: WorkerResponse;
+  /** Fencing token of the request. */
+  readonly token: number;
 }
 
 /** Simulated time between two steps. */
@@ -404,18 +406,21 @@
       return;
     }
     const worker = this.workers.get(run.worker.id);
+    const token = this.scheduler.state.fencingToken(run.worker);
     const response =
       worker === undefined
         ? {result: WorkerCallResult.REPLACED}
-        : this.requestStart(worker, run, leaseUntil);
-    if (this.delaysStartResponses) this.startResponses.push({run, response});
-    else this.onStartResponse(run, response);
+        : this.requestStart(worker, run, leaseUntil, token);
+    const startResponse = {run, response, token};
+    if (this.delaysStartResponses) this.startResponses.push(startResponse);
+    else this.onStartResponse(startResponse);
   }
 
   private requestStart(
     worker: SimulatedWorker,
-    {task, attempt, worker: state}: Run,
+    {task, attempt}: Run,
     leaseUntil: Millis,
+    token: number,
   ): WorkerResponse {
     const {perpetual, cpuMilli, speculative} = task.step.shape;
     if (speculative) this.runViolations.speculativeTasks.add(task.name);
@@ -425,7 +430,7 @@
       durationMs: perpetual ? Infinity : this.taskMs,
       percent: perpetual ? 100 : 0,
       gauge: perpetual ? 0 : cpuMilli,
-      token: this.scheduler.state.fencingToken(state),
+      token,
       leaseUntil,
     };
     const response = worker.receive(CallKind.START, () => {
@@ -439,8 +444,8 @@
     return isLost ? {result: WorkerCallResult.UNKNOWN} : response;
   }
 
-  private onStartResponse(run: Run, response: WorkerResponse): void {
-    const next = this.scheduler.onStartResponse(run, response);
+  private onStartResponse({run, response, token}: StartResponse): void {
+    const next = this.scheduler.onStartResponse(run, response, token);
     if (next === FollowUp.REPEAT) this.pendingStarts.push(run);
   }
 
@@ -448,9 +453,7 @@
   deliverStartResponses(): void {
     const responses = this.startResponses;
     this.startResponses = [];
-    for (const {run, response} of responses) {
-      this.onStartResponse(run, response);
-    }
+    for (const response of responses) this.onStartResponse(response);
   }
 
   private pace({
@@ -476,7 +479,7 @@
         : worker.receive(CallKind.STOP, () =>
             worker.stop(run.task.name, run.attempt, {token}),
           );
-    const next = this.scheduler.onStopResponse(run, response);
+    const next = this.scheduler.onStopResponse(run, response, token);
     if (next === FollowUp.REPEAT) this.scheduler.state.immediate.push(command);
   }
 
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -141,7 +141,9 @@
     const now = this.state.now();
     // The worker was removed meanwhile and may have come back.
     if (this.state.workers.get(worker.id) !== worker) return;
-    if (response.result === WorkerCallResult.FENCED) this.isFenced = true;
+    if (response.result === WorkerCallResult.FENCED) {
+      this.onFenced(worker, 'renewal', renewal.fencingToken);
+    }
     if (response.result === WorkerCallResult.REPLACED) {
       this.onReplaced(worker);
     }
@@ -150,6 +152,9 @@
     worker.isResponsive = report !== undefined;
     if (report === undefined) {
       worker.unansweredSince = Math.min(worker.unansweredSince, now);
+      if (renewal.acknowledgedEnd > 0) {
+        worker.unansweredAck = renewal.acknowledgedEnd;
+      }
       if (response.result === WorkerCallResult.UNKNOWN) {
         worker.responseTime.onTimeout();
       }
@@ -173,6 +178,13 @@
     this.processReport(worker, report, sentAt);
   }
 
+  /** Handles the rejection of a call whose fencing token is too low. */
+  private onFenced(worker: WorkerState, call: string, token: number): void {
+    const now = this.state.fencingToken(worker);
+    this.state.log.decide('call-fenced', {worker: worker.id, call, token, now});
+    this.isFenced = true;
+  }
+
   private logReachability(
     worker: WorkerState,
     reached: boolean,
@@ -247,6 +259,7 @@
       born,
       runs: worker.runs.size,
       leaseLeftMs: Math.round(worker.leaseLeft(this.state.now())),
+      unansweredAck: worker.unansweredAck,
     });
   }
 
@@ -260,7 +273,9 @@
     const isFirst = worker.born === 0;
     worker.onRespondingIncarnation(report.born);
     if (isFirst) this.onFirstResponse(worker, report.born);
+    else this.logLaterIncarnation('worker-restarted', worker, report.born);
     worker.confirmedAck = 0;
+    worker.unansweredAck = undefined;
     worker.durableEnd = 0;
     worker.processedEnd = 0;
     worker.consecutiveFailedJobs.clear();
@@ -269,7 +284,6 @@
     for (const run of worker.runs.values()) {
       if (run.born !== report.born) run.phase = RunPhase.UNVERIFIED;
     }
-    this.logLaterIncarnation('worker-restarted', worker, report.born);
     return false;
   }
 
@@ -442,8 +456,11 @@
     return isCurrent && run.phase === RunPhase.STARTING;
   }
 
-  /** Processes the response to a start request. */
-  onStartResponse(run: Run, response: WorkerResponse): FollowUp {
+  /**
+   * Processes the response to a start request.
+   * @param token fencing token of the request.
+   */
+  onStartResponse(run: Run, response: WorkerResponse, token: number): FollowUp {
     const {worker} = run;
     const now = this.state.now();
     const isSameClock = this.checkClock(worker, response, 'start');
@@ -471,7 +488,7 @@
       uncertain,
     });
     if (result === WorkerCallResult.FENCED) {
-      this.isFenced = true;
+      this.onFenced(worker, 'start', token);
       return FollowUp.SETTLED;
     }
     if (result === WorkerCallResult.LATE || !DEFINITE_REJECTIONS.has(result)) {
@@ -494,13 +511,18 @@
     this.declareLost(run, reason);
   }
 
-  /** Processes the response to a stop request. */
-  onStopResponse(run: Run, response: WorkerResponse): FollowUp {
+  /**
+   * Processes the response to a stop request.
+   * @param token fencing token of the request.
+   */
+  onStopResponse(run: Run, response: WorkerResponse, token: number): FollowUp {
     const {worker} = run;
     const now = this.state.now();
     this.checkClock(worker, response, 'stop');
     if (worker.runs.get(run.task.name) !== run) return FollowUp.SETTLED;
-    if (response.result === WorkerCallResult.FENCED) this.isFenced = true;
+    if (response.result === WorkerCallResult.FENCED) {
+      this.onFenced(worker, 'stop', token);
+    }
     if (response.result === WorkerCallResult.ACCEPTED) run.stopAcceptedAt = now;
     const isOver =
       response.result === WorkerCallResult.ACCEPTED ||
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -109,6 +109,8 @@
   bestEffortCpuMilli = 0;
   /** Last end whose acknowledgement the worker has received. */
   confirmedAck = 0;
+  /** Acknowledgement of the last renewal without a response that had one. */
+  unansweredAck: number | undefined;
   /** Last end whose effects are durable. */
   durableEnd = 0;
   /** Last end that was processed. */
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -333,7 +333,7 @@
         lease,
         token,
       );
-      return this.scheduler.onStartResponse(run, response);
+      return this.scheduler.onStartResponse(run, response, token);
     });
     this.signal();
   }
@@ -342,8 +342,14 @@
     const {task, worker, attempt} = run;
     await this.retryUntilSettled(async () => {
       if (worker.runs.get(task.name) !== run) return FollowUp.SETTLED;
-      const response = await this.requestStop(worker, task.name, attempt);
-      return this.scheduler.onStopResponse(run, response);
+      const token = this.scheduler.state.fencingToken(worker);
+      const response = await this.requestStop(
+        worker,
+        task.name,
+        attempt,
+        token,
+      );
+      return this.scheduler.onStopResponse(run, response, token);
     });
     this.signal();
   }
@@ -352,12 +358,12 @@
     worker: WorkerState,
     task: string,
     attempt: number,
+    token: number,
   ): Promise<WorkerResponse> {
     // The worker has no address while it isn't listed.
     if (worker.address === '') {
       return Promise.resolve({result: WorkerCallResult.NOT_SENT});
     }
-    const token = this.scheduler.state.fencingToken(worker);
     return this.host.workerClient.stop(worker, task, attempt, token);
   }
 
@@ -366,7 +372,8 @@
     command: Command & {kind: typeof CommandKind.STOP_STRAY},
   ): Promise<void> {
     const {worker, task, attempt} = command;
-    await this.requestStop(worker, task, attempt);
+    const token = this.scheduler.state.fencingToken(worker);
+    await this.requestStop(worker, task, attempt, token);
   }
 
   private async pace(
