Send a call again that a worker rejects after its token was raised

The next term begins a second later; until the leases of the former one are over, runs of silent workers can't be placed elsewhere. Cause: a scheduler raises the fencing token of a worker that has started again or whose runs were lost. A call with the former token that arrives after one with the new token is rejected, and each such rejection counted as one by a later scheduler. Change: a rejection of a lower token than the present one of this scheduler has the call sent again, and a renewal leaves the worker as it is. Calls that set a pace take the token at each sending; they kept the first one.

--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -162,7 +162,7 @@
     if (removed !== undefined) {
       worker.tokenOffset = removed.tokenOffset;
       // Calls from before the removal must not start anything now.
-      if (lease.mayBeUnderWay(this.now())) worker.tokenOffset++;
+      if (lease.mayBeUnderWay(this.now())) worker.fenceEarlierCalls();
       lease.onLaterIncarnation();
     }
     this.workers.set(id, worker);
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -142,7 +142,9 @@
     // The worker was removed meanwhile and may have come back.
     if (this.state.workers.get(worker.id) !== worker) return;
     if (response.result === WorkerCallResult.FENCED) {
-      this.onFenced(worker, 'renewal', renewal.fencingToken);
+      const token = renewal.fencingToken;
+      const followUp = this.onFenced(worker, 'renewal', token);
+      if (followUp === FollowUp.REPEAT) return;
     }
     if (response.result === WorkerCallResult.REPLACED) {
       this.onReplaced(worker);
@@ -178,11 +180,17 @@
     this.processReport(worker, report, sentAt);
   }
 
-  /** Handles the rejection of a call whose fencing token is too low. */
-  private onFenced(worker: WorkerState, call: string, token: number): void {
+  /**
+   * Handles the rejection of a call whose fencing token is too low. If the token
+   * was raised after the sending, another call of this scheduler came first.
+   * @returns whether the call is to be sent again.
+   */
+  private onFenced(worker: WorkerState, call: string, token: number): FollowUp {
     const now = this.state.fencingToken(worker);
     this.state.log.decide('call-fenced', {worker: worker.id, call, token, now});
+    if (token < now) return FollowUp.REPEAT;
     this.isFenced = true;
+    return FollowUp.SETTLED;
   }
 
   private logReachability(
@@ -280,7 +288,7 @@
     worker.processedEnd = 0;
     worker.consecutiveFailedJobs.clear();
     if (isFirst) return true;
-    worker.tokenOffset++;
+    worker.fenceEarlierCalls();
     for (const run of worker.runs.values()) {
       if (run.born !== report.born) run.phase = RunPhase.UNVERIFIED;
     }
@@ -488,8 +496,7 @@
       uncertain,
     });
     if (result === WorkerCallResult.FENCED) {
-      this.onFenced(worker, 'start', token);
-      return FollowUp.SETTLED;
+      return this.onFenced(worker, 'start', token);
     }
     if (result === WorkerCallResult.LATE || !DEFINITE_REJECTIONS.has(result)) {
       return FollowUp.REPEAT;
@@ -521,16 +528,29 @@
     this.checkClock(worker, response, 'stop');
     if (worker.runs.get(run.task.name) !== run) return FollowUp.SETTLED;
     if (response.result === WorkerCallResult.FENCED) {
-      this.onFenced(worker, 'stop', token);
+      return this.onFenced(worker, 'stop', token);
     }
     if (response.result === WorkerCallResult.ACCEPTED) run.stopAcceptedAt = now;
     const isOver =
       response.result === WorkerCallResult.ACCEPTED ||
-      response.result === WorkerCallResult.FENCED ||
       response.result === WorkerCallResult.REPLACED;
     return isOver ? FollowUp.SETTLED : FollowUp.REPEAT;
   }
 
+  /**
+   * Processes the response to a request to pace a run.
+   * @param token fencing token of the request.
+   */
+  onPaceResponse(run: Run, {result}: WorkerResponse, token: number): FollowUp {
+    if (result === WorkerCallResult.FENCED) {
+      return this.onFenced(run.worker, 'pace', token);
+    }
+    const isUnsettled =
+      result === WorkerCallResult.UNKNOWN ||
+      result === WorkerCallResult.NOT_SENT;
+    return isUnsettled ? FollowUp.REPEAT : FollowUp.SETTLED;
+  }
+
   /** Declares runs lost whose worker's lease expired. */
   expireLeases(): void {
     const now = this.state.now();
@@ -572,7 +592,7 @@
       listedBorn: listing?.born,
       silentMs: Math.round(now - worker.silentSince),
     });
-    worker.tokenOffset++;
+    worker.fenceEarlierCalls();
     this.crashes.onLost(worker, lost);
   }
 
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -300,6 +300,11 @@
     return born === this.latestBorn;
   }
 
+  /** Raises the fencing token: the worker is to reject calls sent before. */
+  fenceEarlierCalls(): void {
+    this.tokenOffset++;
+  }
+
   add(run: Run): void {
     this.runs.set(run.task.name, run);
     this.adjustReserved(run, 1);
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -381,21 +381,19 @@
   ): Promise<void> {
     const {run, percent} = command;
     const {worker, task, attempt} = run;
-    const token = this.scheduler.state.fencingToken(worker);
+    const {leases, state} = this.scheduler;
     await this.retryUntilSettled(async () => {
       const isCurrent = worker.runs.get(task.name) === run;
       if (!isCurrent || run.pace !== percent) return FollowUp.SETTLED;
-      const {result} = await this.host.workerClient.pace(
+      const token = state.fencingToken(worker);
+      const response = await this.host.workerClient.pace(
         worker,
         task.name,
         attempt,
         percent,
         token,
       );
-      const isUnsettled =
-        result === WorkerCallResult.UNKNOWN ||
-        result === WorkerCallResult.NOT_SENT;
-      return isUnsettled ? FollowUp.REPEAT : FollowUp.SETTLED;
+      return leases.onPaceResponse(run, response, token);
     });
   }
 
