Let a worker reject an acknowledgement that arrives after a later call

What callers could see: a task that was done is started again (TWICE), with an end that was acknowledged. Cause: a worker that starts again numbers its ends anew. A renewal for the former incarnation that carries an acknowledgement may be executed in the later one, after a start that was sent later, and then discards the end of that start, which no scheduler has read. Change: a renewal with an acknowledgement has a lower fencing token than all calls that are sent after it. An incarnation that has executed one of them rejects the renewal; the last commit sends it again. Reports of such a renewal count as before: fenceOffset has the token that a report must have. So tokens are raised often: an epoch has a million in place of a thousand, half of them for acknowledgements, and removed workers are forgotten once no call and no lease of theirs can act, with the highest of their tokens.

--- a/src/common/batch/lease_account.ts
+++ b/src/common/batch/lease_account.ts
@@ -91,6 +91,13 @@
     return now < this.grantedAt + MAX_CALL_DELAY_MS;
   }
 
+  /** Whether no call can act any more, nor a lease last, in any incarnation. */
+  isSettled(now: Millis): boolean {
+    const lastCallAt = Math.max(this.grantedAt, this.inheritedAt);
+    const span = longestSpan(this.timings.longestLeaseMs);
+    return now >= lastCallAt + MAX_CALL_DELAY_MS + span && now >= this.shownEnd;
+  }
+
   /** Accounts for a call that grants a lease and is about to be sent. */
   grant(now: Millis): void {
     this.grantedAt = Math.max(this.grantedAt, now);
--- a/src/common/batch/returning_worker.test.ts
+++ b/src/common/batch/returning_worker.test.ts
@@ -25,4 +25,27 @@
     fleet.run(500);
     expect(lost.token).toBeGreaterThan(earlierToken);
   });
+
+  it.each([5, 60])(
+    'accepts calls when it returns %d s after its runs were lost',
+    seconds => {
+      // Guards against a lower token for the same incarnation, whose rejection
+      // looks like one by a later scheduler, once nothing is known of it.
+      const fleet = new SimulatedFleet();
+      const lost = fleet.addWorker('w1');
+      fleet.run(200);
+      fleet.submit(JOB, [{}]);
+      fleet.run(200);
+      lost.isUnreachable = true;
+      lost.isListed = false;
+      fleet.run(10_000 + seconds * 1000);
+      expect(fleet.scheduler.state.workers.has('w1')).toBe(false);
+      lost.isUnreachable = false;
+      lost.isListed = true;
+      fleet.run(500);
+      const {leases, state} = fleet.scheduler;
+      expect(state.workers.get('w1')!.isResponsive).toBe(true);
+      expect(leases.isFenced).toBe(false);
+    },
+  );
 });
--- a/src/common/batch/scheduler.test.ts
+++ b/src/common/batch/scheduler.test.ts
@@ -1,4 +1,5 @@
 import {JobPhase} from './job_records.js';
+import {TOKENS_PER_EPOCH} from './scheduler_state.js';
 import {SimulatedFleet} from './simulated_fleet.test_support.js';
 import {RunOutcome, WorkerPhase} from './types.js';
 
@@ -128,7 +129,7 @@
     fleet.run(500);
     expect(worker.starts).toEqual([FIRST_TASK, FIRST_TASK]);
     // The higher token rejects requests to the previous incarnation.
-    expect(worker.token).toBe(1001);
+    expect(worker.token).toBe(TOKENS_PER_EPOCH + 1);
   });
 
   it('finds a run that was started although the response was lost', () => {
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -60,9 +60,13 @@
 
 /**
  * Fencing tokens per epoch. Bounds how often the token of one worker can be
- * raised in a term, after a restart or after its runs were declared lost.
+ * raised in a term: with acknowledgements, after a restart, and after its runs
+ * were declared lost.
  */
-export const TOKENS_PER_EPOCH = 1000;
+export const TOKENS_PER_EPOCH = 1_000_000;
+
+/** Tokens per epoch that acknowledgements may use; the rest is for fences. */
+const ACKNOWLEDGEMENT_TOKENS = TOKENS_PER_EPOCH / 2;
 
 /** State shared by the components of the scheduler. */
 export class SchedulerState {
@@ -73,6 +77,8 @@
     string,
     Pick<WorkerState, 'lease' | 'tokenOffset'>
   >();
+  /** Highest token offset of the workers that are forgotten. */
+  private forgottenTokenOffset = 0;
   /** Jobs whose progress has to be stored. */
   readonly jobsToStore = new Set<ActiveJob>();
   /**
@@ -159,8 +165,8 @@
     this.removedWorkers.delete(id);
     const lease = removed?.lease ?? new LeaseAccount(this.timings);
     const worker = new WorkerState(id, lease);
+    worker.tokenOffset = removed?.tokenOffset ?? this.forgottenTokenOffset;
     if (removed !== undefined) {
-      worker.tokenOffset = removed.tokenOffset;
       // Calls from before the removal must not start anything now.
       if (lease.mayBeUnderWay(this.now())) worker.fenceEarlierCalls();
       lease.onLaterIncarnation();
@@ -170,8 +176,8 @@
   }
 
   /**
-   * Removes a worker. As it may come back under its id, its fencing token is
-   * remembered if it was raised, and its lease while calls may be under way.
+   * Removes a worker. As it may come back under its id, its lease is remembered
+   * while calls may act on it, and the token from which to go on.
    */
   removeWorker(worker: WorkerState): void {
     const {id, lease, tokenOffset} = worker;
@@ -179,8 +185,12 @@
     this.removedWorkers.set(id, {lease, tokenOffset});
     const now = this.now();
     for (const [key, removed] of this.removedWorkers) {
-      if (removed.lease.mayBeUnderWay(now) || removed.tokenOffset > 0) continue;
+      if (!removed.lease.isSettled(now)) continue;
       this.removedWorkers.delete(key);
+      this.forgottenTokenOffset = Math.max(
+        this.forgottenTokenOffset,
+        removed.tokenOffset,
+      );
     }
   }
 
@@ -202,6 +212,21 @@
     return this.epoch * TOKENS_PER_EPOCH + worker.tokenOffset;
   }
 
+  /** Whether a token fences the calls for earlier incarnations of a worker. */
+  isFence({fenceOffset}: WorkerState, token: number): boolean {
+    return token >= this.epoch * TOKENS_PER_EPOCH + fenceOffset;
+  }
+
+  /**
+   * Lets a worker that executes a later call first reject an acknowledgement
+   * that is being sent: an incarnation that starts in between numbers its ends
+   * anew, and would discard those that it has from later calls.
+   */
+  fenceAcknowledgement(worker: WorkerState): void {
+    if (worker.tokenOffset >= ACKNOWLEDGEMENT_TOKENS) return;
+    worker.fenceAcknowledgement();
+  }
+
   /**
    * Asks the worker to stop a run, once. A run whose start waits for the commit
    * is stopped after the commit too.
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -86,11 +86,13 @@
   }
 
   private buildRenewal(worker: WorkerState): LeaseRenewal {
+    const acknowledgedEnd = this.endToAcknowledge(worker);
     const base = {
       fencingToken: this.state.fencingToken(worker),
-      acknowledgedEnd: this.endToAcknowledge(worker),
+      acknowledgedEnd,
       responseMs: worker.responseTime.limitMs,
     };
+    if (acknowledgedEnd > 0) this.state.fenceAcknowledgement(worker);
     const leaseUntil = this.grantLease(worker);
     if (leaseUntil === undefined) {
       // A worker that waits for a lease is polled again at once. Without
@@ -104,8 +106,7 @@
    * Sequence number of the last end that the worker may discard; 0 for nothing
    * new. A worker that restarts with the same id numbers its ends anew, so a
    * number of an earlier incarnation should not reach it: none is sent if the
-   * last renewal got no response, and each only until the worker confirms it. A
-   * renewal that is delayed until after a restart still brings one.
+   * last renewal got no response, and each only until the worker confirms it.
    */
   private endToAcknowledge(worker: WorkerState): number {
     const isNew = worker.durableEnd > worker.confirmedAck;
@@ -175,7 +176,7 @@
       worker.confirmedAck,
       renewal.acknowledgedEnd,
     );
-    if (renewal.fencingToken < this.state.fencingToken(worker)) return;
+    if (!this.state.isFence(worker, renewal.fencingToken)) return;
     if (worker.isLatest(report.born)) worker.lease.onFenced(now);
     this.processReport(worker, report, sentAt);
   }
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -115,8 +115,10 @@
   durableEnd = 0;
   /** Last end that was processed. */
   processedEnd = 0;
-  /** Offset of the fencing token in this term; grows to fence requests. */
+  /** Offset of the fencing token in this term; grows to fence calls. */
   tokenOffset = 0;
+  /** Offset of the token that fences the calls for earlier incarnations. */
+  fenceOffset = 0;
   /** Last reading of the worker's monotonic clock, and when it arrived. */
   clockMs: Millis = 0;
   clockReceivedAt: Millis = 0;
@@ -300,9 +302,15 @@
     return born === this.latestBorn;
   }
 
-  /** Raises the fencing token: the worker is to reject calls sent before. */
+  /** Raises the token beyond those of all calls that were sent before. */
   fenceEarlierCalls(): void {
     this.tokenOffset++;
+    this.fenceOffset = this.tokenOffset;
+  }
+
+  /** Raises the token beyond that of an acknowledgement that is being sent. */
+  fenceAcknowledgement(): void {
+    this.tokenOffset++;
   }
 
   add(run: Run): void {
