Withhold acknowledgements while a start without a response may be executed

Cause: a start without a response may be executed up to 12 s later, by a later incarnation of the worker under the same id, which knows nothing of the former one. If a repeated request of the same start was executed and its end acknowledged, the task runs again; if a delayed renewal with an acknowledgement follows it there, the end of its run is discarded unread. Change: OpenStarts tracks the start requests of a worker that it may still execute. No end is acknowledged until the last of them is answered, or 12 s old; a list of ends that is cut doesn't wait. A worker that has ends to list answers each renewal at once, so the next renewal waits for the starts, 200 ms at most. Without the wait the test of term.test.ts counts 393 renewals in a second.

--- /dev/null
+++ b/src/common/batch/open_starts.ts
@@ -0,0 +1,34 @@
+import {Millis} from '../base/clock.js';
+import {MAX_CALL_DELAY_MS} from './lease_account.js';
+import type {Run} from './worker_state.js';
+
+/**
+ * Tracks the start requests to one worker that it may still execute, in this or
+ * a later incarnation: those whose response is awaited and, for a while, those
+ * that got none. Times are local.
+ */
+export class OpenStarts {
+  private readonly awaited = new Set<Run>();
+  /** Time at which a start request was given up last. */
+  private unansweredAt: Millis = -Infinity;
+
+  onSent(run: Run): void {
+    this.awaited.add(run);
+  }
+
+  onAnswered(run: Run): void {
+    this.awaited.delete(run);
+  }
+
+  /** Handles that the wait for a response was given up. */
+  onUnanswered(run: Run, now: Millis): void {
+    this.awaited.delete(run);
+    this.unansweredAt = now;
+  }
+
+  /** Whether the worker may still execute a start request that was sent. */
+  mayBeExecuted(now: Millis): boolean {
+    const isLatePossible = now < this.unansweredAt + MAX_CALL_DELAY_MS;
+    return isLatePossible || this.awaited.size > 0;
+  }
+}
--- a/src/common/batch/scheduler_state.ts
+++ b/src/common/batch/scheduler_state.ts
@@ -75,7 +75,7 @@
   /** What is remembered of removed workers, by id. */
   private readonly removedWorkers = new Map<
     string,
-    Pick<WorkerState, 'lease' | 'tokenOffset'>
+    Pick<WorkerState, 'lease' | 'openStarts' | 'tokenOffset'>
   >();
   /** Highest token offset of the workers that are forgotten. */
   private forgottenTokenOffset = 0;
@@ -164,7 +164,7 @@
     const removed = this.removedWorkers.get(id);
     this.removedWorkers.delete(id);
     const lease = removed?.lease ?? new LeaseAccount(this.timings);
-    const worker = new WorkerState(id, lease);
+    const worker = new WorkerState(id, lease, removed?.openStarts);
     worker.tokenOffset = removed?.tokenOffset ?? this.forgottenTokenOffset;
     if (removed !== undefined) {
       // Calls from before the removal must not start anything now.
@@ -180,9 +180,9 @@
    * while calls may act on it, and the token from which to go on.
    */
   removeWorker(worker: WorkerState): void {
-    const {id, lease, tokenOffset} = worker;
+    const {id, lease, openStarts, tokenOffset} = worker;
     this.workers.delete(id);
-    this.removedWorkers.set(id, {lease, tokenOffset});
+    this.removedWorkers.set(id, {lease, openStarts, tokenOffset});
     const now = this.now();
     for (const [key, removed] of this.removedWorkers) {
       if (!removed.lease.isSettled(now)) continue;
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -110,7 +110,20 @@
    */
   private endToAcknowledge(worker: WorkerState): number {
     const isNew = worker.durableEnd > worker.confirmedAck;
-    return worker.isResponsive && isNew ? worker.durableEnd : 0;
+    if (!isNew || !worker.isResponsive) return 0;
+    return this.withholdsAcknowledgement(worker) ? 0 : worker.durableEnd;
+  }
+
+  /**
+   * Whether ends are to be acknowledged and have to wait for open starts. A
+   * later incarnation may execute such a start: one of a task whose end was
+   * acknowledged, or one whose own end the acknowledgement then reaches. A list
+   * that is cut hides later ends, so its ends don't wait.
+   */
+  withholdsAcknowledgement(worker: WorkerState): boolean {
+    const isNew = worker.durableEnd > worker.confirmedAck;
+    if (!isNew || worker.hasMoreEnds) return false;
+    return worker.openStarts.mayBeExecuted(this.state.now());
   }
 
   /**
@@ -332,6 +345,7 @@
       this.state.costs.count(CostEvent.END);
       this.lifecycle.onRunEnd(worker, end);
     }
+    worker.hasMoreEnds = report.hasMoreEnds;
     const reported = new Map(report.running.map(entry => [entry.task, entry]));
     worker.hasStrayRuns = false;
     for (const entry of report.running) {
@@ -433,6 +447,7 @@
     }
     const leaseUntil = this.grantLease(run.worker);
     if (leaseUntil === undefined) return undefined;
+    run.worker.openStarts.onSent(run);
     run.startSentAt ??= this.state.now();
     run.leaseUntil = leaseUntil;
     return leaseUntil;
@@ -477,8 +492,11 @@
     const {result} = response;
     const {uncertain} = run;
     if (result === WorkerCallResult.UNKNOWN) {
+      worker.openStarts.onUnanswered(run, now);
       run.uncertain = true;
       run.unansweredAt = now;
+    } else {
+      worker.openStarts.onAnswered(run);
     }
     if (!this.isStartPending(run)) return FollowUp.SETTLED;
     if (result === WorkerCallResult.ACCEPTED) {
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -1,6 +1,7 @@
 import {Millis} from '../base/clock.js';
 import {ActiveTask} from './active_job.js';
 import {LeaseAccount, MAX_CALL_DELAY_MS} from './lease_account.js';
+import {OpenStarts} from './open_starts.js';
 import {ResponseTime} from './response_time.js';
 import {KeyedRecord} from './store.js';
 import {Resources, WorkerListing, WorkerPhase} from './types.js';
@@ -99,6 +100,8 @@
   private readonly knownIncarnations = new Set<number>();
   /** Runs on the worker, by task name. */
   readonly runs = new Map<string, Run>();
+  /** Whether the last report did not list all ends. */
+  hasMoreEnds = false;
   /** Whether the last report showed runs that no task expects there. */
   hasStrayRuns = false;
   /** Resources reserved for runs; best-effort runs reserve no processors. */
@@ -161,6 +164,7 @@
   constructor(
     readonly id: string,
     readonly lease: LeaseAccount,
+    readonly openStarts = new OpenStarts(),
   ) {}
 
   get isDraining(): boolean {
--- a/src/node/batch/term.test.ts
+++ b/src/node/batch/term.test.ts
@@ -34,6 +34,7 @@
   WorkerAddress,
   WorkerCalls,
 } from '../../common/batch/worker_calls.js';
+import {Run} from '../../common/batch/worker_state.js';
 import {SystemClock} from '../system_clock.js';
 import {FencedWriter} from './fenced_writer.js';
 import {NodeProcessUsage} from './process_usage.js';
@@ -220,6 +221,19 @@
     ).toBe(true);
   });
 
+  it('does not renew in a loop while an acknowledgement is withheld', async () => {
+    // Guards against five times the calls to workers: one that has ends to list
+    // answers each renewal at once.
+    log.result = AppendResult.STORED;
+    const worker = scheduler.state.workers.get(LISTING.id)!;
+    worker.openStarts.onUnanswered({} as Run, clock.now());
+    void term.run();
+    await sleep(1000);
+    expect(worker.durableEnd).toBe(1);
+    expect(workerClient.renewals.length).toBeGreaterThan(2);
+    expect(workerClient.renewals.length).toBeLessThan(10);
+  });
+
   it('renews leases until it can store its resignation', async () => {
     // Guards against expired leases when a scheduler is stopped in a store
     // outage: it stopped renewing at once, though no instance could replace it.
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -34,6 +34,12 @@
 /** Longest wait for a batch to be durable before a lease is renewed again. */
 const MAX_COMMIT_WAIT_MS: Millis = 500;
 
+/** Longest delay of a renewal for starts that its acknowledgement waits for. */
+const MAX_OPEN_STARTS_WAIT_MS: Millis = 200;
+
+/** Delay until the wait for these starts first checks them; it doubles. */
+const FIRST_OPEN_STARTS_CHECK_MS: Millis = 10;
+
 /** Longest delay before a worker call is retried. */
 const MAX_RETRY_DELAY_MS: Millis = 500;
 
@@ -427,6 +433,21 @@
     }
   }
 
+  /**
+   * Waits while the acknowledgement of ends is withheld: a renewal without it
+   * would return at once. The wait is bounded as the worker may report others.
+   */
+  private async awaitStarts(worker: WorkerState): Promise<void> {
+    const {leases, state} = this.scheduler;
+    const end = state.now() + MAX_OPEN_STARTS_WAIT_MS;
+    let delay = FIRST_OPEN_STARTS_CHECK_MS;
+    while (leases.withholdsAcknowledgement(worker) && state.now() < end) {
+      if (this.endReason !== undefined) return;
+      await sleep(delay);
+      delay *= 2;
+    }
+  }
+
   /** Renews the lease of a worker until it is removed or the term ends. */
   private async runRenewals(worker: WorkerState): Promise<void> {
     const {scheduler} = this;
@@ -439,10 +460,12 @@
       await this.renew(worker);
       if (this.endReason !== undefined) break;
       this.signal();
-      if (!worker.isResponsive) await sleep(RENEWAL_RETRY_DELAY_MS);
-      else if (worker.processedEnd > worker.durableEnd) {
-        await this.awaitCommit();
+      if (!worker.isResponsive) {
+        await sleep(RENEWAL_RETRY_DELAY_MS);
+        continue;
       }
+      if (worker.processedEnd > worker.durableEnd) await this.awaitCommit();
+      await this.awaitStarts(worker);
     }
     this.renewedWorkers.delete(worker);
   }
