Bound the wait for a start request whose outcome is never told

Cause: a start call that ends with an unexpected error (a fault of ours) never tells its outcome, so acknowledgements to its worker would be withheld until the next term. Change: a request counts for the longest delay of a call from its sending, also while its response is awaited. Evidence: 'counts a request no longer whose outcome was never told' fails with the set of requests, which has no times. Result: the tests of open starts, withheld acknowledgements, restarted workers and terms pass but for the listed one.

--- a/src/common/batch/open_starts.test.ts
+++ b/src/common/batch/open_starts.test.ts
@@ -8,8 +8,8 @@
 
   it('counts a request until its response', () => {
     const starts = new OpenStarts();
-    starts.onSent(first);
-    starts.onSent(second);
+    starts.onSent(first, 0);
+    starts.onSent(second, 0);
     starts.onAnswered(first);
     expect(starts.mayBeExecuted(SECOND)).toBe(true);
     starts.onAnswered(second);
@@ -20,11 +20,19 @@
     // Guards against an acknowledgement while a later incarnation may execute
     // the request (TWICE), and against one that is withheld for good.
     const starts = new OpenStarts();
-    starts.onSent(first);
+    starts.onSent(first, 0);
     starts.onUnanswered(first, SECOND);
-    starts.onSent(first);
+    starts.onSent(first, SECOND);
     starts.onAnswered(first);
     expect(starts.mayBeExecuted(13 * SECOND - 1)).toBe(true);
     expect(starts.mayBeExecuted(13 * SECOND)).toBe(false);
   });
+
+  it('counts a request no longer whose outcome was never told', () => {
+    // Guards against acknowledgements that are withheld for good after an
+    // unexpected error in the call.
+    const starts = new OpenStarts();
+    starts.onSent(first, SECOND);
+    expect(starts.mayBeExecuted(13 * SECOND)).toBe(false);
+  });
 });
--- a/src/common/batch/open_starts.ts
+++ b/src/common/batch/open_starts.ts
@@ -8,12 +8,13 @@
  * that got none. Times are local.
  */
 export class OpenStarts {
-  private readonly awaited = new Set<Run>();
+  /** Time at which each request was sent whose response is awaited. */
+  private readonly awaited = new Map<Run, Millis>();
   /** Time at which a start request was given up last. */
   private unansweredAt: Millis = -Infinity;
 
-  onSent(run: Run): void {
-    this.awaited.add(run);
+  onSent(run: Run, now: Millis): void {
+    this.awaited.set(run, now);
   }
 
   onAnswered(run: Run): void {
@@ -28,7 +29,7 @@
 
   /** Whether the worker may still execute a start request that was sent. */
   mayBeExecuted(now: Millis): boolean {
-    const isLatePossible = now < this.unansweredAt + MAX_CALL_DELAY_MS;
-    return isLatePossible || this.awaited.size > 0;
+    const latest = Math.max(this.unansweredAt, ...this.awaited.values());
+    return now < latest + MAX_CALL_DELAY_MS;
   }
 }
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -447,8 +447,9 @@
     }
     const leaseUntil = this.grantLease(run.worker);
     if (leaseUntil === undefined) return undefined;
-    run.worker.openStarts.onSent(run);
-    run.startSentAt ??= this.state.now();
+    const now = this.state.now();
+    run.worker.openStarts.onSent(run, now);
+    run.startSentAt ??= now;
     run.leaseUntil = leaseUntil;
     return leaseUntil;
   }
