--- a/src/common/batch/restarted_worker.test.ts
+++ b/src/common/batch/restarted_worker.test.ts
@@ -2,7 +2,7 @@
 import {JobPhase} from './job_records.js';
 import {SimulatedFleet} from './simulated_fleet.test_support.js';
 import {CallKind, SimulatedWorker} from './simulated_worker.test_support.js';
-import {WorkerPhase} from './types.js';
+import {RunOutcome, WorkerPhase} from './types.js';
 
 const SHORT_JOB = '00000000000000aa';
 const SHORT_TASK = `${SHORT_JOB}.0.0.0`;
@@ -309,6 +309,42 @@
     expect(fleet.view.phase(SHORT_JOB)).toBe(JobPhase.COMPLETE);
   });
 
+  it('may execute such a start although a successor has read the end', () => {
+    // Guards against the same across a takeover: the successor does not know
+    // which start requests of its predecessor had no answer.
+    fleet.submit(SHORT_JOB, [{}]);
+    holdCalls(CallKind.START);
+    worker.executeHeld(CallKind.START);
+    fleet.takeOver(0);
+    fleet.run(1500);
+    worker.isUnreachable = true;
+    worker.restart(LOWER_OFFSET_MS);
+    fleet.run(500);
+    executeIfHeld(CallKind.START);
+    worker.heldKinds.clear();
+    worker.isUnreachable = false;
+    fleet.run(LONG_SILENCE_MS);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it('may execute a repeated start of a run that has failed on the former one', () => {
+    // Guards against two runs at a time: the task is placed elsewhere at once,
+    // while an earlier request of the same start has no answer.
+    submitLasting();
+    holdCalls(CallKind.START);
+    worker.executeHeld(CallKind.START);
+    fleet.run(200);
+    cutOff();
+    worker.isUnreachable = false;
+    worker.end(LASTING_TASK, RunOutcome.FAILED);
+    fleet.run(100);
+    worker.isUnreachable = true;
+    worker.restart(LOWER_OFFSET_MS);
+    fleet.run(SECOND);
+    executeIfHeld(CallKind.START);
+    expectOneRunElsewhere();
+  });
+
   it('has its runs lost within a common lease if it did not start again', () => {
     // Guards against a wait for the longest lease on every worker (LOST).
     startLasting();
