Tell a replaced scheduler by renewals without an acknowledgement

Cause: each renewal with an acknowledgement raised the token after it was built, so that its rejection never counted as one by a later scheduler. A replaced scheduler with ends to acknowledge would renew in a loop until the log rejects its next append. Change: after a rejection the next renewal acknowledges nothing. If that one is rejected, too, there is a later scheduler. Evidence: 'ends the term if the next renewal is rejected as well' failed before: both renewals acknowledged an end and the term went on.

--- a/src/common/batch/raised_token.test.ts
+++ b/src/common/batch/raised_token.test.ts
@@ -62,6 +62,41 @@
     expect(worker.isResponsive).toBe(true);
   });
 
+  describe('with an acknowledgement', () => {
+    /** Another worker, to which no start is open, with an end to acknowledge. */
+    let other: WorkerState;
+
+    beforeEach(() => {
+      fleet.addWorker('w2');
+      fleet.run(150);
+      other = fleet.scheduler.state.workers.get('w2')!;
+      other.durableEnd = 1;
+    });
+
+    /** Lets the worker reject a renewal; returns what it acknowledges. */
+    function rejectRenewal(): number {
+      const {leases, state} = fleet.scheduler;
+      const renewal = leases.nextRenewal(other);
+      fleet.scheduler.onRenewalResponse(other, renewal, state.now(), FENCED);
+      return renewal.acknowledgedEnd;
+    }
+
+    it('ends the term if the next renewal is rejected as well', () => {
+      // Guards against a replaced scheduler that never learns of its successor
+      // and renews in a loop, as each acknowledgement raises the token.
+      expect([rejectRenewal(), rejectRenewal()]).toEqual([1, 0]);
+      expect(fleet.scheduler.leases.isFenced).toBe(true);
+    });
+
+    it('is made up for by a later renewal', () => {
+      // Guards against ends that are never acknowledged after a rejection.
+      expect(rejectRenewal()).toBe(1);
+      fleet.run(150);
+      expect(other.confirmedAck).toBe(1);
+      expect(fleet.scheduler.leases.isFenced).toBe(false);
+    });
+  });
+
   it.each(['start', 'stop', 'pace', 'renewal'])(
     'ends the term if it is a %s with the present token',
     call => {
--- a/src/common/batch/worker_leases.ts
+++ b/src/common/batch/worker_leases.ts
@@ -107,10 +107,12 @@
    * new. A worker that restarts with the same id numbers its ends anew, so a
    * number of an earlier incarnation should not reach it: none is sent if the
    * last renewal got no response, and each only until the worker confirms it.
+   * None follows a rejection: as an acknowledgement raises the token, only the
+   * rejection of a renewal without one tells of a later scheduler.
    */
   private endToAcknowledge(worker: WorkerState): number {
     const isNew = worker.durableEnd > worker.confirmedAck;
-    if (!isNew || !worker.isResponsive) return 0;
+    if (!isNew || !worker.isResponsive || worker.wasRenewalFenced) return 0;
     return this.withholdsAcknowledgement(worker) ? 0 : worker.durableEnd;
   }
 
@@ -158,6 +160,7 @@
     if (response.result === WorkerCallResult.FENCED) {
       const token = renewal.fencingToken;
       const followUp = this.onFenced(worker, 'renewal', token);
+      worker.wasRenewalFenced = true;
       if (followUp === FollowUp.REPEAT) return;
     }
     if (response.result === WorkerCallResult.REPLACED) {
@@ -178,6 +181,7 @@
       return;
     }
     worker.responseTime.onResponse();
+    worker.wasRenewalFenced = false;
     if (!wasResponsive) this.logReachability(worker, true, response.result);
     worker.lastResponseAt = now;
     worker.setClock(report.clockMs, now);
--- a/src/common/batch/worker_state.ts
+++ b/src/common/batch/worker_state.ts
@@ -112,6 +112,8 @@
   bestEffortCpuMilli = 0;
   /** Last end whose acknowledgement the worker has received. */
   confirmedAck = 0;
+  /** Whether the worker rejected the token of the last answered renewal. */
+  wasRenewalFenced = false;
   /** Acknowledgement of the last renewal without a response that had one. */
   unansweredAck: number | undefined;
   /** Last end whose effects are durable. */
