Share the late start of two tests of restarted workers

Cause: two tests repeated the same eight lines; the import of a type had the form that the rest of the folder does not use. No check changes.

--- a/src/common/batch/open_starts.ts
+++ b/src/common/batch/open_starts.ts
@@ -1,6 +1,6 @@
 import {Millis} from '../base/clock.js';
 import {MAX_CALL_DELAY_MS} from './lease_account.js';
-import type {Run} from './worker_state.js';
+import {Run} from './worker_state.js';
 
 /**
  * Tracks the start requests to one worker that it may still execute, in this or
--- a/src/common/batch/restarted_worker.test.ts
+++ b/src/common/batch/restarted_worker.test.ts
@@ -86,6 +86,18 @@
     }
   }
 
+  /** Restarts the worker, which executes a held start while it is cut off. */
+  function expectNoViolationByLateStart(): void {
+    worker.isUnreachable = true;
+    worker.restart(LOWER_OFFSET_MS);
+    fleet.run(500);
+    executeIfHeld(CallKind.START);
+    worker.heldKinds.clear();
+    worker.isUnreachable = false;
+    fleet.run(LONG_SILENCE_MS);
+    expect(fleet.violations).toEqual([]);
+  }
+
   it('keeps the lease of the renewal that it first answers', () => {
     // Guards against two runs at a time with no call delayed: a renewal that is
     // sent before the restart is known has a deadline of the former clock.
@@ -298,14 +310,7 @@
     holdCalls(CallKind.START);
     worker.executeHeld(CallKind.START);
     fleet.run(1500);
-    worker.isUnreachable = true;
-    worker.restart(LOWER_OFFSET_MS);
-    fleet.run(500);
-    executeIfHeld(CallKind.START);
-    worker.heldKinds.clear();
-    worker.isUnreachable = false;
-    fleet.run(LONG_SILENCE_MS);
-    expect(fleet.violations).toEqual([]);
+    expectNoViolationByLateStart();
     expect(fleet.view.phase(SHORT_JOB)).toBe(JobPhase.COMPLETE);
   });
 
@@ -317,14 +322,7 @@
     worker.executeHeld(CallKind.START);
     fleet.takeOver(0);
     fleet.run(1500);
-    worker.isUnreachable = true;
-    worker.restart(LOWER_OFFSET_MS);
-    fleet.run(500);
-    executeIfHeld(CallKind.START);
-    worker.heldKinds.clear();
-    worker.isUnreachable = false;
-    fleet.run(LONG_SILENCE_MS);
-    expect(fleet.violations).toEqual([]);
+    expectNoViolationByLateStart();
   });
 
   it('may execute a repeated start of a run that has failed on the former one', () => {
