Accept no more jobs than all instances have memory for

Callers saw a process end under many valid jobs, and no answers from then on: nothing bounded the jobs that are not over, every instance holds those that any instance has accepted, and so does each that takes over.

Each instance announces its memory for jobs, estimates the memory of all jobs that it has read or is storing, and accepts jobs up to the least of these limits. No call is added: between two reads of the intake an instance accepts at most its part of what was free at the last one. A queue, an address and a connection may take a multiple of the free memory, so that others find some. Jobs that are refused are not stored; their callers get 429 or 503 with a Retry-After by the rate at which memory is released. Copies of a queue's configuration are shared, the specification of a job that is over is dropped, and the pending jobs of a queue are counted as they change, not for each request.

--- a/src/common/batch/admission/retry_after.test.ts
+++ b/src/common/batch/admission/retry_after.test.ts
@@ -12,6 +12,7 @@
   waitingCallers: 0,
   rank: 0.5,
   spread: 0.5,
+  releaseTimeMs: 0,
   callerTimeMs: Infinity,
 };
 
--- a/src/common/batch/admission/retry_after.ts
+++ b/src/common/batch/admission/retry_after.ts
@@ -12,6 +12,10 @@
   NO_CONFIGURATION: 'no-configuration',
   /** A limit of this instance on connections, bodies or requests. */
   LIMITS: 'limits',
+  /** The accepted jobs take all memory that instances have for them. */
+  JOB_MEMORY: 'job-memory',
+  /** The client, or its queue, has its share of that memory. */
+  JOB_SHARE: 'job-share',
 } as const;
 export type RejectionCause =
   (typeof RejectionCause)[keyof typeof RejectionCause];
@@ -27,6 +31,8 @@
   readonly rank: number;
   /** Differs between callers; from 0 up to 1. */
   readonly spread: number;
+  /** Time until memory of jobs is free again; Infinity if it is unknown. */
+  readonly releaseTimeMs: Millis;
   /** Time that the caller goes on trying; Infinity if it is unknown. */
   readonly callerTimeMs: Millis;
 }
@@ -81,6 +87,8 @@
   [RejectionCause.NO_CONFIGURATION]: () => SHORT_DELAY_MS,
   [RejectionCause.LIMITS]: () => SHORT_DELAY_MS,
   [RejectionCause.STORE_DOWN]: outageDelay,
+  [RejectionCause.JOB_MEMORY]: releaseDelay,
+  [RejectionCause.JOB_SHARE]: releaseDelay,
 };
 
 /** Returns the value of the `retry-after` header: whole seconds, at least 1. */
@@ -103,6 +111,11 @@
   return Math.min(MAX_DELAY_MS, delayMs) * factor;
 }
 
+/** A delay after which the memory of other jobs is likely free. */
+function releaseDelay({releaseTimeMs}: RejectedRequest): Millis {
+  return Math.min(MAX_DELAY_MS, Math.max(SHORT_DELAY_MS, releaseTimeMs));
+}
+
 /**
  * From 0 up to 1 and independent of the order by `spread`. A delay that must not
  * be longer than needed is not rounded up.
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -93,6 +93,8 @@
   /** Wall-clock time of acceptance, in ms since 1970. */
   readonly acceptedAt: number;
   readonly shape: JobShape;
+  /** Address of the client; absent in records of earlier versions. */
+  readonly source?: string;
 }
 
 /** The hand-over of a job, or of a detached task, to another shard. */
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -1,4 +1,6 @@
 import {Millis} from '../base/clock.js';
+import {JobMemory} from './admission/job_memory.js';
+import {endedJobBytes, jobBytes} from './admission/job_size_estimate.js';
 import {TermReading} from './earlier_authority.js';
 import {DetachedTask} from './detached_task.js';
 import {InterferenceWeights} from './interference.js';
@@ -26,6 +28,8 @@
 } from './job_records.js';
 import {ShardLayout, WHOLE_FLEET} from './shard_layout.js';
 import {KeyedRecord} from './store.js';
+import {PendingCounts} from './pending_counts.js';
+import {QueueTable} from './queue_table.js';
 import {parseTaskName, TaskKey} from './types.js';
 
 /** A job, or a detached task, as replicated from the log. */
@@ -43,6 +47,8 @@
   handOver?: HandOverRecord;
   /** Whether the caller has cancelled the job before it ended. */
   cancelled: boolean;
+  /** Queue whose pending jobs it is counted among; undefined if it is not. */
+  pendingQueue?: string;
   /** Local time at which the job was first seen. */
   readonly seenAt: Millis;
 }
@@ -85,8 +91,14 @@
   readonly lostWorkers = new Map<string, LostWorker>();
   /** Instances of the system by name. */
   readonly instances = new Map<string, InstanceRecord>();
+  private readonly queues = new QueueTable();
+  private readonly pendingCounts = new PendingCounts();
 
-  constructor(private readonly onRecordFault: RecordFaultHandler) {}
+  /** @param memory counts the memory of the jobs. */
+  constructor(
+    private readonly onRecordFault: RecordFaultHandler,
+    private readonly memory = new JobMemory(),
+  ) {}
 
   /**
    * Applies a record.
@@ -164,12 +176,7 @@
 
   /** Number of jobs of a queue without a started task, less cancelled ones. */
   pending(queue: string): number {
-    let count = 0;
-    for (const job of this.jobs.values()) {
-      if (job.submission?.queue.name !== queue || job.cancelled) continue;
-      if (!(job.state?.hasStarted ?? false)) count++;
-    }
-    return count;
+    return this.pendingCounts.of(queue);
   }
 
   private applyDecoded(
@@ -208,7 +215,7 @@
     }
     const job = this.getOrCreate(id, now);
     if (key[0] === RecordKind.SUBMISSION) {
-      job.submission ??= unpackSubmission(value);
+      if (job.submission === undefined) this.applySubmission(job, value);
     } else if (key[0] === RecordKind.CANCELLATION) {
       job.cancelled = !isCompleteOrFailed(job.state);
     } else if (key[0] === RecordKind.STATE) {
@@ -218,6 +225,28 @@
     } else if (key[0] === RecordKind.PROGRESS) {
       job.progress = unpackProgress(value);
     }
+    this.pendingCounts.update(job);
+  }
+
+  private applySubmission(job: KnownJob, value: Uint8Array): void {
+    const {queue, ...submission} = unpackSubmission(value);
+    job.submission = {...submission, queue: this.queues.intern(queue)};
+    this.memory.hold(job.id, {
+      queue: queue.name,
+      source: submission.source ?? '',
+      bytes: jobBytes(submission.shape, this.layout.shards.length),
+    });
+    this.releaseEnded(job);
+  }
+
+  /** A job that is over is never started again. */
+  private releaseEnded(job: KnownJob): void {
+    const {submission, state, detached} = job;
+    if (submission === undefined || detached !== undefined) return;
+    if (state === undefined || !isFinal(state.phase)) return;
+    const shape = {...submission.shape, spec: ''};
+    job.submission = {...submission, shape};
+    this.memory.resize(job.id, endedJobBytes(shape));
   }
 
   /** Returns a job or a detached task. */
@@ -269,6 +298,7 @@
     if (job.detached === undefined && isCompleteOrFailed(state)) {
       job.cancelled = false;
     }
+    this.releaseEnded(job);
   }
 
   /** Removes what a record without a value deletes. */
@@ -282,6 +312,8 @@
     } else {
       this.jobs.delete(id);
       this.firstOwners.delete(id);
+      this.pendingCounts.remove(job);
+      this.memory.release(id);
     }
   }
 
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -6,6 +6,9 @@
   AppendPace,
   AppendReport,
 } from '../../common/batch/admission/append_pace.js';
+import {JobAdmission} from '../../common/batch/admission/job_admission.js';
+import {JobCaller} from '../../common/batch/admission/job_memory.js';
+import {leastJobMemory} from '../../common/batch/admission/job_memory_limit.js';
 import {CostMeter, CostPart} from '../../common/batch/cost_meter.js';
 import {ProcessUsage} from '../../common/batch/cost_report.js';
 import {
@@ -19,14 +22,12 @@
   InstanceRecord,
   isFinal,
   LAYOUT_KEY,
-  packRecord,
   RecordKind,
 } from '../../common/batch/job_records.js';
 import {
   isStoreReachable,
   LONG_POLL_TIMEOUT_MS,
 } from '../../common/batch/isolation/store_contact.js';
-import {maxTasks, taskCount} from '../../common/batch/job_size.js';
 import {hasOwner, JobView, KnownJob} from '../../common/batch/job_view.js';
 import {Scheduler} from '../../common/batch/scheduler.js';
 import {
@@ -50,6 +51,7 @@
 import {EvacuationLog} from './evacuation_log.js';
 import {Forwarder} from './intake/forwarder.js';
 import {IntakePath} from './intake/intake_path.js';
+import {JobIntake} from './intake/job_intake.js';
 import {NeighbourService} from './intake/neighbour_api.js';
 import {ForwardedWrite} from './intake/neighbour_messages.js';
 import {NeighbourTransport} from './intake/neighbour_transport.js';
@@ -141,6 +143,9 @@
   private readonly workers: WorkerList;
   readonly lookup: JobLookup;
   readonly rejections: Rejections;
+  /** Decides which jobs there is memory for. */
+  readonly admission: JobAdmission;
+  private readonly jobIntake: JobIntake;
   private readonly intake: IntakeWriter;
   /** Undefined if this instance does not forward. */
   private readonly forwarder: Forwarder | undefined;
@@ -166,8 +171,11 @@
       incarnation: randomBytes(6).toString('hex'),
       address: announcement.relayAddress,
     };
-    this.view = new JobView((key, error) =>
-      decisions.decide('record-fault', {key, error: String(error)}),
+    this.admission = this.createAdmission();
+    this.view = new JobView(
+      (key, error) =>
+        decisions.decide('record-fault', {key, error: String(error)}),
+      this.admission.memory,
     );
     this.intake = new IntakeWriter(
       log,
@@ -178,17 +186,14 @@
     );
     this.forwarder = this.createForwarder();
     this.intakePath = this.createIntakePath();
+    this.jobIntake = this.createJobIntake();
     this.statesTail = this.createTail(
       Topic.STATES,
       () => STATES_READ_INTERVAL_MS,
       (records, isReset) => this.onStates(records, isReset),
       succeeded => this.onStatesRead(succeeded),
     );
-    this.intakeTail = this.createTail(
-      Topic.INTAKE,
-      () => (this.isScheduler ? 0 : INTAKE_READ_INTERVAL_MS),
-      records => this.onIntake(records),
-    );
+    this.intakeTail = this.createIntakeTail();
     this.evacuations = this.createEvacuations();
     this.operatorTail = this.createOperatorTail();
     this.workersTail = this.createTail(
@@ -250,6 +255,15 @@
     return this.terms().next().value !== undefined;
   }
 
+  /** Jobs for which the schedulers of this instance have no memory yet. */
+  get deferredJobs(): number {
+    let count = 0;
+    for (const {scheduler} of this.terms()) {
+      count += scheduler.deferredJobs.size;
+    }
+    return count;
+  }
+
   private *terms(): Generator<Term> {
     for (const {term} of this.roles.values()) if (term) yield term;
   }
@@ -379,30 +393,20 @@
     for (const tail of this.tails()) tail.stop();
   }
 
-  /**
-   * Stores a job unless it is known already. One whose progress could never be
-   * stored is refused.
-   * @param deadline local time by which the result is returned.
-   */
-  async submit(
+  /** See `JobIntake.submit`. */
+  submit(
     queue: Queue,
     id: string,
     shape: JobShape,
     deadline: Millis,
+    caller?: JobCaller,
   ): Promise<IntakeResult> {
-    if (this.view.phase(id) !== undefined) return IntakeResult.STORED;
-    if (this.isTooLarge(shape)) return IntakeResult.REFUSED;
-    const acceptedAt = this.dependencies.wallClock.now();
-    const submission = {queue, acceptedAt, shape};
-    const key = RecordKind.SUBMISSION + id;
-    const record = {key, value: packRecord(submission)};
-    return this.intakePath.store(record, deadline);
+    return this.jobIntake.submit(queue, id, shape, deadline, caller);
   }
 
   /** Whether no record of the log could hold the progress of a job. */
   isTooLarge(shape: JobShape): boolean {
-    const {recordBytes} = this.dependencies.log.limits;
-    return taskCount(shape) > maxTasks(recordBytes);
+    return this.jobIntake.isTooLarge(shape);
   }
 
   /**
@@ -437,12 +441,7 @@
     deadline: Millis,
     sender: AppendReport,
   ): Promise<ForwardedWrite> {
-    const id = record.key.slice(1);
-    const isSubmission = record.key[0] === RecordKind.SUBMISSION;
-    if (isSubmission && this.view.phase(id) !== undefined) {
-      return Promise.resolve({result: IntakeResult.STORED, appendMs: 0});
-    }
-    return this.intakePath.storeForwarded(record, deadline, sender);
+    return this.jobIntake.storeForwarded(record, deadline, sender);
   }
 
   onSlowStore(collector: AppendReport, isConfirmed: boolean): void {
@@ -455,6 +454,16 @@
     return this.lookup.statusHere(id);
   }
 
+  private createAdmission(): JobAdmission {
+    const {clock, announcement} = this.dependencies;
+    return new JobAdmission({
+      now: () => clock.now(),
+      limitBytes: () =>
+        leastJobMemory([announcement, ...this.view.instances.values()]),
+      instances: () => this.view.instances.size,
+    });
+  }
+
   private createForwarder(): Forwarder | undefined {
     const {name, announcement, transport, clock, decisions} = this.dependencies;
     const {relayAddress, dataCentre = ''} = announcement;
@@ -491,6 +500,7 @@
       forwarder: this.forwarder,
       pace: this.pace,
       configuration: () => this.configuration,
+      admission: this.admission,
     });
   }
 
@@ -507,6 +517,24 @@
     });
   }
 
+  private createJobIntake(): JobIntake {
+    const {view, admission, intakePath: path} = this;
+    const {wallClock, log} = this.dependencies;
+    const {recordBytes} = log.limits;
+    return new JobIntake({view, path, admission, wallClock, recordBytes});
+  }
+
+  private createIntakeTail(): LogTail {
+    return this.createTail(
+      Topic.INTAKE,
+      () => (this.isScheduler ? 0 : INTAKE_READ_INTERVAL_MS),
+      records => this.onIntake(records),
+      () => {},
+      this.dependencies.clock,
+      () => this.admission.onIntakeRead(),
+    );
+  }
+
   /** Whether a read of the intake, without waiting for records, succeeds. */
   private async canReadIntake(): Promise<boolean> {
     const from = Math.max(0, this.intakeTail.nextOffset);
--- /dev/null
+++ b/src/node/batch/intake/job_intake.ts
@@ -0,0 +1,117 @@
+import {Clock, Millis} from '../../../common/base/clock.js';
+import {
+  JobAdmission,
+  JobVerdict,
+} from '../../../common/batch/admission/job_admission.js';
+import {AppendReport} from '../../../common/batch/admission/append_pace.js';
+import {
+  JobCaller,
+  JobHolding,
+} from '../../../common/batch/admission/job_memory.js';
+import {jobBytes} from '../../../common/batch/admission/job_size_estimate.js';
+import {
+  packRecord,
+  RecordKind,
+  SubmissionRecord,
+  unpackSubmission,
+} from '../../../common/batch/job_records.js';
+import {maxTasks, taskCount} from '../../../common/batch/job_size.js';
+import {JobView} from '../../../common/batch/job_view.js';
+import {KeyedRecord} from '../../../common/batch/store.js';
+import {JobShape, Queue} from '../../../common/batch/types.js';
+import {IntakeResult} from '../pending_write.js';
+import {IntakePath} from './intake_path.js';
+import {ForwardedWrite} from './neighbour_messages.js';
+
+const RESULT_BY_VERDICT = {
+  [JobVerdict.NO_MEMORY]: IntakeResult.NO_MEMORY,
+  [JobVerdict.OVER_SHARE]: IntakeResult.OVER_SHARE,
+} as const;
+
+/** What the intake of jobs depends on. */
+export interface JobIntakeDependencies {
+  readonly view: JobView;
+  readonly path: IntakePath;
+  readonly admission: JobAdmission;
+  readonly wallClock: Clock;
+  /** Largest record that the log accepts, in bytes. */
+  readonly recordBytes: number;
+}
+
+/** Accepts jobs that there is memory for, and has them stored. */
+export class JobIntake {
+  constructor(private readonly dependencies: JobIntakeDependencies) {}
+
+  /**
+   * Stores a job unless it is known already. One whose progress could never be
+   * stored is refused.
+   *
+   * @param deadline local time by which the result is returned.
+   * @param caller the connection that submits the job, if it is known.
+   */
+  async submit(
+    queue: Queue,
+    id: string,
+    shape: JobShape,
+    deadline: Millis,
+    caller?: JobCaller,
+  ): Promise<IntakeResult> {
+    const {view, wallClock, path} = this.dependencies;
+    if (view.phase(id) !== undefined) return IntakeResult.STORED;
+    if (this.isTooLarge(shape)) return IntakeResult.REFUSED;
+    const acceptedAt = wallClock.now();
+    const submission = {queue, acceptedAt, shape, source: caller?.source};
+    const verdict = this.accept(id, submission, caller);
+    if (verdict !== JobVerdict.ACCEPTED) return RESULT_BY_VERDICT[verdict];
+    const key = RecordKind.SUBMISSION + id;
+    const record = {key, value: packRecord(submission)};
+    return this.settle(id, () => path.store(record, deadline));
+  }
+
+  /** Stores a record for another instance. */
+  async storeForwarded(
+    record: KeyedRecord,
+    deadline: Millis,
+    sender: AppendReport,
+  ): Promise<ForwardedWrite> {
+    const {view, path} = this.dependencies;
+    const store = () => path.storeForwarded(record, deadline, sender);
+    if (record.key[0] !== RecordKind.SUBMISSION) return store();
+    const id = record.key.slice(1);
+    if (view.phase(id) !== undefined) {
+      return {result: IntakeResult.STORED, appendMs: 0};
+    }
+    // The sender may have read the intake long ago.
+    const verdict = this.accept(id, unpackSubmission(record.value));
+    if (verdict !== JobVerdict.ACCEPTED) {
+      return {result: IntakeResult.REJECTED, appendMs: 0};
+    }
+    return this.settle(id, store);
+  }
+
+  /** Whether no record of the log could hold the progress of a job. */
+  isTooLarge(shape: JobShape): boolean {
+    return taskCount(shape) > maxTasks(this.dependencies.recordBytes);
+  }
+
+  private accept(
+    id: string,
+    {queue, source = '', shape}: SubmissionRecord,
+    caller?: JobCaller,
+  ): JobVerdict {
+    const {view, admission} = this.dependencies;
+    const bytes = jobBytes(shape, view.layout.shards.length);
+    const holding: JobHolding = {queue: queue.name, source, bytes, caller};
+    return admission.accept(id, holding);
+  }
+
+  /** Counts a job no more if it is not known to be stored. */
+  private async settle<T>(id: string, store: () => Promise<T>): Promise<T> {
+    const {view, admission} = this.dependencies;
+    try {
+      return await store();
+    } finally {
+      if (view.phase(id) === undefined) admission.memory.release(id);
+    }
+  }
+}
--- a/src/node/batch/intake/rejections.test.ts
+++ b/src/node/batch/intake/rejections.test.ts
@@ -35,6 +35,7 @@
       pace,
       intakeTail: {syncedAt: clock.now(), consecutiveFailures: 0},
       configuration: () => configuration,
+      admission: {releaseTimeMs: () => 0},
     });
   });
   afterEach(() => jest.useRealTimers());
--- a/src/node/batch/intake/rejections.ts
+++ b/src/node/batch/intake/rejections.ts
@@ -1,5 +1,6 @@
 import {Clock, Millis, SECOND} from '../../../common/base/clock.js';
 import {unitHash} from '../../../common/base/rendezvous.js';
+import {JobAdmission} from '../../../common/batch/admission/job_admission.js';
 import {AppendPace} from '../../../common/batch/admission/append_pace.js';
 import {
   priorityRank,
@@ -20,6 +21,9 @@
 /** Rejections that are counted at most; more don't change the spread. */
 const MAX_COUNTED_REJECTIONS = 500;
 
+/** Memory for whose release a rejected job waits: a job of a hundred tasks. */
+const LARGE_JOB_BYTES = 50_000;
+
 /** What a caller, and the log, is told about a rejection. */
 export interface Rejection {
   readonly cause: RejectionCause;
@@ -41,6 +45,7 @@
   readonly forwarder: Forwarder | undefined;
   readonly pace: AppendPace;
   readonly configuration: () => BatchConfiguration | undefined;
+  readonly admission: Pick<JobAdmission, 'releaseTimeMs'>;
 }
 
 /** Decides when the callers of rejected requests should return. */
@@ -77,6 +82,8 @@
         waitingCallers: this.countRejection(now),
         rank: this.rank(priority),
         spread: unitHash(`${key} ${now}`),
+        releaseTimeMs:
+          this.dependencies.admission.releaseTimeMs(LARGE_JOB_BYTES),
         callerTimeMs,
       }),
       outageAgeMs,
--- a/src/node/batch/pending_write.ts
+++ b/src/node/batch/pending_write.ts
@@ -9,6 +9,10 @@
   REJECTED: 'rejected',
   /** Definitely not stored, and never accepted, as it is too large. */
   REFUSED: 'refused',
+  /** Definitely not stored: the jobs of all clients take all memory. */
+  NO_MEMORY: 'no-memory',
+  /** Definitely not stored: the client has its share of the memory. */
+  OVER_SHARE: 'over-share',
   /** May be stored now, later or never; the same record can be sent again. */
   UNKNOWN: 'unknown',
 } as const;
@@ -18,6 +22,8 @@
 const NOT_STORED: ReadonlySet<IntakeResult> = new Set([
   IntakeResult.REJECTED,
   IntakeResult.REFUSED,
+  IntakeResult.NO_MEMORY,
+  IntakeResult.OVER_SHARE,
 ]);
 
 /** Whether a result means that the record is not stored and never will be. */
