Read a log that is larger than the memory in parts

All newest records of the intake were in memory at once, and after that the specifications of all jobs.

The intake's newest records are applied page by page, and its jobs are passed on to schedulers once all pages are read, as a later page may tell that a task was handed over. Jobs beyond the memory are kept without their specifications, which a scheduler reads from the log before it starts a task; a start waits while the log can't be read.

--- a/src/common/batch/admission/job_memory.ts
+++ b/src/common/batch/admission/job_memory.ts
@@ -39,6 +39,10 @@
     return this.bySource.get(source) ?? 0;
   }
 
+  has(id: string): boolean {
+    return this.holdings.has(id);
+  }
+
   /** Counts a job; one that is counted already stays as it is. */
   hold(id: string, holding: JobHolding): void {
     if (this.holdings.has(id)) return;
--- a/src/common/batch/job_records.ts
+++ b/src/common/batch/job_records.ts
@@ -95,6 +95,11 @@
   readonly shape: JobShape;
   /** Address of the client; absent in records of earlier versions. */
   readonly source?: string;
+  /**
+   * Whether this copy lacks the specification, to save memory. Never set in the
+   * log.
+   */
+  readonly lacksSpec?: boolean;
 }
 
 /** The hand-over of a job, or of a detached task, to another shard. */
--- a/src/common/batch/job_view.test.ts
+++ b/src/common/batch/job_view.test.ts
@@ -1,3 +1,4 @@
+import {JobMemory} from './admission/job_memory.js';
 import {
   JobPhase,
   JobStateRecord,
@@ -105,6 +106,44 @@
     expect(view.pending(QUEUE.name)).toBe(0);
   });
 
+  it('counts each pending job once, whatever is read again', () => {
+    // Guards against a count that drifts, as it is not made anew for each look.
+    for (let i = 0; i < 3; i++) apply(RecordKind.SUBMISSION + ID, SUBMISSION);
+    expect(view.pending(QUEUE.name)).toBe(1);
+    apply(RecordKind.SUBMISSION + ID, new Uint8Array());
+    apply(RecordKind.SUBMISSION + ID, new Uint8Array());
+    expect(view.pending(QUEUE.name)).toBe(0);
+  });
+
+  it('keeps jobs beyond its memory without their specifications', () => {
+    // Guards against the end of a process that reads a log with more than it
+    // can hold.
+    const memory = new JobMemory();
+    const limited = new JobView(
+      () => {},
+      memory,
+      () => 10_000,
+    );
+    const spec = 'x'.repeat(2000);
+    const value = packRecord({
+      queue: QUEUE,
+      acceptedAt: 5,
+      shape: {...SHAPE, spec},
+    });
+    for (const id of ['a', 'b', 'c']) {
+      limited.apply({key: RecordKind.SUBMISSION + id, value}, 0);
+    }
+    const kept = ['a', 'b', 'c'].map(id => limited.jobs.get(id)!.submission!);
+    expect(kept[0]).toMatchObject({shape: {spec}});
+    expect(kept[2]).toMatchObject({shape: {spec: ''}, lacksSpec: true});
+    expect(kept[2].shape.steps).toEqual([STEP]);
+    // One that this instance has accepted has its memory already.
+    const bytes = 7000;
+    memory.hold('d', {queue: QUEUE.name, source: '', bytes});
+    limited.apply({key: `${RecordKind.SUBMISSION}d`, value}, 0);
+    expect(limited.jobs.get('d')!.submission).toMatchObject({shape: {spec}});
+  });
+
   it('reports no phase for a job without a submission', () => {
     // Guards against a phase of a job whose submission isn't read yet: the
     // topics are read independently, so its state may arrive first.
--- a/src/common/batch/job_view.ts
+++ b/src/common/batch/job_view.ts
@@ -94,10 +94,15 @@
   private readonly queues = new QueueTable();
   private readonly pendingCounts = new PendingCounts();
 
-  /** @param memory counts the memory of the jobs. */
+  /**
+   * @param memory counts the memory of the jobs.
+   * @param memoryLimit returns the bytes beyond which jobs are kept without
+   *     their specifications.
+   */
   constructor(
     private readonly onRecordFault: RecordFaultHandler,
     private readonly memory = new JobMemory(),
+    private readonly memoryLimit: () => number = () => Infinity,
   ) {}
 
   /**
@@ -229,12 +234,18 @@
   }
 
   private applySubmission(job: KnownJob, value: Uint8Array): void {
-    const {queue, ...submission} = unpackSubmission(value);
-    job.submission = {...submission, queue: this.queues.intern(queue)};
+    const record = unpackSubmission(value);
+    const queue = this.queues.intern(record.queue);
+    const shards = this.layout.shards.length;
+    const hasRoom =
+      this.memory.has(job.id) ||
+      this.memory.total + jobBytes(record.shape, shards) <= this.memoryLimit();
+    const submission = hasRoom ? record : withoutSpec(record);
+    job.submission = {...submission, queue};
     this.memory.hold(job.id, {
       queue: queue.name,
-      source: submission.source ?? '',
-      bytes: jobBytes(submission.shape, this.layout.shards.length),
+      source: record.source ?? '',
+      bytes: jobBytes(submission.shape, shards),
     });
     this.releaseEnded(job);
   }
@@ -244,9 +255,8 @@
     const {submission, state, detached} = job;
     if (submission === undefined || detached !== undefined) return;
     if (state === undefined || !isFinal(state.phase)) return;
-    const shape = {...submission.shape, spec: ''};
-    job.submission = {...submission, shape};
-    this.memory.resize(job.id, endedJobBytes(shape));
+    job.submission = withoutSpec(submission);
+    this.memory.resize(job.id, endedJobBytes(submission.shape));
   }
 
   /** Returns a job or a detached task. */
@@ -364,6 +374,11 @@
   if (handOver.number > (job.handOver?.number ?? 0)) job.handOver = handOver;
 }
 
+function withoutSpec(submission: SubmissionRecord): SubmissionRecord {
+  const shape = {...submission.shape, spec: ''};
+  return {...submission, shape, lacksSpec: true};
+}
+
 /** Whether a job completed or failed, so that a cancellation has no effect. */
 function isCompleteOrFailed(state: JobStateRecord | undefined): boolean {
   return state?.phase === JobPhase.COMPLETE || state?.phase === JobPhase.FAILED;
--- a/src/common/batch/store.ts
+++ b/src/common/batch/store.ts
@@ -72,6 +72,16 @@
   readonly end: number;
 }
 
+/**
+ * Handles a part of the newest records of a topic.
+ *
+ * @param next offset of the next read; records from there on are read again.
+ */
+export type PageHandler = (
+  records: readonly StoredRecord[],
+  next: number,
+) => void;
+
 /** The platform's log: topics of keyed records, ordered by offset. */
 export interface KeyedLog {
   readonly limits: LogLimits;
@@ -84,8 +94,14 @@
   ): Promise<AppendResponse>;
   /** Reads from an offset; waits up to `waitMs` if there are no records. */
   read(topic: Topic, from: number, waitMs: Millis): Promise<ReadResponse>;
-  /** Reads the newest record of each key. */
-  newest(topic: Topic): Promise<ReadResponse>;
+  /**
+   * Reads the newest record of each key.
+   *
+   * @param onPage called with parts of the records in any order, so that not all
+   *     of them have to be in memory at once. What it gets is not part of the
+   *     response.
+   */
+  newest(topic: Topic, onPage?: PageHandler): Promise<ReadResponse>;
 }
 
 /** Topics of the log. */
--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -59,10 +59,11 @@
 import {IntakeWriter} from './intake_writer.js';
 import {IntakeResult} from './pending_write.js';
 import {JobLookup, JobStatus, LogUnavailableError} from './job_lookup.js';
-import {LogTail} from './log_tail.js';
+import {LogTail, LogTailListener} from './log_tail.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
 import {ShardRole} from './shard_role.js';
 import {ShardRoleHost} from './shard_role_host.js';
+import {SpecLoader} from './spec_loader.js';
 import {Term} from './term.js';
 import {WorkerList} from './worker_list.js';
 
@@ -127,6 +128,8 @@
    * of its own, the instance does not forward.
    */
   readonly transport?: NeighbourTransport;
+  /** Reads specifications that are not kept. Without it, all are kept. */
+  readonly specs?: SpecLoader;
 }
 
 /**
@@ -157,6 +160,8 @@
   private endedIncarnations: readonly string[] = [];
   private readonly statesTail: LogTail;
   private readonly intakeTail: LogTail;
+  /** Keys of the intake's newest records whose jobs were not passed on yet. */
+  private loadedKeys: string[] = [];
   private readonly operatorTail: LogTail;
   private readonly workersTail: LogTail;
   /** Parts of this instance in the shards, by shard. */
@@ -176,6 +181,7 @@
       (key, error) =>
         decisions.decide('record-fault', {key, error: String(error)}),
       this.admission.memory,
+      () => this.specMemoryBytes,
     );
     this.intake = new IntakeWriter(
       log,
@@ -191,7 +197,7 @@
       Topic.STATES,
       () => STATES_READ_INTERVAL_MS,
       (records, isReset) => this.onStates(records, isReset),
-      succeeded => this.onStatesRead(succeeded),
+      {onRead: succeeded => this.onStatesRead(succeeded)},
     );
     this.intakeTail = this.createIntakeTail();
     this.evacuations = this.createEvacuations();
@@ -517,6 +523,13 @@
     });
   }
 
+  /** Memory of jobs beyond which their specifications are not kept. */
+  private get specMemoryBytes(): number {
+    const {specs, announcement} = this.dependencies;
+    if (specs === undefined) return Infinity;
+    return announcement.jobMemoryBytes ?? Infinity;
+  }
+
   private createJobIntake(): JobIntake {
     const {view, admission, intakePath: path} = this;
     const {wallClock, log} = this.dependencies;
@@ -528,10 +541,11 @@
     return this.createTail(
       Topic.INTAKE,
       () => (this.isScheduler ? 0 : INTAKE_READ_INTERVAL_MS),
-      records => this.onIntake(records),
-      () => {},
-      this.dependencies.clock,
-      () => this.admission.onIntakeRead(),
+      records => this.onIntakeRead(records),
+      {
+        onPage: records => this.onIntakePage(records),
+        onEndReached: () => this.admission.onIntakeRead(),
+      },
     );
   }
 
@@ -553,10 +567,9 @@
   private createTail(
     topic: Topic,
     intervalMs: () => Millis,
-    onRecords: (records: readonly StoredRecord[], isReset: boolean) => void,
-    onRead: (succeeded: boolean) => void = () => {},
+    onRecords: LogTailListener['onRecords'],
+    listener: Partial<LogTailListener> = {},
     clock = this.dependencies.clock,
-    onEndReached: (sentAt: Millis) => void = () => {},
   ): LogTail {
     return new LogTail(
       this.dependencies.log,
@@ -565,9 +578,9 @@
       {waitMs: LONG_POLL_TIMEOUT_MS, intervalMs},
       {
         onRecords,
-        onRead,
-        onEndReached,
+        onRead: () => {},
         onFault: error => this.onFault(`tail of ${topic}`, error),
+        ...listener,
       },
     );
   }
@@ -578,9 +591,8 @@
       Topic.OPERATOR,
       () => 0,
       (records, isReset) => this.onOperator(records, isReset),
-      () => {},
+      {onEndReached: sentAt => this.evacuations.evacuated.confirm(sentAt)},
       this.dependencies.permissionClock,
-      sentAt => this.evacuations.evacuated.confirm(sentAt),
     );
   }
 
@@ -641,12 +653,32 @@
     }
   }
 
-  private onIntake(records: readonly KeyedRecord[]): void {
+  /** Applies a part of the newest records of the intake. */
+  private onIntakePage(records: readonly KeyedRecord[]): void {
+    const now = this.dependencies.clock.now();
+    for (const record of records) {
+      this.view.apply(record, now);
+      this.loadedKeys.push(record.key);
+    }
+  }
+
+  /** Handles what the tail has read, and what it has passed on before. */
+  private onIntakeRead(records: readonly KeyedRecord[]): void {
+    const {loadedKeys} = this;
+    this.loadedKeys = [];
+    this.onIntake(records, loadedKeys);
+  }
+
+  /** @param appliedKeys keys of records that were applied before. */
+  private onIntake(
+    records: readonly KeyedRecord[],
+    appliedKeys: readonly string[] = [],
+  ): void {
     const now = this.dependencies.clock.now();
     // A job must not be taken before a later record tells that a task has left
     // it; earlier records of the task may have been replaced.
     for (const record of records) this.view.apply(record, now);
-    for (const {key} of records) {
+    for (const key of [...appliedKeys, ...records.map(({key}) => key)]) {
       try {
         this.onIntakeRecord(key);
       } catch (error) {
--- a/src/node/batch/log_tail.ts
+++ b/src/node/batch/log_tail.ts
@@ -26,6 +26,12 @@
    *     a continuation of earlier records.
    */
   onRecords(records: readonly StoredRecord[], isReset: boolean): void;
+  /**
+   * If present, called with parts of the newest records, in any order, before
+   * `onRecords` is called with the rest. They are passed on also if the read of
+   * later parts fails.
+   */
+  onPage?(records: readonly StoredRecord[]): void;
   /** Called after each read. */
   onRead(succeeded: boolean): void;
   /**
@@ -52,6 +58,8 @@
    * again.
    */
   private readonly newerOffsets = new Map<string, number>();
+  /** Read of the newest records that passes on parts of them. */
+  private loading: Promise<ReadResponse> | undefined;
   private isStopped = false;
   private isPaused = false;
   /** Refresh in flight, and the one that follows it. */
@@ -146,8 +154,9 @@
     const from = this.nextOffset;
     const isReset = from < 0;
     const sentAt = this.clock.now();
+    if (isReset && this.loading === undefined) this.newerOffsets.clear();
     const response = isReset
-      ? await this.log.newest(this.topic)
+      ? await this.load()
       : await this.log.read(this.topic, from, waitMs);
     if (response.result === ReadResult.EXPIRED) {
       this.nextOffset = -1;
@@ -175,12 +184,34 @@
     return response;
   }
 
+  /**
+   * Reads the newest records. A concurrent read waits for the same response: of
+   * two that pass on parts, the older one could do so last.
+   */
+  private load(): Promise<ReadResponse> {
+    const {log, topic, listener} = this;
+    if (listener.onPage === undefined) return log.newest(topic);
+    this.loading ??= log
+      .newest(topic, (records, next) => {
+        this.noteNewer(records, next);
+        listener.onPage?.(records);
+      })
+      .finally(() => {
+        this.loading = undefined;
+      });
+    return this.loading;
+  }
+
   private acceptNewest({records, next}: ReadResponse): readonly StoredRecord[] {
-    this.newerOffsets.clear();
+    this.noteNewer(records, next);
+    return records;
+  }
+
+  /** Notes which of the newest records are read again from `next` on. */
+  private noteNewer(records: readonly StoredRecord[], next: number): void {
     for (const {key, offset} of records) {
       if (offset >= next) this.newerOffsets.set(key, offset);
     }
-    return records;
   }
 
   /** Whether a record was not read before, nor a newer one of its key. */
--- a/src/node/batch/shard_role.ts
+++ b/src/node/batch/shard_role.ts
@@ -347,6 +347,7 @@
       progress,
       intake,
       costReport: new CostReport(state, host.processUsage),
+      specs: host.specs,
       onTick: () => {
         division.run();
         this.handOvers?.run();
--- a/src/node/batch/shard_role_host.ts
+++ b/src/node/batch/shard_role_host.ts
@@ -14,6 +14,7 @@
 import {BatchConfiguration} from '../../common/batch/types.js';
 import {LogTail} from './log_tail.js';
 import {RelayedWorkerCalls} from './relayed_worker_calls.js';
+import {SpecLoader} from './spec_loader.js';
 import {WorkerList} from './worker_list.js';
 
 /** What all roles of an instance share. */
@@ -40,6 +41,8 @@
   readonly configuration: () => BatchConfiguration;
   /** Loads of the shards whose schedulers are alive. */
   readonly loads: () => ReadonlyMap<string, ShardLoad>;
+  /** Loads specifications that are not kept; absent if all are. */
+  readonly specs?: SpecLoader;
   readonly isStopping: () => boolean;
   /** Called when this instance becomes or is no longer a shard's scheduler. */
   readonly onRoleChange: () => void;
--- a/src/node/batch/term.ts
+++ b/src/node/batch/term.ts
@@ -15,6 +15,7 @@
 import {Run, RunPhase, WorkerState} from '../../common/batch/worker_state.js';
 import {FencedWriter} from './fenced_writer.js';
 import {RoleWriter} from './role_writer.js';
+import {SpecLoader} from './spec_loader.js';
 
 /** Minimum delay between two appends; limits the call rate at the store. */
 const MIN_APPEND_DELAY_MS: Millis = 12;
@@ -65,6 +66,8 @@
   /** Writes to the intake under the epoch of the term. */
   readonly intake: FencedWriter;
   readonly costReport: CostReport;
+  /** Loads the specification of a job that is kept without it. */
+  readonly specs?: Pick<SpecLoader, 'load'>;
   /** Called at each check of what depends on time alone. */
   readonly onTick?: () => void;
 }
@@ -320,16 +323,18 @@
     if (run.phase !== RunPhase.STAGED) return;
     run.phase = RunPhase.STARTING;
     const {task, worker, attempt} = run;
-    const request = {
-      task: task.name,
-      attempt,
-      spec: task.step.occurrence.job.submission.shape.spec,
-      checkpoint: task.checkpoint,
-      ticket: '',
-    };
+    const {checkpoint, name} = task;
+    const {submission, submittedId} = task.step.occurrence.job;
+    let spec = submission.lacksSpec ? undefined : submission.shape.spec;
     await this.retryUntilSettled(async () => {
       const {leases} = this.scheduler;
       if (!leases.isStartPending(run)) return FollowUp.SETTLED;
+      if (spec === undefined) {
+        spec = await this.host.specs?.load(submittedId);
+        if (spec === undefined) return FollowUp.REPEAT;
+        if (!leases.isStartPending(run)) return FollowUp.SETTLED;
+      }
+      const request = {task: name, attempt, spec, checkpoint, ticket: ''};
       const lease = leases.grantStart(run);
       if (lease === undefined) return FollowUp.REPEAT;
       const token = this.scheduler.state.fencingToken(worker);
