Log each refused job with the memory that decided it

An on-call engineer could tell from a refused job's id only that a limit was met. The line job-refused has the verdict, the job's estimated memory, the limit, and what all jobs and those of its queue, address and connection take; lines of one kind are limited as all others are. The refusal to explain a job names deferred jobs as a cause. The 75 tests of the intake, of explanations, the adapter and malformed input pass.

--- a/src/node/batch/batch_instance.ts
+++ b/src/node/batch/batch_instance.ts
@@ -531,10 +531,15 @@
   }
 
   private createJobIntake(): JobIntake {
-    const {view, admission, intakePath: path} = this;
-    const {wallClock, log} = this.dependencies;
-    const {recordBytes} = log.limits;
-    return new JobIntake({view, path, admission, wallClock, recordBytes});
+    const {wallClock, decisions, log} = this.dependencies;
+    return new JobIntake({
+      view: this.view,
+      path: this.intakePath,
+      admission: this.admission,
+      wallClock,
+      decisions,
+      recordBytes: log.limits.recordBytes,
+    });
   }
 
   private createIntakeTail(): LogTail {
--- a/src/node/batch/explain/explain_service.ts
+++ b/src/node/batch/explain/explain_service.ts
@@ -180,7 +180,8 @@
     if (job === undefined) {
       const message =
         `The scheduler does not have the job ${request.id} at present: it was ` +
-        'stored a moment ago, ends, or is handed over. Ask again in a second.';
+        'stored a moment ago, ends, is handed over, or waits until the ' +
+        'scheduler has memory for it. Ask again in a second.';
       return refusal(409, RefusalKind.CONFLICT, message);
     }
     const body: Explanation = {
--- a/src/node/batch/intake/job_intake.test.ts
+++ b/src/node/batch/intake/job_intake.test.ts
@@ -63,6 +63,7 @@
       path,
       admission,
       wallClock: clock,
+      decisions: {decide: () => {}},
       recordBytes,
     });
   });
--- a/src/node/batch/intake/job_intake.ts
+++ b/src/node/batch/intake/job_intake.ts
@@ -17,6 +17,7 @@
 } from '../../../common/batch/job_records.js';
 import {maxTasks, taskCount} from '../../../common/batch/job_size.js';
 import {JobView} from '../../../common/batch/job_view.js';
+import {DecisionLog} from '../../../common/batch/scheduler_state.js';
 import {KeyedRecord} from '../../../common/batch/store.js';
 import {JobShape, Queue} from '../../../common/batch/types.js';
 import {IntakeResult} from '../pending_write.js';
@@ -34,6 +35,7 @@
   readonly path: IntakePath;
   readonly admission: JobAdmission;
   readonly wallClock: Clock;
+  readonly decisions: DecisionLog;
   /** Largest record that the log accepts, in bytes. */
   readonly recordBytes: number;
 }
@@ -102,7 +104,30 @@
     const {view, admission} = this.dependencies;
     const bytes = jobBytes(shape, view.layout.shards.length);
     const holding: JobHolding = {queue: queue.name, source, bytes, caller};
-    return admission.accept(id, holding);
+    const verdict = admission.accept(id, holding);
+    if (verdict !== JobVerdict.ACCEPTED) this.logRefusal(id, holding, verdict);
+    return verdict;
+  }
+
+  private logRefusal(
+    job: string,
+    {queue, source, bytes, caller}: JobHolding,
+    verdict: JobVerdict,
+  ): void {
+    const {admission, decisions} = this.dependencies;
+    const {memory, limitBytes} = admission;
+    decisions.decide('job-refused', {
+      job,
+      verdict,
+      bytes,
+      queue,
+      source,
+      limitBytes: Math.round(limitBytes),
+      heldBytes: memory.total,
+      ofQueue: memory.ofQueue(queue),
+      ofSource: memory.ofSource(source),
+      ofConnection: caller?.heldBytes,
+    });
   }
 
   /** Counts a job no more if it is not known to be stored. */
