Read on after a load of the intake that another read has begun

A look-up at an instance that starts joined the load of the intake that its tail had begun, and took the end of that load for the present one, though the job was stored after its first page.

A read that finds a load under way waits for it, and then reads on. The test fails before and passes now.

--- a/src/node/batch/log_tail.ts
+++ b/src/node/batch/log_tail.ts
@@ -154,7 +154,12 @@
     const from = this.nextOffset;
     const isReset = from < 0;
     const sentAt = this.clock.now();
-    if (isReset && this.loading === undefined) this.newerOffsets.clear();
+    if (isReset && this.loading !== undefined) {
+      // The load may have begun before a record that this read has to return.
+      await this.loading.catch(() => {});
+      return this.read(waitMs);
+    }
+    if (isReset) this.newerOffsets.clear();
     const response = isReset
       ? await this.load()
       : await this.log.read(this.topic, from, waitMs);
@@ -185,20 +190,19 @@
   }
 
   /**
-   * Reads the newest records. A concurrent read waits for the same response: of
-   * two that pass on parts, the older one could do so last.
+   * Reads the newest records. Others that are read at the same time wait: of two
+   * reads that pass on parts, the older one could do so last.
    */
   private load(): Promise<ReadResponse> {
     const {log, topic, listener} = this;
     if (listener.onPage === undefined) return log.newest(topic);
-    this.loading ??= log
-      .newest(topic, (records, next) => {
-        this.noteNewer(records, next);
-        listener.onPage?.(records);
-      })
-      .finally(() => {
-        this.loading = undefined;
-      });
+    const loading = log.newest(topic, (records, next) => {
+      this.noteNewer(records, next);
+      listener.onPage?.(records);
+    });
+    this.loading = loading.finally(() => {
+      this.loading = undefined;
+    });
     return this.loading;
   }
 
