Limit the bodies and connections of the daemon's servers

Callers of the daemon saw no limit until its memory was gone: its servers for callers and operators collected bodies of up to 1 MB for as many connections as there were, and a chunk of one byte cost as much as one of many kB.

Both servers get the guard of connections that the platform's program has, with limits of their own: bodies are counted with their chunks until their requests are answered, and the connection that holds the most for the longest time is closed beyond limits.maxHeldBodyBytes (64 MB by default, 64 bodies of the largest size).

The peer mesh has no guard.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,6 +3,11 @@
 import {Instance, InstanceRole} from '../common/base/platform.js';
 import {refuse, RefusalKind} from '../common/base/refusal.js';
 import {Kernel} from '../common/kernel/kernel.js';
+import {ConnectionGuard} from '../node/connections/connection_guard.js';
+import {
+  DaemonListener,
+  daemonLimits,
+} from '../node/connections/daemon_limits.js';
 import {addJobRoutes} from '../node/job_api.js';
 import {InstanceListClient} from '../node/instance_list_client.js';
 import {JsonServer, sendJson, sendRefusal} from '../node/json_server.js';
@@ -67,8 +72,14 @@
       maxBodyBytes: settings.limits.maxBodyBytes,
       requestTimeoutMs: settings.timeouts.requestMs,
     };
-    this.callerServer = new JsonServer(limits);
-    this.operatorServer = new JsonServer(limits);
+    this.callerServer = new JsonServer(
+      limits,
+      this.createGuard(DaemonListener.CALLER),
+    );
+    this.operatorServer = new JsonServer(
+      limits,
+      this.createGuard(DaemonListener.OPERATOR),
+    );
     this.callerServer.httpServer.maxConnections =
       settings.limits.maxCallerConnections;
     this.registerPlatform();
@@ -76,6 +87,21 @@
     this.registerInterfaces();
   }
 
+  private createGuard(listener: DaemonListener): ConnectionGuard {
+    const {limits, timeouts} = this.settings;
+    const logger = this.logger.withTag('connections');
+    return new ConnectionGuard(
+      listener,
+      daemonLimits({
+        connections: limits.maxCallerConnections,
+        heldBodyBytes: limits.maxHeldBodyBytes,
+        requestMs: timeouts.requestMs,
+      }),
+      new SystemClock(),
+      {decide: (decision, fields) => logger.warn(decision, fields)},
+    );
+  }
+
   /** Opens the ports and starts to read the streams and the instance list. */
   async start(): Promise<void> {
     const {caller, operator, peer} = this.settings;
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -30,6 +30,8 @@
   limits: {
     /** The limit of section 6 of the design page: 1 MiB. */
     maxBodyBytes: 1024 * 1024,
+    /** 64 bodies of the largest size at the same time. */
+    maxHeldBodyBytes: 64 * 1024 * 1024,
     /**
      * Jobs per day of all data centres at the size planned for two years ahead,
      * rounded up.
@@ -85,6 +87,7 @@
 
 const LIMITS_SCHEMA = strictFields({
   maxBodyBytes: integerField(1).default(limits.maxBodyBytes),
+  maxHeldBodyBytes: integerField(1).default(limits.maxHeldBodyBytes),
   maxQueuedJobs: integerField(1).default(limits.maxQueuedJobs),
   maxCallerConnections: integerField(1).default(limits.maxCallerConnections),
   maxPeerQueueMessages: integerField(1).default(limits.maxPeerQueueMessages),
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -25,6 +25,11 @@
 export interface LimitSettings {
   /** Largest request body, in bytes. */
   readonly maxBodyBytes: number;
+  /**
+   * Bytes of the bodies that one server holds in memory, until their requests
+   * have been answered.
+   */
+  readonly maxHeldBodyBytes: number;
   /** Jobs that may wait in the queue of a data centre. */
   readonly maxQueuedJobs: number;
   /** Connections that callers may hold open at one instance. */
--- a/src/node/connections/connection_guard.ts
+++ b/src/node/connections/connection_guard.ts
@@ -8,10 +8,7 @@
   ClosureCause,
   ConnectionBudget,
 } from '../../common/connections/connection_budget.js';
-import {
-  ConnectionLimits,
-  Listener,
-} from '../../common/connections/connection_limits.js';
+import {ConnectionLimits} from '../../common/connections/connection_limits.js';
 import {BodyBlocks} from './body_blocks.js';
 import {ConnectionHost, GuardedConnection} from './guarded_connection.js';
 import {TurnQueue} from './turn_queue.js';
@@ -63,7 +60,8 @@
   private readonly timer: NodeJS.Timeout;
 
   constructor(
-    readonly listener: Listener,
+    /** Name of the listener in logs and metrics. */
+    readonly listener: string,
     readonly limits: ConnectionLimits,
     readonly clock: Clock,
     private readonly decisions: DecisionLog,
--- a/src/node/job_api.ts
+++ b/src/node/job_api.ts
@@ -67,8 +67,8 @@
   server: JsonServer,
   backend: JobBackend,
 ) {
-  const {request, response} = exchange;
-  const body = await readJson(request, server.limits.maxBodyBytes);
+  const {response} = exchange;
+  const body = await readJson(exchange, server.limits.maxBodyBytes);
   const parsed = parseSubmission(
     body,
     backend.configuration(),
--- a/src/node/json_server.ts
+++ b/src/node/json_server.ts
@@ -7,6 +7,8 @@
   RefusalKind,
   REFUSAL_STATUS,
 } from '../common/base/refusal.js';
+import {ConnectionGuard} from './connections/connection_guard.js';
+import {GuardedConnection} from './connections/guarded_connection.js';
 
 /** A request and its response. */
 export interface Exchange {
@@ -15,6 +17,16 @@
   readonly url: URL;
   /** Path parameters, percent-decoded. */
   readonly parameters: Readonly<Record<string, string>>;
+  /** Counts the memory of the body; undefined if the server has no guard. */
+  readonly connection?: GuardedConnection;
+}
+
+/** Memory of a chunk of a body beside its bytes. */
+const CHUNK_OVERHEAD_BYTES = 200;
+
+/** Estimates the memory of a body in chunks, in bytes. */
+export function heldBodyBytes(bytes: number, chunks: number): number {
+  return bytes + chunks * CHUNK_OVERHEAD_BYTES;
 }
 
 /** Handles a request; a thrown `RefusalError` is sent as the response. */
@@ -98,7 +110,7 @@
  * @throws RefusalError with `body_too_large` above the limit.
  */
 export async function readBody(
-  request: IncomingMessage,
+  {request, connection}: Pick<Exchange, 'request' | 'connection'>,
   maxBytes: number,
 ): Promise<Buffer> {
   const chunks: Buffer[] = [];
@@ -115,6 +127,7 @@
       );
     }
     chunks.push(chunk as Buffer);
+    connection?.onBodyChunk(heldBodyBytes(byteCount, chunks.length));
   }
   return Buffer.concat(chunks);
 }
@@ -125,10 +138,10 @@
  * @throws RefusalError with `bad_request` for malformed JSON.
  */
 export async function readJson(
-  request: IncomingMessage,
+  exchange: Pick<Exchange, 'request' | 'connection'>,
   maxBytes: number,
 ): Promise<unknown> {
-  const body = await readBody(request, maxBytes);
+  const body = await readBody(exchange, maxBytes);
   try {
     return JSON.parse(body.toString('utf8'));
   } catch (error) {
@@ -147,10 +160,16 @@
   private readonly routes: Route[] = [];
   private readonly server: Server;
 
-  constructor(readonly limits: ServerLimits = DEFAULT_SERVER_LIMITS) {
+  /** @param guard limits the connections; without it, they have no limits. */
+  constructor(
+    readonly limits: ServerLimits = DEFAULT_SERVER_LIMITS,
+    private readonly guard?: ConnectionGuard,
+  ) {
     this.server = createServer((request, response) => {
-      void this.dispatch(request, response);
+      const dispatch = () => this.dispatch(request, response);
+      void (guard?.inTurn(request, dispatch) ?? dispatch());
     });
+    guard?.attach(this.server);
     this.server.requestTimeout = limits.requestTimeoutMs;
     this.server.headersTimeout = Math.min(limits.requestTimeoutMs, 10 * SECOND);
     this.server.keepAliveTimeout = 60 * SECOND;
@@ -236,6 +255,7 @@
         response,
         url,
         parameters: matched.parameters,
+        connection: this.guard?.connectionOf(request),
       });
     } catch (error) {
       this.sendError(error, response);
--- a/src/node/operator_api.ts
+++ b/src/node/operator_api.ts
@@ -40,17 +40,17 @@
 const BODY_SOURCE = 'body';
 
 async function readTicket(
-  {request}: Exchange,
+  exchange: Exchange,
   maxBytes: number,
 ): Promise<Either<readonly Fault[], Ticket>> {
-  const contentType = (request.headers['content-type'] ?? '')
+  const contentType = (exchange.request.headers['content-type'] ?? '')
     .split(';')[0]
     .trim();
   if (YAML_TYPES.has(contentType.toLowerCase())) {
-    const text = (await readBody(request, maxBytes)).toString('utf8');
+    const text = (await readBody(exchange, maxBytes)).toString('utf8');
     return parseTicket(text, BODY_SOURCE);
   }
-  return validateTicket(await readJson(request, maxBytes), BODY_SOURCE);
+  return validateTicket(await readJson(exchange, maxBytes), BODY_SOURCE);
 }
 
 function addTicketRoutes(server: JsonServer, backend: OperatorBackend): void {
--- a/src/node/proxied_request.ts
+++ b/src/node/proxied_request.ts
@@ -114,10 +114,11 @@
   };
 
   private async receiveBody(): Promise<RequestBody | Refusal> {
-    const {request} = this.exchange;
     const {options} = this.resources;
     try {
-      return await this.unlessAborted(RequestBody.receive(request, options));
+      return await this.unlessAborted(
+        RequestBody.receive(this.exchange, options),
+      );
     } catch (error) {
       if (error instanceof BodyTooLargeError) {
         return bodyTooLarge(error.limit, false);
--- a/src/node/request_body.ts
+++ b/src/node/request_body.ts
@@ -1,4 +1,4 @@
-import {IncomingMessage} from 'node:http';
+import {Exchange, heldBodyBytes} from './json_server.js';
 
 /** The request body exceeds the limit. */
 export class BodyTooLargeError extends Error {
@@ -46,7 +46,7 @@
    *     error of the request if the caller disconnects.
    */
   static async receive(
-    request: IncomingMessage,
+    {request, connection}: Pick<Exchange, 'request' | 'connection'>,
     limits: BodyLimits,
   ): Promise<RequestBody> {
     const {maxBufferedBodyBytes, maxBodyBytes} = limits;
@@ -70,6 +70,7 @@
       }
       chunks.push(next.value as Buffer);
       size += (next.value as Buffer).length;
+      connection?.onBodyChunk(heldBodyBytes(size, chunks.length));
     }
     return new RequestBody(undefined, declared, chunks, iterator, maxBodyBytes);
   }
@@ -119,7 +120,7 @@
 }
 
 /** Returns the length in bytes from the headers; undefined if chunked. */
-function declaredLength(request: IncomingMessage): number | undefined {
+function declaredLength(request: Exchange['request']): number | undefined {
   if (request.headers['transfer-encoding'] !== undefined) return undefined;
   return Number(request.headers['content-length'] ?? 0);
 }
--- a/test_support/deployment.ts
+++ b/test_support/deployment.ts
@@ -20,6 +20,8 @@
   readonly basePort: number;
   /** Settings of every daemon, which override the generated ones. */
   readonly settings?: Readonly<Record<string, unknown>>;
+  /** Options of the runtime of every daemon. */
+  readonly nodeArguments?: readonly string[];
 }
 
 /** An entry instance: a daemon in a process of its own. */
@@ -105,7 +107,12 @@
   startEntry(entry: Entry): void {
     const child = spawn(
       process.execPath,
-      [DAEMON_PATH, '--settings', entry.settingsFile],
+      [
+        ...(this.plan.nodeArguments ?? []),
+        DAEMON_PATH,
+        '--settings',
+        entry.settingsFile,
+      ],
       {stdio: ['ignore', 'ignore', 'pipe']},
     );
     entry.process = child;
--- a/test_support/fake_instance_list.ts
+++ b/test_support/fake_instance_list.ts
@@ -40,7 +40,7 @@
         sendJson(exchange.response, 200, this.visibleList());
       })
       .route('PUT', '/instances/{id}', async exchange => {
-        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        const body = await readJson(exchange, MAX_BODY_BYTES);
         this.put({...(body as Instance), id: exchange.parameters.id});
         sendJson(exchange.response, 200, {});
       })
@@ -49,7 +49,7 @@
         sendJson(exchange.response, 200, {});
       })
       .route('PUT', '/faults', async exchange => {
-        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        const body = await readJson(exchange, MAX_BODY_BYTES);
         Object.assign(this.faults, body);
         sendJson(exchange.response, 200, this.faults);
       });
--- a/test_support/fake_log_service.ts
+++ b/test_support/fake_log_service.ts
@@ -53,7 +53,7 @@
   constructor() {
     this.server
       .route('POST', '/streams/{stream}', async exchange => {
-        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        const body = await readJson(exchange, MAX_BODY_BYTES);
         await this.delay();
         if (this.faults.loseAppends > 0) {
           this.faults.loseAppends--;
@@ -90,7 +90,7 @@
         sendJson(exchange.response, 200, this.read(name, from, limit));
       })
       .route('PUT', '/faults', async exchange => {
-        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        const body = await readJson(exchange, MAX_BODY_BYTES);
         Object.assign(this.faults, body);
         if (this.faults.down) this.wakeAllWaiters();
         sendJson(exchange.response, 200, this.faults);
--- a/test_support/fake_worker_server.ts
+++ b/test_support/fake_worker_server.ts
@@ -181,7 +181,7 @@
       )
       .route('PUT', '/tasks/{task}', exchange => this.startTask(exchange))
       .route('POST', '/leases', async exchange => {
-        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        const body = await readJson(exchange, MAX_BODY_BYTES);
         const {leases} = body as {leases: Record<string, number>};
         this.advanceTasks();
         for (const [id, untilMs] of Object.entries(leases)) {
@@ -197,7 +197,7 @@
         sendJson(exchange.response, 200, this.status());
       })
       .route('POST', '/tasks/{task}/throttle', async exchange => {
-        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        const body = await readJson(exchange, MAX_BODY_BYTES);
         this.advanceTasks();
         const task = this.findRunningTask(exchange.parameters.task);
         if (task !== undefined) task.share = (body as {share: number}).share;
@@ -217,7 +217,7 @@
         sendJson(exchange.response, 200, this.ledger),
       )
       .route('PUT', '/faults', async exchange => {
-        const body = await readJson(exchange.request, MAX_BODY_BYTES);
+        const body = await readJson(exchange, MAX_BODY_BYTES);
         Object.assign(this.faults, body);
         sendJson(exchange.response, 200, this.faults);
       });
@@ -230,7 +230,7 @@
   }
 
   private async startTask(exchange: Exchange): Promise<void> {
-    const body = await readJson(exchange.request, MAX_BODY_BYTES);
+    const body = await readJson(exchange, MAX_BODY_BYTES);
     const start = body as TaskStart;
     const id = exchange.parameters.task;
     if (start.leaseUntilMs <= this.clock()) {
@@ -266,7 +266,7 @@
   private async handleServiceRequest(exchange: Exchange): Promise<void> {
     const {request, response} = exchange;
     const key = request.headers['idempotency-key'] as string | undefined;
-    const body = await readBody(request, MAX_BODY_BYTES);
+    const body = await readBody({request}, MAX_BODY_BYTES);
     this.addToLedger('request', {key});
     this.busySlots++;
     const workMs = request.headers['x-work-ms'];
