Limit the incomplete messages of the daemon's peer mesh

The port for peers took messages of up to 16 MB from any number of connections. A crowd of 300 that stop short after 900 kB took 355 MB.

The port gets the guard that the relay has: the bytes of incomplete messages count as bodies, with at least 20 MB for them, so that the largest message always fits.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,7 +15,7 @@
 import {Metrics} from '../node/metrics.js';
 import {addOperatorRoutes} from '../node/operator_api.js';
 import {PeerState} from '../node/peer_messages.js';
-import {memberId, PeerMesh} from '../node/peer_mesh.js';
+import {MAX_MESSAGE_BYTES, memberId, PeerMesh} from '../node/peer_mesh.js';
 import {PlatformClient} from '../node/platform_client.js';
 import {SystemClock} from '../node/system_clock.js';
 import {WorkerClient} from '../node/worker_client.js';
@@ -47,6 +47,9 @@
 /** Period at which the slowdowns measured here are passed to the scheduler. */
 const LOCAL_SLOWDOWN_PERIOD_MS: Millis = 500;
 
+/** Memory for incomplete messages of peers; the largest one fits. */
+const LEAST_PEER_BYTES = 1.25 * MAX_MESSAGE_BYTES;
+
 const DRAIN_POLL_MS: Millis = 25;
 
 /** One entry instance: creates, connects, starts and stops its services. */
@@ -87,14 +90,17 @@
     this.registerInterfaces();
   }
 
-  private createGuard(listener: DaemonListener): ConnectionGuard {
+  private createGuard(
+    listener: DaemonListener,
+    leastHeldBytes = 0,
+  ): ConnectionGuard {
     const {limits, timeouts} = this.settings;
     const logger = this.logger.withTag('connections');
     return new ConnectionGuard(
       listener,
       daemonLimits({
         connections: limits.maxCallerConnections,
-        heldBodyBytes: limits.maxHeldBodyBytes,
+        heldBodyBytes: Math.max(limits.maxHeldBodyBytes, leastHeldBytes),
         requestMs: timeouts.requestMs,
       }),
       new SystemClock(),
@@ -210,6 +216,7 @@
           maxQueueBytes: settings.limits.maxPeerQueueBytes,
           silenceMs: settings.timeouts.peerSilenceMs,
         },
+        this.createGuard(DaemonListener.PEER, LEAST_PEER_BYTES),
       ),
     );
     mesh.setAddresses(settings.peers);
--- a/src/node/connections/daemon_limits.ts
+++ b/src/node/connections/daemon_limits.ts
@@ -14,6 +14,7 @@
 export const DaemonListener = {
   CALLER: 'caller',
   OPERATOR: 'operator',
+  PEER: 'peer',
 } as const;
 export type DaemonListener =
   (typeof DaemonListener)[keyof typeof DaemonListener];
--- a/src/node/peer_mesh.ts
+++ b/src/node/peer_mesh.ts
@@ -6,6 +6,7 @@
 import {Disposable} from '../common/base/disposable.js';
 import {Emitter, Event} from '../common/base/emitter.js';
 import {MemberId} from '../common/stream/types.js';
+import {ConnectionGuard} from './connections/connection_guard.js';
 import {
   DEFAULT_LINK_LIMITS,
   LinkCloseCode,
@@ -46,7 +47,7 @@
   return member.slice(0, member.lastIndexOf('#'));
 }
 
-const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+export const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 const MAINTENANCE_PERIOD_MS: Millis = 500;
 const CONNECT_TIMEOUT_MS: Millis = SECOND;
 
@@ -77,10 +78,12 @@
   readonly onPeerUp: Event<Peer> = this.peerUpEmitter.event;
   readonly onPeerDown: Event<Peer> = this.peerDownEmitter.event;
 
+  /** @param guard limits the connections that others open to this one. */
   constructor(
     private readonly ownHello: Hello,
     private readonly clock: Clock,
     private readonly limits: LinkLimits = DEFAULT_LINK_LIMITS,
+    guard?: ConnectionGuard,
   ) {
     this.httpServer = createServer((unusedRequest, response) => {
       response.writeHead(426).end('This port serves links between instances.');
@@ -90,7 +93,13 @@
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
     });
-    this.webSocketServer.on('connection', socket => this.createLink(socket));
+    guard?.attachUpgrades(this.httpServer);
+    this.webSocketServer.on('connection', (socket, request) => {
+      const connection = guard?.connectionOf(request);
+      socket.on('message', () => connection?.onMessage());
+      socket.on('ping', () => connection?.onPing());
+      this.createLink(socket);
+    });
   }
 
   /** Starts to listen and to dial; resolves to the bound port. */
--- a/tests/daemon_client_crowds.test.ts
+++ b/tests/daemon_client_crowds.test.ts
@@ -3,6 +3,7 @@
   ClientCrowd,
   CrowdClient,
   silentConnection,
+  unfinishedMessage,
   unfinishedUpload,
   unreadRequests,
 } from '../platform/testing/client_crowd.js';
@@ -70,6 +71,11 @@
       ...repeat(200, unreadRequests(10_000, '/')),
     ],
   ],
+  [
+    'messages that stop short, at the port for peers',
+    ({peerPort}) => peerPort,
+    repeat(300, unfinishedMessage(900_000)),
+  ],
 ];
 
 describe('a daemon stays within its memory and serves an ordinary caller', () => {
