Give a rejected job's part of the free memory back

In an outage of the store, callers could have been told that jobs take all memory: an instance counted each job that it had accepted since its last read of the intake, also those that the store rejected, and an outage is a time without reads. Found by reading.

A job that is certainly not stored counts no more, for its memory nor for the instance's part between two reads; one of unknown outcome counts for the latter until the next read. The new test failed before, at the first job beyond the part of 1 in 50.

--- a/src/common/batch/admission/job_admission.test.ts
+++ b/src/common/batch/admission/job_admission.test.ts
@@ -94,6 +94,18 @@
     expect(accept(next())).toBe(JobVerdict.ACCEPTED);
   });
 
+  it('goes on to decide in an outage in which nothing is stored', () => {
+    // Callers were told that there is no memory, and not that the store is down.
+    instances = 50;
+    admission.onIntakeRead();
+    for (let i = 0; i < 1000; i++) {
+      const holding = jobOf(connection('1.1.1.1'));
+      expect(admission.accept(String(i), holding)).toBe(JobVerdict.ACCEPTED);
+      admission.abandon(String(i), true);
+    }
+    expect(admission.memory.total).toBe(0);
+  });
+
   it('never lets several instances exceed the limit together', () => {
     // Each accepts what it may between two reads, without knowing the others'.
     const peers = Array.from(
--- a/src/common/batch/admission/job_admission.ts
+++ b/src/common/batch/admission/job_admission.ts
@@ -91,6 +91,19 @@
     return verdict;
   }
 
+  /**
+   * Counts an accepted job no more, as it is not known to be stored.
+   *
+   * @param isNotStored whether it never will be; otherwise other instances may
+   *     read it.
+   */
+  abandon(id: string, isNotStored: boolean): void {
+    const bytes = this.memory.bytesOf(id);
+    this.memory.release(id);
+    if (!isNotStored) return;
+    this.unreadBytes = Math.max(0, this.unreadBytes - bytes);
+  }
+
   /** Decides on a job without counting it. */
   verdictOn({queue, source, bytes, caller}: JobHolding): JobVerdict {
     const {memory} = this;
--- a/src/common/batch/admission/job_memory.ts
+++ b/src/common/batch/admission/job_memory.ts
@@ -43,6 +43,11 @@
     return this.holdings.has(id);
   }
 
+  /** Estimated memory of a job, in bytes; 0 if it is not counted. */
+  bytesOf(id: string): number {
+    return this.holdings.get(id)?.bytes ?? 0;
+  }
+
   /** Counts a job; one that is counted already stays as it is. */
   hold(id: string, holding: JobHolding): void {
     if (this.holdings.has(id)) return;
--- a/src/node/batch/intake/job_intake.ts
+++ b/src/node/batch/intake/job_intake.ts
@@ -20,7 +20,7 @@
 import {DecisionLog} from '../../../common/batch/scheduler_state.js';
 import {KeyedRecord} from '../../../common/batch/store.js';
 import {JobShape, Queue} from '../../../common/batch/types.js';
-import {IntakeResult} from '../pending_write.js';
+import {IntakeResult, isNotStored} from '../pending_write.js';
 import {IntakePath} from './intake_path.js';
 import {ForwardedWrite} from './neighbour_messages.js';
 
@@ -67,7 +67,11 @@
     if (verdict !== JobVerdict.ACCEPTED) return RESULT_BY_VERDICT[verdict];
     const key = RecordKind.SUBMISSION + id;
     const record = {key, value: packRecord(submission)};
-    return this.settle(id, () => path.store(record, deadline));
+    const {result} = await this.storeCounted(id, async () => ({
+      result: await path.store(record, deadline),
+      appendMs: 0,
+    }));
+    return result;
   }
 
   /** Stores a record for another instance. */
@@ -77,8 +81,9 @@
     sender: AppendReport,
   ): Promise<ForwardedWrite> {
     const {view, path} = this.dependencies;
-    const store = () => path.storeForwarded(record, deadline, sender);
-    if (record.key[0] !== RecordKind.SUBMISSION) return store();
+    if (record.key[0] !== RecordKind.SUBMISSION) {
+      return path.storeForwarded(record, deadline, sender);
+    }
     const id = record.key.slice(1);
     if (view.phase(id) !== undefined) {
       return {result: IntakeResult.STORED, appendMs: 0};
@@ -88,7 +93,9 @@
     if (verdict !== JobVerdict.ACCEPTED) {
       return {result: IntakeResult.REJECTED, appendMs: 0};
     }
-    return this.settle(id, store);
+    return this.storeCounted(id, () =>
+      path.storeForwarded(record, deadline, sender),
+    );
   }
 
   /** Whether no record of the log could hold the progress of a job. */
@@ -130,13 +137,19 @@
     });
   }
 
-  /** Counts a job no more if it is not known to be stored. */
-  private async settle<T>(id: string, store: () => Promise<T>): Promise<T> {
+  /** Stores a job that counts already; it does no more unless it is stored. */
+  private async storeCounted(
+    id: string,
+    store: () => Promise<ForwardedWrite>,
+  ): Promise<ForwardedWrite> {
     const {view, admission} = this.dependencies;
+    let isRejected = false;
     try {
-      return await store();
+      const write = await store();
+      isRejected = isNotStored(write.result);
+      return write;
     } finally {
-      if (view.phase(id) === undefined) admission.memory.release(id);
+      if (view.phase(id) === undefined) admission.abandon(id, isRejected);
     }
   }
 }
